--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests."""
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,163 @@
+"""Steps that start and stop processes."""
+
+from __future__ import annotations
+
+import json
+from random import Random
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from jackdawhead.bench.client import Call
+from jackdawhead.bench.load import LoadPlan, run_load
+from jackdawhead.config.settings import Address
+from standins.fleet import Fleet, call, read_json, wait_until
+from standins.sites import AMAKUSA, HELVETIA
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_SITES = {'helvetia': HELVETIA, 'amakusa': AMAKUSA}
+
+
+def start_fleet(
+    fleet: Fleet,
+    service_name: str,
+    count: int,
+    **behaviour: object,
+) -> None:
+    """Start a small fleet before one service of a site."""
+    site, service = next(
+        (site, service)
+        for site in _SITES.values()
+        for service in site.services
+        if service.name == service_name
+    )
+    fleet.start_platform()
+    spots = site.spots(service)[:count]
+    fleet.start_upstreams(
+        service.name,
+        spots,
+        service.slots,
+        service.behaviour(**behaviour),
+    )
+    for vm, zone in spots:
+        fleet.start_node(vm, zone)
+    fleet.publish_vms()
+    fleet.publish_config(site.folder)
+    fleet.await_ready()
+
+
+@given('a shared fleet of {count:d} nodes before "{service}"')
+def share_fleet(context: Context, count: int, service: str) -> None:
+    """Start a fleet once for all scenarios of the feature."""
+    key = (count, service)
+    if key not in context.shared_fleets:
+        fleet = Fleet()
+        context.feature_stack.callback(fleet.close)
+        start_fleet(fleet, service, count)
+        context.shared_fleets[key] = fleet
+    context.fleet = context.shared_fleets[key]
+
+
+@given('a fleet of {count:d} nodes before "{service}"')
+def own_fleet(context: Context, count: int, service: str) -> None:
+    """Start a fleet for this scenario."""
+    context.fleet = Fleet()
+    context.stack.callback(context.fleet.close)
+    start_fleet(context.fleet, service, count)
+
+
+def node_at(context: Context, position: int) -> str:
+    """Return the VM of a node by its position, from 1."""
+    return list(context.fleet.nodes)[position - 1]
+
+
+@when('a caller sends {method} "{target}" to node {position:d}')
+def send_request(
+    context: Context,
+    method: str,
+    target: str,
+    position: int,
+) -> None:
+    """Send one request."""
+    node = context.fleet.nodes[node_at(context, position)]
+    body = context.text.encode() if context.text else b''
+    context.reply = call(node.caller_port, method, target, body)
+
+
+@when('callers send {count:d} lookups to all nodes')
+def send_lookups(context: Context, count: int) -> None:
+    """Send distinct lookups at a moderate rate."""
+    addresses = tuple(
+        Address('127.0.0.1', node.caller_port)
+        for node in context.fleet.nodes.values()
+    )
+    rate_per_s = 100.0
+    plan = LoadPlan(addresses, _lookup, rate_per_s, count / rate_per_s)
+    context.load = run_load(plan, Random(7), keep_exchanges=True)
+
+
+def _lookup(number: int) -> Call:
+    return Call('GET', f'/cultivars/rosa-{number}')
+
+
+@then('the status is {status:d}')
+def check_status(context: Context, status: int) -> None:
+    """Compare the status."""
+    assert context.reply.status == status, context.reply
+
+
+@then('the header "{name}" is "{text}"')
+def check_header(context: Context, name: str, text: str) -> None:
+    """Compare a header."""
+    found = context.reply.headers.get(name.lower())
+    assert found == text, context.reply
+
+
+@then('the answer\'s "{field}" is "{text}"')
+def check_field(context: Context, field: str, text: str) -> None:
+    """Compare a field of a JSON answer."""
+    found = json.loads(context.reply.body)[field]
+    assert str(found) == text, context.reply
+
+
+@then('every lookup has the whole answer to its own request')
+def check_own_answers(context: Context) -> None:
+    """Compare each answer's path with that of its request."""
+    assert context.load.exchanges
+    for exchange in context.load.exchanges:
+        assert exchange.reply is not None, exchange
+        assert exchange.reply.status == 200, exchange
+        path = json.loads(exchange.reply.body)['path']
+        assert path == exchange.call.target, exchange
+
+
+@then('node {position:d} records "{kind}" in its audit trail')
+def check_audit(context: Context, position: int, kind: str) -> None:
+    """Wait for a record in a node's audit trail."""
+    vm = node_at(context, position)
+    wait_until(
+        lambda: any(each['kind'] == kind for each in context.fleet.audit(vm)),
+        f'{kind} at {vm}',
+    )
+
+
+@then('the admin page "{path}" of node {position:d} contains "{text}"')
+def check_admin(
+    context: Context,
+    path: str,
+    position: int,
+    text: str,
+) -> None:
+    """Look for a text on an admin page."""
+    node = context.fleet.nodes[node_at(context, position)]
+    body = call(node.admin_port, 'GET', path).body.decode()
+    assert text in body, body
+
+
+@then('node {position:d} is ready')
+def check_ready(context: Context, position: int) -> None:
+    """Look at the readiness of a node."""
+    node = context.fleet.nodes[node_at(context, position)]
+    assert read_json(node.admin_port, '/readyz') == {'ready': True}
--- /dev/null
+++ b/src/jackdawhead/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and measurement of running processes."""
--- /dev/null
+++ b/src/jackdawhead/bench/client.py
@@ -0,0 +1,111 @@
+"""A plain HTTP client that never sends a request twice."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from gevent import socket
+from geventhttpclient.response import HTTPSocketResponse
+
+from ..wire.stream import set_no_delay
+
+if TYPE_CHECKING:
+    from gevent.socket import socket as Socket
+
+    from ..config.settings import Address
+
+_BLOCK_BYTES: Final = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request to send.
+
+    :param target: path and query.
+    :param headers: added to the necessary ones.
+    """
+
+    method: str
+    target: str
+    body: bytes = b''
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer.
+
+    :param headers: names in lower case.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class CallerClient:
+    """Keeps idle connections to one address.
+
+    Unlike the client of geventhttpclient it does not resend by itself when
+    a connection turns out to be closed.
+
+    :param address: where to send requests.
+    :param timeout_s: longest wait for each part of an answer.
+    """
+
+    def __init__(self, address: Address, timeout_s: float) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self._idle: deque[Socket] = deque()
+
+    def send(self, call: Call) -> Reply:
+        """Send a request and return its whole answer.
+
+        :param call: the request.
+        :raises OSError: if the connection fails or times out.
+        :raises geventhttpclient.response.HTTPParseError: if the answer is
+            cut or malformed.
+        """
+        sock = self._idle.pop() if self._idle else self._connect()
+        try:
+            sock.sendall(self._head(call) + call.body)
+            response = HTTPSocketResponse(
+                sock,
+                block_size=_BLOCK_BYTES,
+                method=call.method,
+            )
+            body = bytes(response.read())
+        except BaseException:
+            sock.close()
+            raise
+        if response.should_close():
+            sock.close()
+        else:
+            self._idle.append(sock)
+        headers = {name.lower(): text for name, text in response.items()}
+        return Reply(response.status_code, headers, body)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _connect(self) -> Socket:
+        target = (self._address.ip, self._address.port)
+        sock = socket.create_connection(target, self._timeout_s)
+        set_no_delay(sock)
+        return sock
+
+    def _head(self, call: Call) -> bytes:
+        lines = [
+            f'{call.method} {call.target} HTTP/1.1',
+            f'Host: {self._address}',
+            f'Content-Length: {len(call.body)}',
+        ]
+        lines.extend(f'{name}: {text}' for name, text in call.headers.items())
+        return '\r\n'.join((*lines, '', '')).encode('latin-1')
+
+
+__all__ = ('Call', 'CallerClient', 'Reply')
--- /dev/null
+++ b/src/jackdawhead/bench/load.py
@@ -0,0 +1,159 @@
+"""Open-loop load: requests are sent when due, however late answers are."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import gevent
+from geventhttpclient.response import HTTPParseError
+from hdrh.histogram import HdrHistogram
+
+from ..clock import monotonic_ms, seconds
+from .client import Call, CallerClient, Reply
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..config.settings import Address
+
+_LOWEST_US: Final = 1
+_HIGHEST_US: Final = 120_000_000
+_DIGITS: Final = 3
+_US_PER_MS: Final = 1000
+_MS_PER_S: Final = 1000
+_TIMEOUT_S: Final = 65.0
+
+MakeCall = Callable[[int], Call]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What to send.
+
+    :param addresses: used in turn.
+    :param make_call: gives the request of a number.
+    :param rate_per_s: requests a second.
+    :param duration_s: time during which requests are sent.
+    """
+
+    addresses: tuple[Address, ...]
+    make_call: MakeCall
+    rate_per_s: float
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """One request and what came of it.
+
+    :param reply: the answer, or nothing.
+    :param error: why there is no whole answer.
+    """
+
+    call: Call
+    reply: Reply | None
+    error: str
+    took_ms: float
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What came of a load.
+
+    :param histogram: times from when a request was due, in microseconds,
+        of answers below 500.
+    :param answers: counts by status and outcome.
+    """
+
+    histogram: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(
+            _LOWEST_US,
+            _HIGHEST_US,
+            _DIGITS,
+        ),
+    )
+    answers: Counter[str] = field(default_factory=Counter)
+    exchanges: list[Exchange] = field(default_factory=list)
+
+    def percentile_ms(self, percent: float) -> float:
+        """Return a percentile of the times in milliseconds.
+
+        :param percent: 0 to 100.
+        """
+        found = self.histogram.get_value_at_percentile(percent)
+        return float(found) / _US_PER_MS
+
+
+def run_load(
+    plan: LoadPlan,
+    rng: Random,
+    *,
+    keep_exchanges: bool = False,
+) -> LoadResult:
+    """Send requests at random times (Poisson arrivals) and await the answers.
+
+    :param plan: what to send.
+    :param rng: source of the times.
+    :param keep_exchanges: whether to return each request and answer.
+    """
+    result = LoadResult()
+    clients = [CallerClient(each, _TIMEOUT_S) for each in plan.addresses]
+    started_ms = monotonic_ms()
+    due_ms = started_ms
+    pending = []
+    number = 0
+    while due_ms - started_ms < plan.duration_s * _MS_PER_S:
+        gevent.sleep(seconds(max(0, due_ms - monotonic_ms())))
+        client = clients[number % len(clients)]
+        call = plan.make_call(number)
+        pending.append(
+            gevent.spawn(
+                _exchange, client, call, due_ms, result, keep_exchanges
+            ),
+        )
+        number += 1
+        due_ms += rng.expovariate(plan.rate_per_s) * _MS_PER_S
+    gevent.joinall(pending)
+    for client in clients:
+        client.close()
+    return result
+
+
+def _exchange(
+    client: CallerClient,
+    call: Call,
+    due_ms: float,
+    result: LoadResult,
+    keep: bool,
+) -> None:
+    reply: Reply | None = None
+    error = ''
+    try:
+        reply = client.send(call)
+    except (OSError, HTTPParseError) as failure:
+        error = type(failure).__name__
+    took_ms = monotonic_ms() - due_ms
+    _count(result, reply, error, took_ms)
+    if keep:
+        result.exchanges.append(Exchange(call, reply, error, took_ms))
+
+
+def _count(
+    result: LoadResult,
+    reply: Reply | None,
+    error: str,
+    took_ms: float,
+) -> None:
+    if reply is None:
+        result.answers[error] += 1
+        return
+    outcome = reply.headers.get('x-outcome', '')
+    result.answers[f'{reply.status} {outcome}'.strip()] += 1
+    if reply.status < 500:
+        result.histogram.record_value(max(1, int(took_ms * _US_PER_MS)))
+
+
+__all__ = ('Exchange', 'LoadPlan', 'LoadResult', 'run_load')
--- /dev/null
+++ b/src/jackdawhead/blackboard.py
@@ -0,0 +1,95 @@
+"""The blackboard: latest frozen snapshots that controllers read and write."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from .config.load import LoadedConfig
+    from .config.sources import SourceFile
+
+_SnapshotT = TypeVar('_SnapshotT')
+
+
+class Topic(Generic[_SnapshotT]):
+    """One kind of snapshot, written by one controller and read by any.
+
+    :param first: snapshot until the first write.
+    """
+
+    def __init__(self, first: _SnapshotT) -> None:
+        self._snapshot = first
+        self._readers: list[Callable[[_SnapshotT], None]] = []
+
+    def read(self) -> _SnapshotT:
+        """Return the latest snapshot."""
+        return self._snapshot
+
+    def write(self, snapshot: _SnapshotT) -> None:
+        """Replace the snapshot and call its readers in order.
+
+        :param snapshot: frozen data, never changed afterwards.
+        """
+        self._snapshot = snapshot
+        for reader in self._readers:
+            reader(snapshot)
+
+    def on_change(self, reader: Callable[[_SnapshotT], None]) -> None:
+        """Call a reader after each write.
+
+        :param reader: takes the new snapshot; must not block.
+        """
+        self._readers.append(reader)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigInForce:
+    """The configuration that this node follows.
+
+    :param version: version given by the platform, 0 before the first.
+    :param sources: its files, to pass them on.
+    """
+
+    version: int = 0
+    loaded: LoadedConfig | None = None
+    sources: tuple[SourceFile, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """A VM as listed by the platform.
+
+    :param stream_port: port of the node on it, 0 if it runs none.
+    :param upstream_ports: port of the upstream of each service on it.
+    """
+
+    name: str
+    zone: str
+    ip: str
+    leaving: bool
+    stream_port: int
+    upstream_ports: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """The platform's list of VMs, which lags behind the truth."""
+
+    version: int = 0
+    vms: dict[str, Vm] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """All topics of a node."""
+
+    config: Topic[ConfigInForce] = field(
+        default_factory=lambda: Topic(ConfigInForce()),
+    )
+    vm_list: Topic[VmList] = field(default_factory=lambda: Topic(VmList()))
+    leaving: Topic[bool] = field(default_factory=lambda: Topic(False))
+
+
+__all__ = ('Blackboard', 'ConfigInForce', 'Topic', 'Vm', 'VmList')
--- /dev/null
+++ b/src/jackdawhead/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/jackdawhead/cli/parser.py
@@ -0,0 +1,91 @@
+"""Builds the argument parser out of the registered sub-commands."""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser, RawDescriptionHelpFormatter
+from typing import TYPE_CHECKING, Any, Final
+
+from .. import VERSION
+from .command import COMMANDS, Command
+from .exit_codes import ExitCode
+
+if TYPE_CHECKING:
+    from argparse import _SubParsersAction
+
+_PROGRAM: Final = 'jackdawhead'
+_DESCRIPTION: Final = """\
+Proxy fleet for upstreams with gray failures.
+
+A node takes callers' requests, picks an upstream and owns the slots of the
+upstreams it stands beside. Begin with:
+
+  jackdawhead config check DIR     check a folder of configuration
+  jackdawhead node --settings DIR  run a node
+"""
+_EPILOG: Final = """\
+exit codes: 0 ok, 1 failed, 2 faulty configuration or settings,
+64 wrong usage, 69 a node or the platform cannot be reached
+"""
+_GROUP_SUMMARIES: Final = {'config': 'check, show and compare configurations'}
+
+
+class _Parser(ArgumentParser):
+    """Ends with the documented exit code on wrong usage."""
+
+    def error(self, message: str) -> Any:
+        self.print_usage()
+        self.exit(ExitCode.BAD_USAGE, f'{self.prog}: {message}; see --help\n')
+
+
+def build_parser() -> ArgumentParser:
+    """Return the parser of the whole command line."""
+    parser = _Parser(
+        prog=_PROGRAM,
+        description=_DESCRIPTION,
+        epilog=_EPILOG,
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        '--version',
+        action='version',
+        version=f'{_PROGRAM} {VERSION}',
+    )
+    groups = {(): _subparsers(parser)}
+    for words, cls in sorted(COMMANDS.items()):
+        group, name = words[:-1], words[-1]
+        if group not in groups:
+            summary = _GROUP_SUMMARIES[group[0]]
+            outer = groups[()].add_parser(
+                group[0],
+                help=summary,
+                description=summary,
+            )
+            groups[group] = _subparsers(outer)
+        _add_command(groups[group], name, cls())
+    return parser
+
+
+def _subparsers(parser: ArgumentParser) -> _SubParsersAction[Any]:
+    return parser.add_subparsers(
+        metavar='COMMAND',
+        required=True,
+        parser_class=_Parser,
+    )
+
+
+def _add_command(
+    group: _SubParsersAction[Any],
+    name: str,
+    instance: Command,
+) -> None:
+    parser = group.add_parser(
+        name,
+        help=instance.summary,
+        description=f'{instance.summary}.\n\n{instance.details}',
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    instance.add_arguments(parser)
+    parser.set_defaults(run=instance.run)
+
+
+__all__ = ('build_parser',)
--- /dev/null
+++ b/src/jackdawhead/cli/run.py
@@ -0,0 +1,40 @@
+"""Entry function of the command line."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import TYPE_CHECKING, Final
+
+from . import commands as commands
+from .exit_codes import ExitCode
+from .parser import build_parser
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_INTERRUPTED: Final = 130
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command.
+
+    :param arguments: words after the program's name.
+    :returns: the exit code of the process.
+    """
+    options = build_parser().parse_args(arguments)
+    try:
+        return int(options.run(options))
+    except KeyboardInterrupt:
+        return _INTERRUPTED
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return int(ExitCode.FAILED)
+
+
+def main() -> None:
+    """Run the command line of this process and exit."""
+    sys.exit(run(sys.argv[1:]))
+
+
+__all__ = ('main', 'run')
--- /dev/null
+++ b/src/jackdawhead/clock.py
@@ -0,0 +1,32 @@
+"""Clocks that are passed to the decisions."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Final
+
+Clock = Callable[[], float]
+
+_MS_PER_S: Final = 1000
+
+
+def monotonic_ms() -> float:
+    """Return monotonic time in milliseconds."""
+    return time.monotonic() * _MS_PER_S
+
+
+def wall_ms() -> int:
+    """Return the time of day in milliseconds since 1970, for people only."""
+    return int(time.time() * _MS_PER_S)
+
+
+def seconds(duration_ms: float) -> float:
+    """Return a duration in seconds.
+
+    :param duration_ms: in milliseconds.
+    """
+    return duration_ms / _MS_PER_S
+
+
+__all__ = ('Clock', 'monotonic_ms', 'seconds', 'wall_ms')
--- /dev/null
+++ b/src/jackdawhead/config/__init__.py
@@ -0,0 +1,1 @@
+"""Loading, checking and typed form of the operators' configuration."""
--- /dev/null
+++ b/src/jackdawhead/config/build.py
@@ -0,0 +1,121 @@
+"""Builds the typed configuration from checked plain data."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+import xxhash
+
+from .model import (
+    Config,
+    DetectionPolicy,
+    HeaderNames,
+    Operation,
+    PoisonPolicy,
+    QueuePolicy,
+    RetryPolicy,
+    Route,
+    Service,
+    WorkClass,
+    Zone,
+)
+
+_QUEUE_DEFAULTS: Final = {
+    'admission': 'deadline',
+    'max_wait_ms': 2000,
+    'long_slots_percent': 67,
+    'aging_ms': 1500,
+}
+_RETRY_DEFAULTS: Final = {
+    'budget_percent': 10,
+    'max_attempts': 3,
+    'backoff_ms': 20,
+}
+_DETECTION_DEFAULTS: Final = {
+    'detector': 'peers',
+    'window_ms': 5000,
+    'min_samples': 5,
+    'error_percent': 30,
+    'slow_factor': 3.0,
+    'ejection_ms': 5000,
+    'max_ejection_ms': 300_000,
+}
+_POISON_DEFAULTS: Final = {
+    'max_crashes': 2,
+    'quarantine_ms': 600_000,
+}
+_DEFAULT_BALANCER: Final = 'least-wait'
+_DEFAULT_EXPECTED_MS: Final = {WorkClass.SHORT: 50, WorkClass.LONG: 2000}
+
+Fields = dict[str, Any]
+
+
+def build_config(plain: Fields) -> Config:
+    """Return the typed configuration.
+
+    :param plain: nested mappings that passed every check.
+    """
+    return Config(
+        digest=content_digest(plain),
+        zones={
+            name: Zone(name, zone['region'])
+            for name, zone in plain['zones'].items()
+        },
+        services={
+            name: _build_service(name, service)
+            for name, service in plain['services'].items()
+        },
+        routes={
+            name: Route(name=name, **route)
+            for name, route in plain['routes'].items()
+        },
+        headers=HeaderNames(**plain.get('headers', {})),
+    )
+
+
+def content_digest(plain: object) -> str:
+    """Return the hash of plain data, as 32 hexadecimal digits.
+
+    The algorithm is XXH3 of 128 bits over JSON with sorted keys.
+
+    :param plain: nested mappings, lists and scalars.
+    """
+    text = json.dumps(plain, sort_keys=True, default=str)
+    return xxhash.xxh3_128_hexdigest(text.encode())
+
+
+def _build_service(name: str, plain: Fields) -> Service:
+    return Service(
+        name=name,
+        zones=tuple(plain['zones']),
+        slots_per_upstream=plain['slots_per_upstream'],
+        connections_per_upstream=plain['connections_per_upstream'],
+        healthy_floor_percent=plain['healthy_floor_percent'],
+        balancer=plain.get('balancer', _DEFAULT_BALANCER),
+        operations={
+            operation: _build_operation(operation, fields)
+            for operation, fields in plain['operations'].items()
+        },
+        queue=QueuePolicy(**_QUEUE_DEFAULTS | plain.get('queue', {})),
+        retry=RetryPolicy(**_RETRY_DEFAULTS | plain.get('retry', {})),
+        detection=DetectionPolicy(
+            **_DETECTION_DEFAULTS | plain.get('detection', {}),
+        ),
+        poison=PoisonPolicy(**_POISON_DEFAULTS | plain.get('poison', {})),
+    )
+
+
+def _build_operation(name: str, plain: Fields) -> Operation:
+    work_class = WorkClass(plain['work_class'])
+    expected_ms = min(_DEFAULT_EXPECTED_MS[work_class], plain['deadline_ms'])
+    return Operation(
+        name=name,
+        idempotent=plain['idempotent'],
+        work_class=work_class,
+        deadline_ms=plain['deadline_ms'],
+        expected_ms=plain.get('expected_ms', expected_ms),
+    )
+
+
+__all__ = ('build_config', 'content_digest')
--- /dev/null
+++ b/src/jackdawhead/config/model.py
@@ -0,0 +1,170 @@
+"""Typed form of the checked configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class WorkClass(StrEnum):
+    """How long an operation is expected to hold a slot."""
+
+    SHORT = 'short'
+    LONG = 'long'
+
+
+@dataclass(frozen=True, slots=True)
+class Zone:
+    """An availability zone."""
+
+    name: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """A kind of work that a service does.
+
+    :param idempotent: whether running it twice does no harm.
+    :param expected_ms: run time assumed until real work has been seen.
+    """
+
+    name: str
+    idempotent: bool
+    work_class: WorkClass
+    deadline_ms: int
+    expected_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueuePolicy:
+    """Limits of the queue in front of each upstream.
+
+    :param admission: registered name of the admission rule.
+    :param long_slots_percent: share of the slots that long work may hold.
+    :param aging_ms: wait after which long work is no longer overtaken.
+    """
+
+    admission: str
+    max_wait_ms: int
+    long_slots_percent: int
+    aging_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """Limits of resending.
+
+    :param budget_percent: retries allowed as a share of first attempts.
+    :param max_attempts: attempts for one request, the first included.
+    """
+
+    budget_percent: int
+    max_attempts: int
+    backoff_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class DetectionPolicy:
+    """Bounds of the detection of failing upstreams.
+
+    :param detector: registered name of the detector.
+    :param window_ms: age beyond which evidence is dropped.
+    :param min_samples: outcomes needed before a verdict.
+    :param error_percent: share of failures that ejects.
+    :param slow_factor: multiple of the peers' run time that ejects.
+    :param ejection_ms: first time spent ejected; doubled for each relapse.
+    :param max_ejection_ms: upper bound of that time.
+    """
+
+    detector: str
+    window_ms: int
+    min_samples: int
+    error_percent: int
+    slow_factor: float
+    ejection_ms: int
+    max_ejection_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PoisonPolicy:
+    """Limits for requests that crash the upstreams that run them.
+
+    :param max_crashes: upstreams lost to one fingerprint before refusal.
+    """
+
+    max_crashes: int
+    quarantine_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service that stands behind the fleet.
+
+    :param healthy_floor_percent: share of upstreams that ejection keeps.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    slots_per_upstream: int
+    connections_per_upstream: int
+    healthy_floor_percent: int
+    balancer: str
+    operations: dict[str, Operation]
+    queue: QueuePolicy
+    retry: RetryPolicy
+    detection: DetectionPolicy
+    poison: PoisonPolicy
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Maps requests to an operation by method and path prefix."""
+
+    name: str
+    service: str
+    operation: str
+    method: str
+    path_prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """Names of the headers exchanged with callers and upstreams."""
+
+    request_id: str = 'X-Request-Id'
+    outcome: str = 'X-Outcome'
+    deadline_ms: str = 'X-Deadline-Ms'
+    retry_after_ms: str = 'X-Retry-After-Ms'
+    organisation: str = 'X-Organisation'
+    draining: str = 'X-Draining'
+    node: str = 'X-Served-By'
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A checked configuration.
+
+    :param digest: hash of the merged content, equal for equal content.
+    """
+
+    digest: str
+    zones: dict[str, Zone]
+    services: dict[str, Service]
+    routes: dict[str, Route]
+    headers: HeaderNames = field(default_factory=HeaderNames)
+
+
+__all__ = (
+    'Config',
+    'DetectionPolicy',
+    'HeaderNames',
+    'Operation',
+    'PoisonPolicy',
+    'QueuePolicy',
+    'RetryPolicy',
+    'Route',
+    'Service',
+    'WorkClass',
+    'Zone',
+)
--- /dev/null
+++ b/src/jackdawhead/config/schema.py
@@ -0,0 +1,198 @@
+"""JSON schema of the configuration and of a node's settings."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+_DAY_MS: Final = 86_400_000
+_NAME_PATTERN: Final = '^[a-z0-9][a-z0-9_-]{0,62}$'
+_HEADER_PATTERN: Final = '^[A-Za-z0-9][A-Za-z0-9-]{0,62}$'
+_IP_PORT_PATTERN: Final = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
+
+Schema = dict[str, Any]
+
+
+def _closed(properties: Schema, *required: str) -> Schema:
+    return {
+        'type': 'object',
+        'additionalProperties': False,
+        'properties': properties,
+        'required': list(required),
+    }
+
+
+def _named(schema: Schema) -> Schema:
+    return {
+        'type': 'object',
+        'propertyNames': {'pattern': _NAME_PATTERN},
+        'additionalProperties': schema,
+    }
+
+
+def _whole(low: int, high: int) -> Schema:
+    return {'type': 'integer', 'minimum': low, 'maximum': high}
+
+
+_NAME: Final[Schema] = {'type': 'string', 'pattern': _NAME_PATTERN}
+_BOOLEAN: Final[Schema] = {'type': 'boolean'}
+_DURATION: Final = _whole(1, _DAY_MS)
+_PERCENT: Final = _whole(0, 100)
+_ADDRESS: Final[Schema] = {'type': 'string', 'pattern': _IP_PORT_PATTERN}
+_HEADER: Final[Schema] = {'type': 'string', 'pattern': _HEADER_PATTERN}
+
+_OPERATION: Final = _closed(
+    {
+        'idempotent': _BOOLEAN,
+        'work_class': {'enum': ['short', 'long']},
+        'deadline_ms': _DURATION,
+        'expected_ms': _DURATION,
+    },
+    'idempotent',
+    'work_class',
+    'deadline_ms',
+)
+_QUEUE: Final = _closed(
+    {
+        'admission': _NAME,
+        'max_wait_ms': _DURATION,
+        'long_slots_percent': _whole(1, 100),
+        'aging_ms': _DURATION,
+    }
+)
+_RETRY: Final = _closed(
+    {
+        'budget_percent': _PERCENT,
+        'max_attempts': _whole(1, 10),
+        'backoff_ms': _whole(0, _DAY_MS),
+    }
+)
+_DETECTION: Final = _closed(
+    {
+        'detector': _NAME,
+        'window_ms': _DURATION,
+        'min_samples': _whole(1, 10_000),
+        'error_percent': _whole(1, 100),
+        'slow_factor': {
+            'type': 'number',
+            'exclusiveMinimum': 1,
+            'maximum': 1000,
+        },
+        'ejection_ms': _DURATION,
+        'max_ejection_ms': _DURATION,
+    }
+)
+_POISON: Final = _closed(
+    {'max_crashes': _whole(1, 100), 'quarantine_ms': _DURATION}
+)
+_SERVICE: Final = _closed(
+    {
+        'zones': {
+            'type': 'array',
+            'items': _NAME,
+            'minItems': 1,
+            'uniqueItems': True,
+        },
+        'slots_per_upstream': _whole(1, 100_000),
+        'connections_per_upstream': _whole(1, 100_000),
+        'healthy_floor_percent': _PERCENT,
+        'balancer': _NAME,
+        'operations': {**_named(_OPERATION), 'minProperties': 1},
+        'queue': _QUEUE,
+        'retry': _RETRY,
+        'detection': _DETECTION,
+        'poison': _POISON,
+    },
+    'zones',
+    'slots_per_upstream',
+    'connections_per_upstream',
+    'healthy_floor_percent',
+    'operations',
+)
+_ROUTE: Final = _closed(
+    {
+        'service': _NAME,
+        'operation': _NAME,
+        'method': {'enum': ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']},
+        'path_prefix': {'type': 'string', 'pattern': '^/'},
+    },
+    'service',
+    'operation',
+    'method',
+    'path_prefix',
+)
+_HEADERS: Final = _closed(
+    {
+        name: _HEADER
+        for name in (
+            'request_id',
+            'outcome',
+            'deadline_ms',
+            'retry_after_ms',
+            'organisation',
+            'draining',
+            'node',
+        )
+    }
+)
+
+CONFIG_SCHEMA: Final = _closed(
+    {
+        'zones': {
+            **_named(_closed({'region': _NAME}, 'region')),
+            'minProperties': 1,
+        },
+        'services': {**_named(_SERVICE), 'minProperties': 1},
+        'routes': {**_named(_ROUTE), 'minProperties': 1},
+        'headers': _HEADERS,
+    },
+    'zones',
+    'services',
+    'routes',
+)
+
+SETTINGS_SCHEMA: Final = _closed(
+    {
+        'vm': _NAME,
+        'zone': _NAME,
+        'caller_address': _ADDRESS,
+        'stream_address': _ADDRESS,
+        'admin_address': _ADDRESS,
+        'platform_address': _ADDRESS,
+        'stream_keys': {
+            'type': 'array',
+            'items': {'type': 'string', 'minLength': 16, 'maxLength': 256},
+            'minItems': 1,
+            'maxItems': 4,
+        },
+        'seed_addresses': {'type': 'array', 'items': _ADDRESS, 'maxItems': 16},
+        'max_body_bytes': _whole(1, 2**40),
+        'drain_ms': _DURATION,
+        'caller_idle_ms': _DURATION,
+    },
+    'vm',
+    'zone',
+    'caller_address',
+    'stream_address',
+    'admin_address',
+    'platform_address',
+    'stream_keys',
+)
+
+VM_LIST_SCHEMA: Final[Schema] = {
+    'type': 'array',
+    'items': _closed(
+        {
+            'name': _NAME,
+            'zone': _NAME,
+            'ip': {'type': 'string', 'pattern': r'^\d{1,3}(\.\d{1,3}){3}$'},
+            'leaving': _BOOLEAN,
+            'stream_port': _whole(0, 65_535),
+            'upstream_ports': _named(_whole(1, 65_535)),
+        },
+        'name',
+        'zone',
+        'ip',
+    ),
+}
+
+__all__ = ('CONFIG_SCHEMA', 'SETTINGS_SCHEMA', 'VM_LIST_SCHEMA', 'Schema')
--- /dev/null
+++ b/src/jackdawhead/node/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running role: entry and home in one process."""
--- /dev/null
+++ b/src/jackdawhead/node/admin.py
@@ -0,0 +1,127 @@
+"""The operators' listener: liveness, readiness, metrics, status, audit."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any, Final
+
+from falcon import App, Request, Response
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from ..policy.detection import Health
+from .metrics import registry_of, resident_bytes
+
+if TYPE_CHECKING:
+    from .runtime import Node
+
+_UNAVAILABLE: Final = 503
+_SINCE: Final = 'since'
+
+
+class _Live:
+    """Answers as long as the process handles events."""
+
+    def on_get(self, _: Request, response: Response) -> None:
+        response.media = {'live': True}
+
+
+class _Ready:
+    """Answers 200 while the node takes new work."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def on_get(self, _: Request, response: Response) -> None:
+        if not self._node.is_ready:
+            response.status = _UNAVAILABLE
+        response.media = {'ready': self._node.is_ready}
+
+
+class _Metrics:
+    """Gives the metrics in Prometheus' text format."""
+
+    def __init__(self, node: Node) -> None:
+        self._registry = registry_of(node)
+
+    def on_get(self, _: Request, response: Response) -> None:
+        response.content_type = CONTENT_TYPE_LATEST
+        response.data = generate_latest(self._registry)
+
+
+class _Status:
+    """Gives a summary of what the node knows."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def on_get(self, _: Request, response: Response) -> None:
+        response.media = status_of(self._node)
+
+
+class _Audit:
+    """Gives the audit trail, from a number on."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def on_get(self, request: Request, response: Response) -> None:
+        since = request.get_param_as_int(_SINCE) or 0
+        records = self._node.parts.audit.since(since)
+        response.media = [asdict(each) for each in records]
+
+
+def status_of(node: Node) -> dict[str, Any]:
+    """Return a summary as plain data, for the status command.
+
+    :param node: the running node.
+    """
+    parts = node.parts
+    in_force = parts.board.config.read()
+    return {
+        'vm': parts.identity.vm,
+        'zone': parts.settings.zone,
+        'incarnation': parts.identity.incarnation,
+        'ready': node.is_ready,
+        'leaving': parts.board.leaving.read(),
+        'config_version': in_force.version,
+        'config_digest': (
+            in_force.loaded.config.digest if in_force.loaded else ''
+        ),
+        'vm_list_version': parts.board.vm_list.read().version,
+        'links': sorted({link.vm for link in node.links()}),
+        'resident_bytes': resident_bytes(),
+        'services': [
+            {
+                'service': router.service.name,
+                'members': len(router.members),
+                **{each.value: router.count_of(each) for each in Health},
+            }
+            for router in parts.routing.routers()
+        ],
+        'upstreams': [
+            {
+                'upstream': upstream.spec.name,
+                'running': upstream.running,
+                'waiting': upstream.waiting,
+                'draining': upstream.draining,
+            }
+            for upstream in parts.home.all()
+        ],
+    }
+
+
+def admin_app(node: Node) -> App:
+    """Return the operators' WSGI application.
+
+    :param node: the running node.
+    """
+    app = App()
+    app.add_route('/livez', _Live())
+    app.add_route('/readyz', _Ready(node))
+    app.add_route('/metrics', _Metrics(node))
+    app.add_route('/status', _Status(node))
+    app.add_route('/audit', _Audit(node))
+    return app
+
+
+__all__ = ('admin_app', 'status_of')
--- /dev/null
+++ b/src/jackdawhead/node/config_controller.py
@@ -0,0 +1,144 @@
+"""Decides which published configuration is in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Success
+
+from ..audit import AuditKind
+from ..blackboard import ConfigInForce
+from ..config.load import LoadedConfig, load_sources
+from ..config.sources import SourceFile
+from ..wire.messages import ConfigNews
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..audit import AuditTrail
+    from ..blackboard import Blackboard
+    from ..config.problems import Problem
+    from .links import Link
+
+
+class ConfigController:
+    """Accepts newer configurations, refuses older and faulty ones.
+
+    :param board: where the configuration in force is written.
+    :param audit: trail of changes.
+    """
+
+    def __init__(self, board: Blackboard, audit: AuditTrail) -> None:
+        self._board = board
+        self._audit = audit
+        self._refused: tuple[int, str] | None = None
+        self._stale_version = 0
+        self.broadcast: Callable[[ConfigNews, Link | None], None] | None = None
+
+    def offer(
+        self,
+        version: int,
+        sources: tuple[SourceFile, ...],
+        origin: str,
+        source: Link | None = None,
+    ) -> bool:
+        """Take in a published configuration.
+
+        Versions only grow. Of two contents with one version, which a
+        platform must not publish, the one of the larger digest wins, so
+        that the order of arrival does not matter.
+
+        :param version: version given by the platform.
+        :param origin: who offers it, for the audit trail.
+        :param source: link that it came on, if any.
+        :returns: whether it is in force now.
+        """
+        current = self._board.config.read()
+        if version < current.version:
+            self._note_stale(version, current.version, origin)
+            return False
+        if version == current.version and sources == current.sources:
+            return False
+        match load_sources(sources):
+            case Success(loaded):
+                return self._accept(version, sources, loaded, origin, source)
+            case Failure(problems):
+                self._refuse(version, problems, origin)
+        return False
+
+    def take_news(self, news: ConfigNews, link: Link) -> None:
+        """Take in a configuration from another node.
+
+        :param news: version and files.
+        :param link: where it came from.
+        """
+        link.config_version = max(link.config_version, news.version)
+        sources = tuple(SourceFile(name, text) for name, text in news.files)
+        self.offer(news.version, sources, f'node {link.vm}', link)
+
+    def bring_up_to_date(self, link: Link) -> None:
+        """Send the configuration in force to a node that has an older one.
+
+        :param link: way to the node; its version is known from heartbeats.
+        """
+        current = self._board.config.read()
+        if link.config_version < current.version:
+            link.config_version = current.version
+            link.send(_news_of(current))
+
+    def _accept(
+        self,
+        version: int,
+        sources: tuple[SourceFile, ...],
+        loaded: LoadedConfig,
+        origin: str,
+        source: Link | None,
+    ) -> bool:
+        current = self._board.config.read()
+        if version == current.version and current.loaded is not None:
+            if loaded.config.digest <= current.loaded.config.digest:
+                return False
+        in_force = ConfigInForce(version, loaded, sources)
+        self._board.config.write(in_force)
+        self._audit.record(
+            AuditKind.CONFIG_ACCEPTED,
+            f'version {version}',
+            f'from {origin}, digest {loaded.config.digest}',
+        )
+        if self.broadcast is not None:
+            self.broadcast(_news_of(in_force), source)
+        return True
+
+    def _refuse(
+        self,
+        version: int,
+        problems: tuple[Problem, ...],
+        origin: str,
+    ) -> None:
+        cause = f'from {origin}: {problems[0]}'
+        if self._refused == (version, cause):
+            return
+        self._refused = (version, cause)
+        self._audit.record(
+            AuditKind.CONFIG_REFUSED,
+            f'version {version}',
+            cause,
+        )
+
+    def _note_stale(self, version: int, current: int, origin: str) -> None:
+        if version == self._stale_version:
+            return
+        self._stale_version = version
+        self._audit.record(
+            AuditKind.PLATFORM_STALE,
+            f'version {version}',
+            f'{origin} offers it while {current} is in force',
+        )
+
+
+def _news_of(in_force: ConfigInForce) -> ConfigNews:
+    files = [[each.name, each.text] for each in in_force.sources]
+    return ConfigNews(in_force.version, files)
+
+
+__all__ = ('ConfigController',)
--- /dev/null
+++ b/src/jackdawhead/node/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry side: takes callers' requests and dispatches them."""
--- /dev/null
+++ b/src/jackdawhead/node/entry/caller_watch.py
@@ -0,0 +1,62 @@
+"""Notices that a caller has hung up while its answer is awaited."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Final
+
+import gevent
+from gevent import socket
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from gevent.socket import socket as Socket
+
+_READABLE: Final = 1
+
+
+class CallerGoneError(BaseException):
+    """The caller has closed its connection.
+
+    Not an ``Exception``, so that no handler for failures swallows it.
+    """
+
+
+@contextmanager
+def watch_caller(sock: Socket) -> Iterator[None]:
+    """Interrupt the current greenlet when the caller hangs up.
+
+    :param sock: the caller's connection; its whole request has been read.
+    :raises CallerGoneError: inside the block, if the caller hangs up.
+    """
+    greenlet = gevent.getcurrent()
+    watcher = gevent.get_hub().loop.io(sock.fileno(), _READABLE)
+
+    def check() -> None:
+        watcher.stop()
+        if _has_hung_up(sock):
+            greenlet.kill(CallerGoneError(), block=False)
+
+    watcher.start(check)
+    try:
+        yield
+    finally:
+        watcher.stop()
+        watcher.close()
+
+
+def _has_hung_up(sock: Socket) -> bool:
+    timeout = sock.gettimeout()
+    sock.settimeout(0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(timeout)
+
+
+__all__ = ('CallerGoneError', 'watch_caller')
--- /dev/null
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -0,0 +1,288 @@
+"""Sends a request to a home, and again elsewhere where that is safe."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import gevent
+
+from ...clock import monotonic_ms, seconds
+from ...outcome import Outcome
+from ...policy.evidence import Sample
+from ...policy.loads import RoutingQuery, UpstreamLoad
+from ...policy.poison import fingerprint_of
+from ...policy.retries import backoff_ms
+from ...reasons import Reason
+from ...wire.messages import Body, Head, Refusal, Submit
+from ..credit import CHUNK_BYTES
+from .answer_body import AnswerBody, CutAnswerError
+from .attempts import Attempt, Attempts
+from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
+
+if TYPE_CHECKING:
+    from ...config.model import Operation
+    from ...policy.service_router import ServiceRouter
+    from ..channels import Channels
+    from .routing import RoutingController
+
+_GRACE_MS: Final = 50
+_SERVER_ERROR: Final = 500
+_FAR_FUTURE_MS: Final = 3_600_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A request with what was decided about it.
+
+    :param deadline_at_ms: monotonic time.
+    """
+
+    request: CallerRequest
+    router: ServiceRouter
+    operation: Operation
+    fingerprint: int
+    deadline_at_ms: float
+
+    def left_ms(self) -> float:
+        """Return the time left."""
+        return self.deadline_at_ms - monotonic_ms()
+
+
+class Dispatcher:
+    """Finds an answer for each request.
+
+    :param routing: routes and the state of the services.
+    :param channels: ways to the homes.
+    :param attempts: where answers are awaited.
+    """
+
+    def __init__(
+        self,
+        routing: RoutingController,
+        channels: Channels,
+        attempts: Attempts,
+    ) -> None:
+        self._routing = routing
+        self._channels = channels
+        self._attempts = attempts
+
+    def dispatch(self, request: CallerRequest) -> Answer:
+        """Return the answer of an upstream, or a final refusal.
+
+        :param request: the caller's request.
+        """
+        match self._plan(request):
+            case Refused() as refused:
+                return refused
+            case call:
+                return self._send(call)
+
+    def _plan(self, request: CallerRequest) -> _Call | Refused:
+        table = self._routing.table
+        if table is None:
+            return Refused(Outcome.NOT_RUN, Reason.NO_CONFIG, _GRACE_MS)
+        route = table.match(request.method, request.path)
+        if route is None:
+            return Refused(Outcome.NOT_RUN, Reason.NO_ROUTE)
+        router = self._routing.router(route.service)
+        operation = router.service.operations[route.operation]
+        deadline_ms = min(
+            operation.deadline_ms,
+            request.deadline_ms or _FAR_FUTURE_MS,
+        )
+        fingerprint = fingerprint_of(
+            route.service,
+            request.method,
+            request.target,
+            request.chunk,
+        )
+        return _Call(
+            request,
+            router,
+            operation,
+            fingerprint,
+            monotonic_ms() + deadline_ms,
+        )
+
+    def _send(self, call: _Call) -> Answer:
+        call.router.budget.note_first_attempt()
+        tried: set[str] = set()
+        attempt_number = 1
+        while True:
+            answer = self._attempt(call, tried)
+            if not self._may_resend(call, answer, attempt_number):
+                return answer
+            if isinstance(answer, UpstreamAnswer):
+                answer.body.close()
+            policy = call.router.service.retry
+            delay_ms = backoff_ms(policy, attempt_number, self._routing.rng)
+            gevent.sleep(seconds(delay_ms))
+            attempt_number += 1
+
+    def _attempt(self, call: _Call, tried: set[str]) -> Answer:
+        now_ms = monotonic_ms()
+        quarantined_ms = call.router.poison.quarantined_ms(
+            call.fingerprint,
+            now_ms,
+        )
+        if quarantined_ms:
+            return Refused(
+                Outcome.NOT_RUN,
+                Reason.QUARANTINED,
+                quarantined_ms,
+            )
+        query = RoutingQuery(now_ms, frozenset(tried))
+        load = call.router.choose(call.operation.name, query)
+        if load is None:
+            return Refused(
+                Outcome.NOT_RUN,
+                Reason.NO_UPSTREAM,
+                call.router.service.retry.backoff_ms,
+            )
+        tried.add(load.upstream)
+        load.note_sent()
+        try:
+            return self._exchange(call, load)
+        finally:
+            load.note_done()
+
+    def _exchange(self, call: _Call, load: UpstreamLoad) -> Answer:
+        channel = self._channels.to(load.home)
+        if channel is None:
+            self._routing.avoid(load.home)
+            return Refused(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
+        attempt = self._attempts.begin(channel)
+        started_ms = monotonic_ms()
+        pump = self._submit(call, load, attempt)
+        try:
+            first = attempt.first(call.left_ms() + _GRACE_MS)
+        except BaseException:
+            self._attempts.cancel(attempt)
+            _kill(pump)
+            raise
+        self._learn(call, load, first, monotonic_ms() - started_ms)
+        if isinstance(first, Head):
+            return self._answer(call, attempt, first)
+        _kill(pump)
+        if first is None:
+            self._attempts.cancel(attempt)
+            return Refused(Outcome.UNKNOWN, Reason.DEADLINE)
+        self._attempts.cancel(attempt)
+        return Refused(
+            Outcome(first.outcome),
+            Reason(first.reason),
+            first.retry_after_ms,
+        )
+
+    def _submit(
+        self,
+        call: _Call,
+        load: UpstreamLoad,
+        attempt: Attempt,
+    ) -> gevent.Greenlet | None:
+        request = call.request
+        attempt.channel.send(
+            Submit(
+                attempt.request_id,
+                call.router.service.name,
+                load.upstream,
+                call.operation.name,
+                request.method,
+                request.target,
+                request.headers,
+                request.organisation,
+                call.fingerprint,
+                max(1, int(call.left_ms())),
+                request.body_bytes,
+                request.chunk,
+                request.last,
+            ),
+        )
+        if request.last:
+            return None
+        return gevent.spawn(_pump_body, request, attempt)
+
+    def _answer(self, call: _Call, attempt: Attempt, head: Head) -> Answer:
+        body = AnswerBody(
+            self._attempts,
+            attempt,
+            head,
+            call.operation.deadline_ms,
+        )
+        try:
+            body.await_first()
+        except CutAnswerError:
+            return Refused(Outcome.UNKNOWN, Reason.ANSWER_CUT)
+        return UpstreamAnswer(head.status, head.headers, head.body_bytes, body)
+
+    def _learn(
+        self,
+        call: _Call,
+        load: UpstreamLoad,
+        first: Head | Refusal | None,
+        took_ms: float,
+    ) -> None:
+        is_ok = isinstance(first, Head) and first.status < _SERVER_ERROR
+        if is_ok:
+            call.router.poison.note_success(call.fingerprint)
+        if isinstance(first, Refusal):
+            if first.reason == Reason.UPSTREAM_CRASHED.value:
+                self._routing.note_crash(
+                    call.router,
+                    call.fingerprint,
+                    load.upstream,
+                )
+            if first.outcome == Outcome.NOT_RUN.value:
+                return
+        sample = Sample(monotonic_ms(), is_ok, took_ms)
+        call.router.note_trial(load.upstream, call.operation.name, sample)
+
+    def _may_resend(self, call: _Call, answer: Answer, attempt: int) -> bool:
+        if not call.request.last or call.left_ms() <= 0:
+            return False
+        if attempt >= call.router.service.retry.max_attempts:
+            return False
+        if not _is_safe(call, answer):
+            return False
+        return call.router.budget.try_spend()
+
+
+def _is_safe(call: _Call, answer: Answer) -> bool:
+    """Return whether a resend cannot make work run twice, and may help."""
+    is_idempotent = call.operation.idempotent
+    if isinstance(answer, UpstreamAnswer):
+        return is_idempotent and answer.status >= _SERVER_ERROR
+    if answer.reason in {Reason.QUARANTINED, Reason.DEADLINE}:
+        return False
+    return is_idempotent or answer.outcome is Outcome.NOT_RUN
+
+
+def _pump_body(request: CallerRequest, attempt: Attempt) -> None:
+    last = False
+    while not last:
+        try:
+            chunk = request.read_body(CHUNK_BYTES)
+        except OSError:
+            attempt.deliver(_body_cut(attempt))
+            return
+        last = not chunk
+        attempt.body_credit.take(len(chunk))
+        attempt.channel.send(Body(attempt.request_id, chunk, last))
+
+
+def _body_cut(attempt: Attempt) -> Refusal:
+    return Refusal(
+        attempt.request_id,
+        Outcome.UNKNOWN.value,
+        Reason.BODY_CUT.value,
+        0,
+    )
+
+
+def _kill(greenlet: gevent.Greenlet | None) -> None:
+    if greenlet is not None:
+        greenlet.kill(block=False)
+
+
+__all__ = ('Dispatcher',)
--- /dev/null
+++ b/src/jackdawhead/node/entry/http.py
@@ -0,0 +1,205 @@
+"""The callers' HTTP application."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+import falcon
+from falcon import App, Request, Response
+from gevent.pywsgi import Input
+
+from ...config.model import HeaderNames
+from ...outcome import Outcome
+from ...reasons import Reason
+from ..home.request_head import HOP_BY_HOP
+from ..http_server import SOCKET_KEY
+from .caller_watch import watch_caller
+from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
+
+if TYPE_CHECKING:
+    from ...blackboard import Blackboard
+    from ...config.settings import NodeSettings
+    from ...wire.messages import HeaderPairs
+    from .dispatcher import Dispatcher
+    from .traffic import Traffic
+
+_BUFFERED_BODY_BYTES: Final = 65_536
+_MAX_ORGANISATION_CHARS: Final = 64
+_MS_PER_S: Final = 1000
+_HEADER_PREFIX: Final = 'HTTP_'
+_STATUS_OF_REASON: Final = {
+    Reason.NO_ROUTE: 404,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BODY_CUT: 400,
+    Reason.QUARANTINED: 422,
+    Reason.DEADLINE: 504,
+}
+_STATUS_NOT_RUN: Final = 503
+_STATUS_UNKNOWN: Final = 502
+_DEFAULT_NAMES: Final = HeaderNames()
+
+
+class CallerApi:
+    """Turns HTTP requests into dispatched ones and answers back.
+
+    :param settings: bounds.
+    :param board: source of the header names.
+    :param dispatcher: finds the answers.
+    :param traffic: counts requests.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        board: Blackboard,
+        dispatcher: Dispatcher,
+        traffic: Traffic,
+    ) -> None:
+        self._settings = settings
+        self._board = board
+        self._dispatcher = dispatcher
+        self._traffic = traffic
+
+    def app(self) -> App:
+        """Return the WSGI application."""
+        app = App()
+        app.add_sink(self.serve, prefix='/')
+        return app
+
+    def serve(self, request: Request, response: Response) -> None:
+        """Serve any request.
+
+        :param request: falcon's request.
+        :param response: falcon's response, filled in.
+        """
+        names = self._names()
+        answer = self._dispatch(request, names)
+        self._traffic.count(answer)
+        if isinstance(answer, UpstreamAnswer):
+            self._fill(response, answer, names)
+        else:
+            _fill_refusal(response, answer, names)
+        if self._board.leaving.read():
+            response.set_header('Connection', 'close')
+
+    def _names(self) -> HeaderNames:
+        loaded = self._board.config.read().loaded
+        return _DEFAULT_NAMES if loaded is None else loaded.config.headers
+
+    def _dispatch(self, request: Request, names: HeaderNames) -> Answer:
+        environ = request.env
+        length = request.content_length
+        if (length or 0) > self._settings.max_body_bytes:
+            return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
+        try:
+            call = _caller_request(environ, names, length)
+        except OSError:
+            return Refused(Outcome.NOT_RUN, Reason.BODY_CUT)
+        if not call.last:
+            return self._dispatcher.dispatch(call)
+        with watch_caller(environ[SOCKET_KEY]):
+            return self._dispatcher.dispatch(call)
+
+    def _fill(
+        self,
+        response: Response,
+        answer: UpstreamAnswer,
+        names: HeaderNames,
+    ) -> None:
+        response.status = answer.status
+        for name, text in answer.headers:
+            response.append_header(name, text)
+        response.set_header(names.outcome, Outcome.RAN.value)
+        response.set_header(names.node, self._settings.vm)
+        whole = answer.body.whole
+        if whole is not None:
+            response.data = whole
+        elif answer.body_bytes < 0:
+            response.stream = answer.body
+        else:
+            response.set_stream(answer.body, answer.body_bytes)
+
+
+def _caller_request(
+    environ: dict[str, Any],
+    names: HeaderNames,
+    length: int | None,
+) -> CallerRequest:
+    body: Input = environ['wsgi.input']
+    chunked = environ.get('HTTP_TRANSFER_ENCODING', '').lower() == 'chunked'
+    chunk = b''
+    last = True
+    if length or chunked:
+        chunk = body.read(_BUFFERED_BODY_BYTES)
+        last = length == len(chunk) or len(chunk) < _BUFFERED_BODY_BYTES
+    if last and length and len(chunk) < length:
+        raise OSError('the body is shorter than its length')
+    body_bytes = len(chunk) if last else (-1 if length is None else length)
+    target = environ['RAW_URI']
+    return CallerRequest(
+        method=environ['REQUEST_METHOD'],
+        path=target.partition('?')[0],
+        target=target,
+        headers=_end_to_end(environ, names),
+        organisation=_organisation(environ, names),
+        deadline_ms=_deadline_ms(environ, names),
+        body_bytes=body_bytes,
+        chunk=chunk,
+        last=last,
+        read_body=body.read,
+    )
+
+
+def _end_to_end(environ: dict[str, Any], names: HeaderNames) -> HeaderPairs:
+    own = names.deadline_ms.lower()
+    pairs = []
+    for key, text in environ.items():
+        if not key.startswith(_HEADER_PREFIX):
+            continue
+        name = key.removeprefix(_HEADER_PREFIX).replace('_', '-').title()
+        if name.lower() not in HOP_BY_HOP and name.lower() != own:
+            pairs.append([name, text])
+    content_type = environ.get('CONTENT_TYPE')
+    if content_type:
+        pairs.append(['Content-Type', content_type])
+    return pairs
+
+
+def _organisation(environ: dict[str, Any], names: HeaderNames) -> str:
+    named = environ.get(_key(names.organisation))
+    fallback = environ.get('REMOTE_ADDR', '')
+    return str(named or fallback)[:_MAX_ORGANISATION_CHARS]
+
+
+def _deadline_ms(environ: dict[str, Any], names: HeaderNames) -> int:
+    text = environ.get(_key(names.deadline_ms), '')
+    return int(text) if text.isdecimal() else 0
+
+
+def _key(header: str) -> str:
+    return _HEADER_PREFIX + header.upper().replace('-', '_')
+
+
+def _fill_refusal(
+    response: Response,
+    refused: Refused,
+    names: HeaderNames,
+) -> None:
+    is_not_run = refused.outcome is Outcome.NOT_RUN
+    default = _STATUS_NOT_RUN if is_not_run else _STATUS_UNKNOWN
+    response.status = _STATUS_OF_REASON.get(refused.reason, default)
+    response.content_type = falcon.MEDIA_JSON
+    response.set_header(names.outcome, refused.outcome.value)
+    after_ms = refused.retry_after_ms
+    if after_ms:
+        after_s = -(-after_ms // _MS_PER_S)
+        response.set_header('Retry-After', str(after_s))
+        response.set_header(names.retry_after_ms, str(after_ms))
+    response.media = {
+        'outcome': refused.outcome.value,
+        'reason': refused.reason.value,
+        'retry_after_ms': after_ms,
+    }
+
+
+__all__ = ('CallerApi',)
--- /dev/null
+++ b/src/jackdawhead/node/home/controller.py
@@ -0,0 +1,124 @@
+"""Keeps the upstreams whose slots this node owns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import gevent
+
+from ...config.settings import Address
+from ...policy.homes import HomeMap
+from .upstream import HomeUpstream, UpstreamSpec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from ...audit import AuditTrail
+    from ...blackboard import Blackboard
+
+_EXPIRE_EVERY_S: Final = 0.02
+
+
+class HomeController:
+    """Follows the VM list and the configuration.
+
+    :param vm: name of the VM that this node runs on.
+    :param board: source of both.
+    :param audit: trail of changes.
+    :param rng: source of randomness.
+    :param on_drain: called when an upstream begins or ends to drain.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        board: Blackboard,
+        audit: AuditTrail,
+        rng: Random,
+        on_drain: Callable[[str, bool], None],
+    ) -> None:
+        self._vm = vm
+        self._board = board
+        self._audit = audit
+        self._rng = rng
+        self._on_drain = on_drain
+        self._upstreams: dict[str, HomeUpstream] = {}
+        board.config.on_change(lambda _: self._update())
+        board.vm_list.on_change(lambda _: self._update())
+
+    def find(self, upstream: str) -> HomeUpstream | None:
+        """Return an upstream of this home.
+
+        :param upstream: its identity, ``vm/service``.
+        """
+        return self._upstreams.get(upstream)
+
+    def all(self) -> tuple[HomeUpstream, ...]:
+        """Return all upstreams of this home."""
+        return tuple(self._upstreams.values())
+
+    @property
+    def busy(self) -> int:
+        """Number of requests that run or wait."""
+        return sum(
+            upstream.running + upstream.waiting
+            for upstream in self._upstreams.values()
+        )
+
+    def run(self) -> None:
+        """Refuse waiting requests whose deadline passes, for ever."""
+        while True:
+            gevent.sleep(_EXPIRE_EVERY_S)
+            for upstream in self.all():
+                upstream.expire()
+
+    def close(self) -> None:
+        """Close all upstreams."""
+        for upstream in self.all():
+            upstream.close()
+
+    def _update(self) -> None:
+        specs = self._specs()
+        for name in self._upstreams.keys() - specs.keys():
+            self._upstreams.pop(name).close()
+        for name, spec in specs.items():
+            self._place(name, spec)
+
+    def _place(self, name: str, spec: UpstreamSpec) -> None:
+        present = self._upstreams.get(name)
+        if present is None or present.spec != spec:
+            if present is not None:
+                present.close()
+            present = HomeUpstream(
+                spec,
+                self._audit,
+                self._rng,
+                self._on_drain,
+            )
+            self._upstreams[name] = present
+        vm = self._board.vm_list.read().vms[name.partition('/')[0]]
+        present.set_listed_leaving(vm.leaving)
+
+    def _specs(self) -> dict[str, UpstreamSpec]:
+        loaded = self._board.config.read().loaded
+        if loaded is None:
+            return {}
+        config = loaded.config
+        homes = HomeMap(self._board.vm_list.read())
+        specs = {}
+        for vm, service_name, port in homes.upstreams_of(self._vm):
+            service = config.services.get(service_name)
+            if service is None or vm.zone not in service.zones:
+                continue
+            name = f'{vm.name}/{service_name}'
+            specs[name] = UpstreamSpec(
+                name,
+                Address(vm.ip, port),
+                service,
+                config.headers,
+            )
+        return specs
+
+
+__all__ = ('HomeController',)
--- /dev/null
+++ b/src/jackdawhead/node/home/job.py
@@ -0,0 +1,76 @@
+"""A request at the node that owns the slots of its upstream."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from gevent.queue import SimpleQueue
+
+from ...outcome import Outcome
+from ...wire.messages import Message, Refusal
+from ..credit import CreditGate
+
+if TYPE_CHECKING:
+    from gevent import Greenlet
+
+    from ...policy.work import Work
+    from ...reasons import Reason
+    from ...wire.messages import Submit
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One admitted, waiting or running request.
+
+    :param deliver: sends a message to the entry.
+    :param body: chunks of the request's body that follow the first.
+    :param credit: gate of the answer's body.
+    :param running: whether its greenlet has begun.
+    :param cancelled: whether the caller no longer waits.
+    """
+
+    submit: Submit
+    work: Work
+    deliver: Callable[[Message], None]
+    body: SimpleQueue = field(default_factory=SimpleQueue)
+    credit: CreditGate = field(default_factory=CreditGate)
+    greenlet: Greenlet | None = None
+    running: bool = False
+    cancelled: bool = False
+
+    @property
+    def request_id(self) -> int:
+        """Identity of the request on its stream."""
+        return self.submit.request_id
+
+    def refusal(
+        self,
+        outcome: Outcome,
+        reason: Reason,
+        retry_after_ms: int = 0,
+    ) -> Refusal:
+        """Return the message that ends the request without an answer.
+
+        :param outcome: whether it ran.
+        :param reason: why there is no whole answer.
+        :param retry_after_ms: when to come back.
+        """
+        return Refusal(
+            self.request_id,
+            outcome.value,
+            reason.value,
+            retry_after_ms,
+        )
+
+    def refuse(self, reason: Reason, retry_after_ms: int = 0) -> None:
+        """End a request that has not been started.
+
+        :param reason: why it is not run.
+        :param retry_after_ms: when to come back.
+        """
+        self.deliver(self.refusal(Outcome.NOT_RUN, reason, retry_after_ms))
+
+
+__all__ = ('Job',)
--- /dev/null
+++ b/src/jackdawhead/node/home/request_head.py
@@ -0,0 +1,69 @@
+"""Builds the head of an HTTP/1.1 request to an upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from ...config.model import HeaderNames
+    from ...config.settings import Address
+    from ...wire.messages import HeaderPairs, Submit
+
+HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'host',
+        'expect',
+    )
+)
+_LENGTH_UNKNOWN: Final = -1
+_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
+
+
+def is_chunked(submit: Submit) -> bool:
+    """Return whether the body is sent in chunks of unknown total length."""
+    return submit.body_bytes == _LENGTH_UNKNOWN and not submit.last
+
+
+def request_head(
+    submit: Submit,
+    address: Address,
+    names: HeaderNames,
+    deadline_ms: int,
+) -> bytes:
+    """Return request line and headers, with the empty line.
+
+    :param deadline_ms: time left, told to the upstream.
+    """
+    lines = [
+        f'{submit.method} {submit.target} HTTP/1.1',
+        f'Host: {address}',
+        f'{names.deadline_ms}: {deadline_ms}',
+    ]
+    lines.extend(f'{name}: {text}' for name, text in submit.headers)
+    if is_chunked(submit):
+        lines.append('Transfer-Encoding: chunked')
+    elif submit.body_bytes > 0 or submit.method in _WITH_BODY:
+        lines.append(f'Content-Length: {max(0, submit.body_bytes)}')
+    return '\r\n'.join((*lines, '', '')).encode('latin-1')
+
+
+def answer_headers(items: list[tuple[str, str]]) -> HeaderPairs:
+    """Return an answer's end-to-end headers.
+
+    :param items: names and values as received.
+    """
+    return [
+        [name, text] for name, text in items if name.lower() not in HOP_BY_HOP
+    ]
+
+
+__all__ = ('HOP_BY_HOP', 'answer_headers', 'is_chunked', 'request_head')
--- /dev/null
+++ b/src/jackdawhead/node/home/session.py
@@ -0,0 +1,143 @@
+"""Requests that one entry has submitted to this home."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from itertools import count
+from typing import TYPE_CHECKING, Final
+
+from ...clock import monotonic_ms
+from ...outcome import Outcome
+from ...policy.work import Work
+from ...reasons import Reason
+from ...wire.messages import (
+    Body,
+    Cancel,
+    Credit,
+    Head,
+    Message,
+    Refusal,
+    Submit,
+)
+from .job import Job
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...blackboard import Blackboard
+    from .controller import HomeController
+    from .upstream import HomeUpstream
+
+_work_ids: Final = count(1)
+_NO_UPSTREAM_RETRY_MS: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class _Placed:
+    """A job and the upstream that it was submitted to."""
+
+    job: Job
+    upstream: HomeUpstream
+
+
+class HomeSession:
+    """Dispatches the messages of one entry to its jobs.
+
+    :param home: upstreams of this node.
+    :param board: tells whether the node is leaving.
+    :param send: sends a message to the entry.
+    """
+
+    def __init__(
+        self,
+        home: HomeController,
+        board: Blackboard,
+        send: Callable[[Message], None],
+    ) -> None:
+        self._home = home
+        self._board = board
+        self._send = send
+        self._placed: dict[int, _Placed] = {}
+
+    def on_message(self, message: Message) -> None:
+        """Handle a message of the entry; others are ignored.
+
+        :param message: any message.
+        """
+        match message:
+            case Submit():
+                self._submit(message)
+            case Body(request_id=request_id):
+                if request_id in self._placed:
+                    self._placed[request_id].job.body.put(message)
+            case Credit(request_id=request_id, byte_count=byte_count):
+                if request_id in self._placed:
+                    self._placed[request_id].job.credit.grant(byte_count)
+            case Cancel(request_id=request_id):
+                self._cancel(request_id)
+
+    def close(self) -> None:
+        """Cancel everything, since the entry is gone."""
+        for request_id in tuple(self._placed):
+            self._cancel(request_id)
+
+    def _submit(self, submit: Submit) -> None:
+        upstream = self._home.find(submit.upstream)
+        service = upstream.spec.service if upstream else None
+        operation = (
+            service.operations.get(submit.operation) if service else None
+        )
+        if upstream is None or operation is None:
+            self._refuse(submit, Reason.NO_UPSTREAM)
+            return
+        if self._board.leaving.read():
+            self._refuse(submit, Reason.NODE_LEAVING)
+            return
+        now_ms = monotonic_ms()
+        work = Work(
+            next(_work_ids),
+            operation.name,
+            operation.work_class,
+            submit.organisation,
+            now_ms,
+            now_ms + submit.deadline_ms,
+        )
+        job = Job(submit, work, self._deliver)
+        self._placed[submit.request_id] = _Placed(job, upstream)
+        upstream.submit(job)
+
+    def _refuse(self, submit: Submit, reason: Reason) -> None:
+        self._send(
+            Refusal(
+                submit.request_id,
+                Outcome.NOT_RUN.value,
+                reason.value,
+                _NO_UPSTREAM_RETRY_MS,
+            ),
+        )
+
+    def _deliver(self, message: Message) -> None:
+        match message:
+            case Head() | Refusal():
+                self._send_standing(message.request_id)
+                self._end_if_last(message)
+            case Body():
+                self._end_if_last(message)
+        self._send(message)
+
+    def _end_if_last(self, message: Head | Body | Refusal) -> None:
+        if isinstance(message, Refusal) or message.last:
+            self._placed.pop(message.request_id, None)
+
+    def _send_standing(self, request_id: int) -> None:
+        placed = self._placed[request_id]
+        operation = placed.job.submit.operation
+        self._send(placed.upstream.standing(operation))
+
+    def _cancel(self, request_id: int) -> None:
+        placed = self._placed.get(request_id)
+        if placed is not None:
+            placed.upstream.cancel(placed.job)
+
+
+__all__ = ('HomeSession',)
--- /dev/null
+++ b/src/jackdawhead/node/http_server.py
@@ -0,0 +1,99 @@
+"""HTTP listener: gevent's WSGI server without delays, logs or tracebacks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from ..wire.stream import set_no_delay
+from .entry.answer_body import CutAnswerError
+from .entry.caller_watch import CallerGoneError
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from gevent.socket import socket as Socket
+
+    from ..config.settings import Address
+
+SOCKET_KEY: Final = 'jackdawhead.socket'
+_QUIET_ERRORS: Final = (CutAnswerError, CallerGoneError, TimeoutError)
+
+
+class QuickHandler(WSGIHandler):
+    """Sends at once, and closes the connection of a cut answer."""
+
+    def __init__(self, sock: Socket, *args: Any, **kwargs: Any) -> None:
+        set_no_delay(sock)
+        super().__init__(sock, *args, **kwargs)
+
+    def handle(self) -> None:
+        """Serve one connection, until it is idle for too long."""
+        self.socket.settimeout(self.server.idle_timeout_s)
+        try:
+            super().handle()
+        except TimeoutError:
+            self.socket.close()
+
+    def handle_one_response(self) -> None:
+        """Serve one request and count it while it is in progress."""
+        self.server.active += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.active -= 1
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment, with the socket."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        environ['RAW_URI'] = self.path
+        return environ
+
+    def handle_error(
+        self,
+        kind: type[BaseException],
+        error: BaseException,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End a request whose application failed.
+
+        An answer that has begun is cut by closing the connection, so that
+        the caller sees that it is not whole.
+        """
+        if not isinstance(error, _QUIET_ERRORS):
+            super().handle_error(kind, error, traceback)
+            return
+        self.close_connection = True
+
+
+class QuickServer(WSGIServer):
+    """Listener for :class:`QuickHandler`.
+
+    :param address: where to listen.
+    :param application: WSGI application.
+    :param idle_timeout_s: time after which a slow caller is shed.
+
+    The attribute ``active`` is the number of requests in progress.
+    """
+
+    handler_class = QuickHandler
+
+    def __init__(
+        self,
+        address: Address,
+        application: Any,
+        idle_timeout_s: float,
+    ) -> None:
+        super().__init__(
+            (address.ip, address.port),
+            application,
+            backlog=1024,
+            log=None,
+        )
+        self.idle_timeout_s = idle_timeout_s
+        self.active = 0
+
+
+__all__ = ('SOCKET_KEY', 'QuickServer')
--- /dev/null
+++ b/src/jackdawhead/node/metrics.py
@@ -0,0 +1,146 @@
+"""Prometheus metrics, gathered from the controllers when asked for."""
+
+from __future__ import annotations
+
+import resource
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from ..policy.detection import Health
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.metrics_core import Metric
+
+    from .runtime import Node
+
+
+class NodeCollector(Collector):
+    """Reads the figures of a node.
+
+    Labels are bounded: kinds of answers, and the upstreams of this home.
+
+    :param node: the running node.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics."""
+        yield from self._requests()
+        yield from self._fleet()
+        yield from self._home()
+        yield from _process()
+
+    def _requests(self) -> Iterator[Metric]:
+        node = self._node
+        answers = CounterMetricFamily(
+            'jackdawhead_requests',
+            'Finished requests of callers by what they came to.',
+            labels=['answer'],
+        )
+        for answer, count in sorted(node.traffic.by_answer.items()):
+            answers.add_metric([answer], count)
+        yield answers
+        yield GaugeMetricFamily(
+            'jackdawhead_requests_in_progress',
+            'Requests of callers in progress.',
+            node.active_requests,
+        )
+        yield CounterMetricFamily(
+            'jackdawhead_late_answers',
+            'Answers dropped because nobody waits for them.',
+            node.parts.attempts.late_answers,
+        )
+
+    def _fleet(self) -> Iterator[Metric]:
+        node = self._node
+        yield GaugeMetricFamily(
+            'jackdawhead_config_version',
+            'Version of the configuration in force.',
+            node.parts.board.config.read().version,
+        )
+        yield GaugeMetricFamily(
+            'jackdawhead_links',
+            'Links to other nodes.',
+            len(node.links()),
+        )
+        yield CounterMetricFamily(
+            'jackdawhead_platform_reads',
+            'Calls to the platform.',
+            node.platform_calls,
+        )
+        yield CounterMetricFamily(
+            'jackdawhead_stream_bytes',
+            'Bytes sent and received on open links.',
+            sum(link.traffic_bytes for link in node.links()),
+        )
+        yield self._ejected()
+
+    def _ejected(self) -> Metric:
+        family = GaugeMetricFamily(
+            'jackdawhead_upstreams',
+            'Upstreams of a service by health as seen here.',
+            labels=['service', 'health'],
+        )
+        for router in self._node.parts.routing.routers():
+            for health in Health:
+                count = router.count_of(health)
+                family.add_metric([router.service.name, health.value], count)
+        return family
+
+    def _home(self) -> Iterator[Metric]:
+        running = GaugeMetricFamily(
+            'jackdawhead_slots_in_use',
+            'Slots in use at the upstreams of this home.',
+            labels=['upstream'],
+        )
+        waiting = GaugeMetricFamily(
+            'jackdawhead_queue_length',
+            'Requests waiting for the upstreams of this home.',
+            labels=['upstream'],
+        )
+        for upstream in self._node.parts.home.all():
+            running.add_metric([upstream.spec.name], upstream.running)
+            waiting.add_metric([upstream.spec.name], upstream.waiting)
+        yield running
+        yield waiting
+
+
+def registry_of(node: Node) -> CollectorRegistry:
+    """Return a registry that holds the metrics of one node.
+
+    :param node: the running node.
+    """
+    registry = CollectorRegistry()
+    registry.register(NodeCollector(node))
+    return registry
+
+
+def _process() -> Iterator[Metric]:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    yield CounterMetricFamily(
+        'process_cpu_seconds',
+        'Processor time of the process in seconds.',
+        usage.ru_utime + usage.ru_stime,
+    )
+    yield GaugeMetricFamily(
+        'process_resident_memory_bytes',
+        'Resident memory in bytes.',
+        resident_bytes(),
+    )
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process in bytes."""
+    with open('/proc/self/statm', encoding='ascii') as statm:
+        pages = int(statm.read().split()[1])
+    return pages * resource.getpagesize()
+
+
+__all__ = ('registry_of', 'resident_bytes')
--- /dev/null
+++ b/src/jackdawhead/node/parts.py
@@ -0,0 +1,35 @@
+"""The controllers of a node, so that they can reach each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..audit import AuditTrail
+    from ..blackboard import Blackboard
+    from ..config.settings import NodeSettings
+    from .config_controller import ConfigController
+    from .entry.attempts import Attempts
+    from .entry.routing import RoutingController
+    from .home.controller import HomeController
+    from .identity import Identity
+    from .membership import MembershipController
+
+
+@dataclass(frozen=True, slots=True)
+class NodeParts:
+    """Controllers and shared state of one node."""
+
+    settings: NodeSettings
+    identity: Identity
+    board: Blackboard
+    audit: AuditTrail
+    attempts: Attempts
+    home: HomeController
+    routing: RoutingController
+    config: ConfigController
+    membership: MembershipController
+
+
+__all__ = ('NodeParts',)
--- /dev/null
+++ b/src/jackdawhead/node/platform_client.py
@@ -0,0 +1,86 @@
+"""Reads what the platform publishes; nothing is ever written to it."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+from returns.result import Failure, Result, Success
+
+from ..clock import seconds
+from ..config.sources import MAX_VALUE_BYTES
+
+if TYPE_CHECKING:
+    from ..config.settings import Address
+
+_OK: Final = 200
+_NO_CONTENT: Final = 204
+_TIMEOUT_MS: Final = 3000
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A value of the platform.
+
+    :param version: grows with each change.
+    :param plain: the value as JSON gives it.
+    """
+
+    version: int
+    plain: Any
+
+
+class PlatformClient:
+    """Reads and watches values.
+
+    :param address: IP number and port of the platform.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self.calls = 0
+
+    def read(
+        self,
+        key: str,
+        after: int,
+        wait_ms: int,
+    ) -> Result[Published | None, str]:
+        """Read a value, waiting for one that is newer than a version.
+
+        :param key: name of the value, ``config`` or ``vms``.
+        :param after: version that is known already.
+        :param wait_ms: longest wait at the platform, 0 for none.
+        :returns: the value, nothing if there is no newer one, or why the
+            platform did not answer.
+        """
+        self.calls += 1
+        client = HTTPClient(
+            self._address.ip,
+            self._address.port,
+            connection_timeout=seconds(_TIMEOUT_MS),
+            network_timeout=seconds(_TIMEOUT_MS + wait_ms),
+        )
+        try:
+            return _read(client, f'/v1/{key}?after={after}&wait_ms={wait_ms}')
+        except (OSError, HTTPParseError, ValueError, KeyError) as error:
+            return Failure(f'{type(error).__name__}: {error}')
+        finally:
+            client.close()
+
+
+def _read(client: HTTPClient, target: str) -> Result[Published | None, str]:
+    response = client.get(target)
+    if response.status_code == _NO_CONTENT:
+        return Success(None)
+    if response.status_code != _OK:
+        return Failure(f'status {response.status_code}')
+    body = response.read(2 * MAX_VALUE_BYTES)
+    plain = json.loads(body)
+    return Success(Published(int(plain['version']), plain['value']))
+
+
+__all__ = ('PlatformClient', 'Published')
--- /dev/null
+++ b/src/jackdawhead/node/platform_watch.py
@@ -0,0 +1,131 @@
+"""Watches the platform, by few nodes of each zone."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+import gevent
+from returns.result import Failure, Success
+
+from ..audit import AuditKind
+from ..clock import seconds
+from ..config.sources import SourceFile
+from ..policy.readers import is_reader
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from .parts import NodeParts
+    from .platform_client import PlatformClient, Published
+
+CONFIG_KEY: Final = 'config'
+VMS_KEY: Final = 'vms'
+_WATCH_MS: Final = 10_000
+_FALLBACK_MS: Final = 20_000
+_FIRST_BACKOFF_MS: Final = 200
+_MAX_BACKOFF_MS: Final = 5000
+
+
+class PlatformWatch:
+    """Reads one value of the platform again and again.
+
+    The readers of a zone wait for each change and pass it on. All other
+    nodes ask now and then, in case the news does not reach them.
+
+    :param key: name of the value.
+    :param client: way to the platform.
+    :param parts: controllers of this node.
+    :param rng: spreads the calls.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        client: PlatformClient,
+        parts: NodeParts,
+        rng: Random,
+    ) -> None:
+        self._key = key
+        self._client = client
+        self._parts = parts
+        self._rng = rng
+        self._backoff_ms = 0
+
+    def read_once(self, wait_ms: int = 0) -> bool:
+        """Read the value and offer it to its controller.
+
+        :param wait_ms: longest wait for a change.
+        :returns: whether the platform answered.
+        """
+        match self._client.read(self._key, self._known_version(), wait_ms):
+            case Success(published):
+                self._note_answer()
+                if published is not None:
+                    self._offer(published)
+                return True
+            case Failure(message):
+                self._note_failure(str(message))
+        return False
+
+    def run(self) -> None:
+        """Watch for ever."""
+        while True:
+            self._run_once()
+
+    def _run_once(self) -> None:
+        if not self._is_reader():
+            self._sleep(_FALLBACK_MS)
+            self.read_once()
+        elif not self.read_once(_WATCH_MS):
+            self._sleep(self._backoff_ms)
+
+    def _is_reader(self) -> bool:
+        settings = self._parts.settings
+        vm_list = self._parts.board.vm_list.read()
+        return is_reader(settings.vm, settings.zone, vm_list)
+
+    def _known_version(self) -> int:
+        board = self._parts.board
+        if self._key == CONFIG_KEY:
+            return board.config.read().version
+        return board.vm_list.read().version
+
+    def _offer(self, published: Published) -> None:
+        if self._key == CONFIG_KEY:
+            sources = _sources(published.plain)
+            self._parts.config.offer(published.version, sources, 'platform')
+        else:
+            text = json.dumps(published.plain)
+            self._parts.membership.offer(published.version, text)
+
+    def _note_answer(self) -> None:
+        if self._backoff_ms:
+            self._backoff_ms = 0
+            self._parts.audit.record(
+                AuditKind.PLATFORM_BACK,
+                self._key,
+                'answers again',
+            )
+
+    def _note_failure(self, message: str) -> None:
+        if not self._backoff_ms:
+            self._parts.audit.record(
+                AuditKind.PLATFORM_LOST,
+                self._key,
+                message,
+            )
+        doubled_ms = max(_FIRST_BACKOFF_MS, 2 * self._backoff_ms)
+        self._backoff_ms = min(_MAX_BACKOFF_MS, doubled_ms)
+
+    def _sleep(self, duration_ms: float) -> None:
+        gevent.sleep(seconds(duration_ms) * (0.5 + self._rng.random()))
+
+
+def _sources(plain: Any) -> tuple[SourceFile, ...]:
+    return tuple(
+        SourceFile(str(name), str(text)) for name, text in plain.items()
+    )
+
+
+__all__ = ('CONFIG_KEY', 'VMS_KEY', 'PlatformWatch')
--- /dev/null
+++ b/src/jackdawhead/node/runtime.py
@@ -0,0 +1,239 @@
+"""Puts a node together, runs it and stops it."""
+
+from __future__ import annotations
+
+import signal
+from contextlib import ExitStack
+from random import Random, SystemRandom
+from typing import TYPE_CHECKING, Final
+
+import gevent
+from gevent.event import Event
+
+from ..audit import AuditKind, AuditTrail
+from ..blackboard import Blackboard
+from ..clock import monotonic_ms, seconds
+from ..wire.messages import DrainNews, PoisonNews
+from .admin import admin_app
+from .channels import Channels
+from .config_controller import ConfigController
+from .entry.attempts import Attempts
+from .entry.dispatcher import Dispatcher
+from .entry.http import CallerApi
+from .entry.routing import RoutingController
+from .entry.traffic import Traffic
+from .home.controller import HomeController
+from .http_server import QuickServer
+from .identity import new_identity
+from .membership import MembershipController
+from .parts import NodeParts
+from .pause_watch import PauseWatch
+from .platform_client import PlatformClient
+from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..config.settings import NodeSettings
+    from .links import Link
+
+_ADMIN_IDLE_S: Final = 30
+_POLL_MS: Final = 20
+_LINGER_MS: Final = 300
+_SETTLE_MS: Final = 3000
+
+
+class Node:
+    """One process of the fleet: entry and home.
+
+    :param settings: addresses, zone and keys.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._rng = Random(SystemRandom().getrandbits(64))
+        self._stopping = Event()
+        self._started = False
+        self._failure: BaseException | None = None
+        self.traffic = Traffic()
+        self.parts = self._build_parts()
+        self._channels = Channels(self.parts)
+        self.parts.config.broadcast = self._channels.broadcast
+        self.parts.membership.broadcast = self._channels.broadcast
+        self._platform = PlatformClient(settings.platform_address)
+        self._callers = self._caller_server()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes new work."""
+        board = self.parts.board
+        has_config = board.config.read().loaded is not None
+        return self._started and has_config and not board.leaving.read()
+
+    @property
+    def active_requests(self) -> int:
+        """Number of callers' requests in progress."""
+        return self._callers.active
+
+    @property
+    def platform_calls(self) -> int:
+        """Number of calls to the platform."""
+        return self._platform.calls
+
+    def links(self) -> tuple[Link, ...]:
+        """Return the links to other nodes."""
+        return self._channels.links()
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain.
+
+        :raises OSError: if an address cannot be bound.
+        """
+        gevent.signal_handler(signal.SIGTERM, self._stopping.set)
+        gevent.signal_handler(signal.SIGINT, self._stopping.set)
+        with ExitStack() as stack:
+            self._start(stack)
+            self._stopping.wait()
+            self._drain()
+        if self._failure is not None:
+            raise self._failure
+
+    def _start(self, stack: ExitStack) -> None:
+        settings = self._settings
+        admin = QuickServer(
+            settings.admin_address,
+            admin_app(self),
+            _ADMIN_IDLE_S,
+        )
+        admin.start()
+        stack.callback(admin.stop, 0)
+        stack.callback(self.parts.home.close)
+        self._channels.start(stack)
+        self._callers.start()
+        stack.callback(self._callers.stop, 0)
+        self.parts.audit.record(
+            AuditKind.NODE_STARTED,
+            settings.vm,
+            f'incarnation {self.parts.identity.incarnation}',
+        )
+        self._spawn_loops(stack)
+
+    def _spawn_loops(self, stack: ExitStack) -> None:
+        watches = tuple(
+            PlatformWatch(key, self._platform, self.parts, self._rng)
+            for key in (VMS_KEY, CONFIG_KEY)
+        )
+        loops = [
+            self._channels.run,
+            self.parts.home.run,
+            self.parts.routing.run,
+            PauseWatch(self.parts).run,
+        ]
+        for loop in loops:
+            self._spawn(stack, loop)
+        self._spawn(stack, self._settle, watches, stack)
+
+    def _spawn(
+        self,
+        stack: ExitStack,
+        loop: Callable[..., None],
+        *arguments: object,
+    ) -> None:
+        """Run a controller's loop; its failure is a broken invariant."""
+        greenlet = gevent.spawn(loop, *arguments)
+        greenlet.link_exception(self._loop_failed)
+        stack.callback(greenlet.kill)
+
+    def _loop_failed(self, greenlet: gevent.Greenlet) -> None:
+        self._failure = greenlet.exception
+        self._stopping.set()
+
+    def _settle(
+        self,
+        watches: tuple[PlatformWatch, ...],
+        stack: ExitStack,
+    ) -> None:
+        """Ask platform and other nodes before taking work."""
+        for watch in watches:
+            watch.read_once()
+        self._channels.dial_seeds()
+        self._channels.say_hello(_SETTLE_MS)
+        for watch in watches:
+            self._spawn(stack, watch.run)
+        self._started = True
+
+    def _drain(self) -> None:
+        """Take no new work, finish what is in progress."""
+        self.parts.board.leaving.write(True)
+        self.parts.audit.record(
+            AuditKind.NODE_LEAVING,
+            self._settings.vm,
+            'asked to stop',
+        )
+        self._channels.say_leaving()
+        self._callers.close()
+        last_ms = monotonic_ms() + self._settings.drain_ms
+        quiet_ms = monotonic_ms()
+        while monotonic_ms() < last_ms:
+            if self._callers.active or self.parts.home.busy:
+                quiet_ms = monotonic_ms()
+            if monotonic_ms() - quiet_ms > _LINGER_MS:
+                return
+            gevent.sleep(seconds(_POLL_MS))
+
+    def _build_parts(self) -> NodeParts:
+        settings = self._settings
+        board = Blackboard()
+        audit = AuditTrail()
+        return NodeParts(
+            settings=settings,
+            identity=new_identity(settings.vm, settings.stream_keys),
+            board=board,
+            audit=audit,
+            attempts=Attempts(),
+            home=HomeController(
+                settings.vm,
+                board,
+                audit,
+                self._rng,
+                self._tell_drain,
+            ),
+            routing=RoutingController(
+                settings.zone,
+                board,
+                audit,
+                self._rng,
+                self._tell_crash,
+            ),
+            config=ConfigController(board, audit),
+            membership=MembershipController(board, audit),
+        )
+
+    def _caller_server(self) -> QuickServer:
+        settings = self._settings
+        dispatcher = Dispatcher(
+            self.parts.routing,
+            self._channels,
+            self.parts.attempts,
+        )
+        api = CallerApi(settings, self.parts.board, dispatcher, self.traffic)
+        return QuickServer(
+            settings.caller_address,
+            api.app(),
+            seconds(settings.caller_idle_ms),
+        )
+
+    def _tell_drain(self, upstream: str, draining: bool) -> None:
+        self.parts.routing.note_drain(upstream, draining)
+        self._channels.broadcast(DrainNews(upstream, draining))
+
+    def _tell_crash(
+        self,
+        service: str,
+        fingerprint: int,
+        upstream: str,
+    ) -> None:
+        self._channels.broadcast(PoisonNews(service, fingerprint, upstream))
+
+
+__all__ = ('Node',)
--- /dev/null
+++ b/src/jackdawhead/policy/admission.py
@@ -0,0 +1,286 @@
+"""Admission of work to the slots of one upstream."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Final
+
+from ..config.model import WorkClass
+from ..registry import Registry
+from .class_queue import ClassQueue
+from .run_times import RunTimes
+from .work import Admission, Verdict, Work
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..config.model import Service
+
+_PERCENT: Final = 100
+_MIN_RETRY_AFTER_MS: Final = 50
+_START: Final = Admission(Verdict.START)
+_WAIT: Final = Admission(Verdict.WAIT)
+
+
+class AdmissionRule(ABC):
+    """Owns the slots of one upstream and the queue in front of them.
+
+    :param service: limits and operations.
+    :param rng: spreads the times at which refused callers come back.
+    """
+
+    def __init__(self, service: Service, rng: Random) -> None:
+        self._service = service
+        self._rng = rng
+        self._running: dict[int, Work] = {}
+        self._running_long = 0
+        self.run_times = RunTimes(service.operations)
+
+    @property
+    def running(self) -> int:
+        """Number of slots in use."""
+        return len(self._running)
+
+    @property
+    @abstractmethod
+    def waiting(self) -> int:
+        """Number of pieces of work that wait."""
+
+    @abstractmethod
+    def offer(self, work: Work, now_ms: float) -> Admission:
+        """Start, queue or refuse work.
+
+        :param work: new work.
+        :param now_ms: monotonic time.
+        """
+
+    @abstractmethod
+    def start_next(self, now_ms: float) -> Work | None:
+        """Give a free slot to waiting work, if there are both.
+
+        :param now_ms: monotonic time.
+        """
+
+    @abstractmethod
+    def withdraw(self, work: Work) -> bool:
+        """Remove waiting work.
+
+        :returns: whether it was waiting, hence has not run.
+        """
+
+    @abstractmethod
+    def withdraw_all(self) -> tuple[Work, ...]:
+        """Remove and return all waiting work."""
+
+    @abstractmethod
+    def expire(self, now_ms: float) -> tuple[Work, ...]:
+        """Remove and return waiting work that can no longer be done in time.
+
+        :param now_ms: monotonic time.
+        """
+
+    @abstractmethod
+    def expected_wait_ms(self, now_ms: float) -> float:
+        """Return the expected wait of short work that arrives now.
+
+        :param now_ms: monotonic time.
+        """
+
+    def finish(self, work: Work, run_ms: float | None) -> None:
+        """Free the slot of work that ended.
+
+        :param run_ms: its run time, or nothing if it says nothing about
+            the operation, for example after a cancellation.
+        """
+        if self._running.pop(work.work_id, None) is None:
+            return
+        if work.work_class is WorkClass.LONG:
+            self._running_long -= 1
+        if run_ms is not None:
+            self.run_times.observe(work.operation, run_ms)
+
+    def short_run_ms(self) -> float:
+        """Return the least expected run time of the short operations."""
+        operations = self._service.operations.values()
+        return min(
+            (
+                self.run_times.expected_ms(each.name)
+                for each in operations
+                if each.work_class is WorkClass.SHORT
+            ),
+            default=1,
+        )
+
+    def _start(self, work: Work) -> None:
+        self._running[work.work_id] = work
+        if work.work_class is WorkClass.LONG:
+            self._running_long += 1
+
+    def _has_free_slot(self) -> bool:
+        return len(self._running) < self._service.slots_per_upstream
+
+
+ADMISSIONS: Final[Registry[AdmissionRule]] = Registry('admission rule')
+
+
+@ADMISSIONS.register('deadline')
+class DeadlineAdmission(AdmissionRule):
+    """Bounds the queue by time, and keeps slots free of long work.
+
+    Work whose expected wait exceeds the bound or its deadline is refused at
+    once. Short work overtakes long work, until the long work has aged.
+    """
+
+    def __init__(self, service: Service, rng: Random) -> None:
+        super().__init__(service, rng)
+        slots = service.slots_per_upstream
+        share = service.queue.long_slots_percent / _PERCENT
+        self._long_slots = max(1, min(int(slots * share), slots - 1))
+        self._short = ClassQueue()
+        self._long = ClassQueue()
+
+    @property
+    def waiting(self) -> int:
+        return len(self._short) + len(self._long)
+
+    def offer(self, work: Work, now_ms: float) -> Admission:
+        queue = self._queue_of(work)
+        if not queue and self._may_start(work):
+            self._start(work)
+            return _START
+        wait_ms = self._wait_of(work, queue)
+        run_ms = self.run_times.expected_ms(work.operation)
+        spare_ms = work.deadline_at_ms - now_ms - run_ms
+        if wait_ms > min(spare_ms, self._service.queue.max_wait_ms):
+            return Admission(Verdict.REFUSE, self._retry_after_ms(wait_ms))
+        queue.append(work)
+        return _WAIT
+
+    def start_next(self, now_ms: float) -> Work | None:
+        if not self._has_free_slot():
+            return None
+        queue = self._next_queue(now_ms)
+        if queue is None:
+            return None
+        work = queue.pop()
+        self._start(work)
+        return work
+
+    def withdraw(self, work: Work) -> bool:
+        return self._queue_of(work).remove(work)
+
+    def withdraw_all(self) -> tuple[Work, ...]:
+        return self._short.drain() + self._long.drain()
+
+    def expire(self, now_ms: float) -> tuple[Work, ...]:
+        return self._short.expire(now_ms) + self._long.expire(now_ms)
+
+    def expected_wait_ms(self, now_ms: float) -> float:
+        if self._has_free_slot():
+            return 0
+        short_ms = self._typical_short_ms()
+        return (len(self._short) + 1) * short_ms / self._short_slots()
+
+    def _queue_of(self, work: Work) -> ClassQueue:
+        return self._long if work.work_class is WorkClass.LONG else self._short
+
+    def _may_start(self, work: Work) -> bool:
+        if not self._has_free_slot():
+            return False
+        if work.work_class is WorkClass.SHORT:
+            return True
+        return self._running_long < self._long_slots
+
+    def _next_queue(self, now_ms: float) -> ClassQueue | None:
+        long_may_start = self._long and self._running_long < self._long_slots
+        if not long_may_start:
+            return self._short or None
+        if not self._short:
+            return self._long
+        oldest = self._long.oldest()
+        aged_at_ms = now_ms - self._service.queue.aging_ms
+        if oldest is not None and oldest.arrived_at_ms <= aged_at_ms:
+            return self._long
+        return self._short
+
+    def _wait_of(self, work: Work, queue: ClassQueue) -> float:
+        own = queue.depth_of(work.organisation) + 1
+        rivals = queue.organisations + (own == 1)
+        ahead = min(len(queue) + 1, own * rivals)
+        run_ms = self.run_times.expected_ms(work.operation)
+        if work.work_class is WorkClass.LONG:
+            return ahead * run_ms / self._long_slots
+        return ahead * run_ms / self._short_slots()
+
+    def _short_slots(self) -> int:
+        return max(1, self._service.slots_per_upstream - self._running_long)
+
+    def _typical_short_ms(self) -> float:
+        shorts = [
+            self.run_times.expected_ms(work.operation)
+            for work in self._running.values()
+            if work.work_class is WorkClass.SHORT
+        ]
+        if not shorts:
+            return self.short_run_ms()
+        return sum(shorts) / len(shorts)
+
+    def _retry_after_ms(self, wait_ms: float) -> int:
+        base_ms = max(_MIN_RETRY_AFTER_MS, wait_ms)
+        return int(base_ms * (1 + self._rng.random()))
+
+
+@ADMISSIONS.register('fifo')
+class FifoAdmission(AdmissionRule):
+    """Baseline: one unbounded queue, first in, first out."""
+
+    def __init__(self, service: Service, rng: Random) -> None:
+        super().__init__(service, rng)
+        self._queue: dict[int, Work] = {}
+
+    @property
+    def waiting(self) -> int:
+        return len(self._queue)
+
+    def offer(self, work: Work, now_ms: float) -> Admission:
+        if self._has_free_slot() and not self._queue:
+            self._start(work)
+            return _START
+        self._queue[work.work_id] = work
+        return _WAIT
+
+    def start_next(self, now_ms: float) -> Work | None:
+        if not self._queue or not self._has_free_slot():
+            return None
+        work = self._queue.pop(next(iter(self._queue)))
+        self._start(work)
+        return work
+
+    def withdraw(self, work: Work) -> bool:
+        return self._queue.pop(work.work_id, None) is not None
+
+    def withdraw_all(self) -> tuple[Work, ...]:
+        waiting = tuple(self._queue.values())
+        self._queue.clear()
+        return waiting
+
+    def expire(self, now_ms: float) -> tuple[Work, ...]:
+        expired = tuple(
+            work
+            for work in self._queue.values()
+            if work.deadline_at_ms <= now_ms
+        )
+        for work in expired:
+            self.withdraw(work)
+        return expired
+
+    def expected_wait_ms(self, now_ms: float) -> float:
+        slots = self._service.slots_per_upstream
+        busy_ms = sum(
+            self.run_times.expected_ms(work.operation)
+            for work in self._queue.values()
+        )
+        return busy_ms / slots
+
+
+__all__ = ('ADMISSIONS', 'AdmissionRule', 'DeadlineAdmission')
--- /dev/null
+++ b/src/jackdawhead/policy/balancers.py
@@ -0,0 +1,126 @@
+"""Choice of an upstream for a request."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Final
+
+from ..registry import Registry
+from .loads import Pool, RoutingQuery, UpstreamLoad, least, sample
+
+if TYPE_CHECKING:
+    from random import Random
+
+_ZONE_COST_MS: Final = 5.0
+_SAMPLE_SIZE: Final = 3
+_PAIR: Final = 2
+
+
+class Balancer(ABC):
+    """Chooses an upstream out of a pool."""
+
+    @abstractmethod
+    def choose(
+        self,
+        pool: Pool,
+        query: RoutingQuery,
+        rng: Random,
+    ) -> UpstreamLoad | None:
+        """Return the upstream to use, or nothing when none is left.
+
+        :param pool: upstreams that may be used.
+        :param query: time and upstreams already tried.
+        :param rng: source of randomness.
+        """
+
+
+BALANCERS: Final[Registry[Balancer]] = Registry('balancer')
+
+
+@BALANCERS.register('least-wait')
+class LeastWaitBalancer(Balancer):
+    """Takes the least expected time of a few samples, own zone first.
+
+    Sampling a few instead of scanning all keeps nodes with equally stale
+    reports from choosing the same upstream (power of two choices, after
+    Mitzenmacher). Another zone is used when its time, with the cost of the
+    way, is shorter.
+    """
+
+    def choose(
+        self,
+        pool: Pool,
+        query: RoutingQuery,
+        rng: Random,
+    ) -> UpstreamLoad | None:
+        local = self._best(pool.local, query, rng)
+        if local is not None and not local.expected_wait_ms(query.now_ms):
+            return local
+        remote = self._best(pool.remote, query, rng)
+        if remote is None or local is None:
+            return local or remote
+        remote_ms = remote.completion_ms(query.now_ms) + _ZONE_COST_MS
+        is_remote_faster = remote_ms < local.completion_ms(query.now_ms)
+        return remote if is_remote_faster else local
+
+    def _best(
+        self,
+        members: tuple[UpstreamLoad, ...],
+        query: RoutingQuery,
+        rng: Random,
+    ) -> UpstreamLoad | None:
+        drawn = sample(members, _SAMPLE_SIZE, query.tried, rng)
+        return least(drawn, lambda each: each.completion_ms(query.now_ms))
+
+
+@BALANCERS.register('two-choices')
+class TwoChoicesBalancer(Balancer):
+    """Takes the one of two random upstreams with fewer requests in flight."""
+
+    def choose(
+        self,
+        pool: Pool,
+        query: RoutingQuery,
+        rng: Random,
+    ) -> UpstreamLoad | None:
+        drawn = sample(pool.local + pool.remote, _PAIR, query.tried, rng)
+        return least(drawn, lambda each: each.in_flight)
+
+
+@BALANCERS.register('random')
+class RandomBalancer(Balancer):
+    """Takes any upstream."""
+
+    def choose(
+        self,
+        pool: Pool,
+        query: RoutingQuery,
+        rng: Random,
+    ) -> UpstreamLoad | None:
+        drawn = sample(pool.local + pool.remote, 1, query.tried, rng)
+        return drawn[0] if drawn else None
+
+
+@BALANCERS.register('round-robin')
+class RoundRobinBalancer(Balancer):
+    """Takes the upstreams in turn."""
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self,
+        pool: Pool,
+        query: RoutingQuery,
+        rng: Random,
+    ) -> UpstreamLoad | None:
+        members = pool.local + pool.remote
+        for _ in members:
+            self._next = (self._next + 1) % len(members)
+            member = members[self._next]
+            if member.upstream not in query.tried:
+                return member
+        return None
+
+
+__all__ = ('BALANCERS', 'Balancer')
--- /dev/null
+++ b/src/jackdawhead/policy/class_queue.py
@@ -0,0 +1,99 @@
+"""Waiting work of one class, fair between organisations."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .work import Work
+
+
+class ClassQueue:
+    """First in, first out for each organisation; organisations take turns."""
+
+    def __init__(self) -> None:
+        self._by_organisation: OrderedDict[str, deque[Work]] = OrderedDict()
+        self._count = 0
+
+    def __len__(self) -> int:
+        """Return how many pieces of work wait."""
+        return self._count
+
+    @property
+    def organisations(self) -> int:
+        """Number of organisations that have waiting work."""
+        return len(self._by_organisation)
+
+    def depth_of(self, organisation: str) -> int:
+        """Return how many pieces of work an organisation has waiting.
+
+        :param organisation: its name.
+        """
+        return len(self._by_organisation.get(organisation, ()))
+
+    def append(self, work: Work) -> None:
+        """Queue work behind the other work of its organisation.
+
+        :param work: waiting work.
+        """
+        queue = self._by_organisation.setdefault(work.organisation, deque())
+        queue.append(work)
+        self._count += 1
+
+    def oldest(self) -> Work | None:
+        """Return the work that has waited longest."""
+        heads = (queue[0] for queue in self._by_organisation.values())
+        return min(heads, key=lambda each: each.arrived_at_ms, default=None)
+
+    def pop(self) -> Work:
+        """Remove and return the next work of the organisation in turn."""
+        organisation, queue = next(iter(self._by_organisation.items()))
+        work = queue.popleft()
+        self._count -= 1
+        del self._by_organisation[organisation]
+        if queue:
+            self._by_organisation[organisation] = queue
+        return work
+
+    def remove(self, work: Work) -> bool:
+        """Remove one piece of work.
+
+        :param work: the work to remove.
+        :returns: whether it was waiting here.
+        """
+        queue = self._by_organisation.get(work.organisation)
+        if queue is None or work not in queue:
+            return False
+        queue.remove(work)
+        self._count -= 1
+        if not queue:
+            del self._by_organisation[work.organisation]
+        return True
+
+    def drain(self) -> tuple[Work, ...]:
+        """Remove and return everything."""
+        waiting = tuple(
+            work for queue in self._by_organisation.values() for work in queue
+        )
+        self._by_organisation.clear()
+        self._count = 0
+        return waiting
+
+    def expire(self, now_ms: float) -> tuple[Work, ...]:
+        """Remove and return the work whose deadline has passed.
+
+        :param now_ms: monotonic time.
+        """
+        expired = tuple(
+            work
+            for queue in self._by_organisation.values()
+            for work in queue
+            if work.deadline_at_ms <= now_ms
+        )
+        for work in expired:
+            self.remove(work)
+        return expired
+
+
+__all__ = ('ClassQueue',)
--- /dev/null
+++ b/src/jackdawhead/policy/loads.py
@@ -0,0 +1,165 @@
+"""What an entry knows about the load of each upstream."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from random import Random
+
+_REPORT_LIFE_MS: Final = 1000
+_SAMPLE_TRIES: Final = 8
+_UNREACHABLE_WAIT_MS: Final = 1e9
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of an upstream, as told by the node that owns its slots.
+
+    :param wait_ms: expected wait of short work that arrives now.
+    :param run_ms: average run time of short work.
+    """
+
+    wait_ms: float
+    run_ms: float
+    slots: int
+
+
+@dataclass(slots=True)
+class UpstreamLoad:
+    """Load of one upstream: the last report and what was sent since.
+
+    :param home: VM of the node that owns the upstream's slots.
+    :param in_flight: requests of this node that are not answered yet.
+    :param sent_since_report: requests that the report does not count.
+    :param avoid_until_ms: monotonic time until which it cannot be reached.
+    """
+
+    upstream: str
+    zone: str
+    home: str
+    report: LoadReport
+    reported_at_ms: float = 0
+    in_flight: int = 0
+    sent_since_report: int = 0
+    avoid_until_ms: float = 0
+
+    def expected_wait_ms(self, now_ms: float) -> float:
+        """Return the expected wait of a request that is sent now.
+
+        A report that has grown old counts for nothing; then only this
+        node's own requests in flight are known.
+
+        :param now_ms: monotonic time.
+        """
+        if now_ms < self.avoid_until_ms:
+            return _UNREACHABLE_WAIT_MS
+        report = self.report
+        each_ms = report.run_ms / report.slots
+        if now_ms - self.reported_at_ms > _REPORT_LIFE_MS:
+            return max(0, self.in_flight + 1 - report.slots) * each_ms
+        return report.wait_ms + self.sent_since_report * each_ms
+
+    def completion_ms(self, now_ms: float) -> float:
+        """Return the expected wait and run time of short work sent now.
+
+        :param now_ms: monotonic time.
+        """
+        return self.expected_wait_ms(now_ms) + self.report.run_ms
+
+    def note_sent(self) -> None:
+        """Count a request sent to the upstream."""
+        self.in_flight += 1
+        self.sent_since_report += 1
+
+    def note_done(self) -> None:
+        """Count a request that ended, in whatever way."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def note_report(self, report: LoadReport, now_ms: float) -> None:
+        """Take a newer report.
+
+        :param report: what the home says.
+        :param now_ms: monotonic time of its arrival.
+        """
+        self.report = report
+        self.reported_at_ms = now_ms
+        self.sent_since_report = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Upstreams of a service that may be chosen for an operation.
+
+    :param local: those in the zone of this node.
+    :param remote: those in all other zones.
+    """
+
+    local: tuple[UpstreamLoad, ...] = ()
+    remote: tuple[UpstreamLoad, ...] = ()
+
+    def __len__(self) -> int:
+        """Return the number of upstreams in all zones."""
+        return len(self.local) + len(self.remote)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingQuery:
+    """One choice to be made.
+
+    :param now_ms: monotonic time.
+    :param tried: upstreams that this request has been sent to before.
+    """
+
+    now_ms: float
+    tried: frozenset[str] = field(default_factory=frozenset)
+
+
+def sample(
+    members: tuple[UpstreamLoad, ...],
+    count: int,
+    tried: frozenset[str],
+    rng: Random,
+) -> list[UpstreamLoad]:
+    """Return up to ``count`` random members that were not tried.
+
+    The cost does not grow with the number of members, but for the rare
+    case in which every draw hits a member that was tried.
+
+    :param members: upstreams to draw from.
+    """
+    if not members:
+        return []
+    drawn: dict[str, UpstreamLoad] = {}
+    for _ in range(min(_SAMPLE_TRIES, 2 * count)):
+        member = members[int(rng.random() * len(members))]
+        if member.upstream not in tried:
+            drawn[member.upstream] = member
+        if len(drawn) == count:
+            break
+    if drawn or not tried:
+        return list(drawn.values())
+    return [each for each in members if each.upstream not in tried][:count]
+
+
+def least(
+    members: list[UpstreamLoad],
+    cost_ms: Callable[[UpstreamLoad], float],
+) -> UpstreamLoad | None:
+    """Return the member of least cost, or nothing.
+
+    :param cost_ms: gives the cost of a member.
+    """
+    return min(members, key=cost_ms, default=None)
+
+
+__all__ = (
+    'LoadReport',
+    'Pool',
+    'RoutingQuery',
+    'UpstreamLoad',
+    'least',
+    'sample',
+)
--- /dev/null
+++ b/src/jackdawhead/policy/peer_detector.py
@@ -0,0 +1,265 @@
+"""Ejects upstreams whose real work fails or slows against their peers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+from .detection import (
+    ALL_OPERATIONS,
+    DETECTORS,
+    Detector,
+    Health,
+    HealthChange,
+)
+from .ejection import Ejection
+from .evidence import EvidenceRing, Sample, Summary
+from .floor import ejection_limit
+from .suspicion import Norm, Suspicion, exceeds, norm_of, suspect
+
+if TYPE_CHECKING:
+    from ..config.model import Service
+
+_TRIAL_SAMPLES: Final = 8
+_TRIAL_FAILURES: Final = 1
+
+_Key = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    """Evidence of a home, with the time of its arrival."""
+
+    summary: Summary
+    at_ms: float
+
+
+@DETECTORS.register('peers')
+class PeerDetector(Detector):
+    """Outlier detection against the medians of the service's upstreams.
+
+    One operation that fails is ejected alone; an upstream whose judged
+    operations all fail is ejected whole. The floor caps all ejections, the
+    worst first; equal severity is ranked by a hash, so that nodes with
+    equal views agree without talking.
+    """
+
+    def __init__(self, service: Service) -> None:
+        super().__init__(service)
+        self._policy = service.detection
+        self._members: frozenset[str] = frozenset()
+        self._reports: dict[str, dict[str, _Report]] = {
+            name: {} for name in service.operations
+        }
+        self._trials: dict[_Key, EvidenceRing] = {}
+        self._ejections: dict[_Key, Ejection] = {}
+        self._norms: dict[str, Norm] = {}
+        self._changes: list[HealthChange] = []
+
+    def set_members(self, upstreams: frozenset[str]) -> None:
+        self._members = upstreams
+        for reports in self._reports.values():
+            for gone in reports.keys() - upstreams:
+                del reports[gone]
+        for key in tuple(self._ejections):
+            if key[0] not in upstreams:
+                del self._ejections[key]
+                self._trials.pop(key, None)
+
+    def report(
+        self,
+        upstream: str,
+        operation: str,
+        summary: Summary,
+        now_ms: float,
+    ) -> None:
+        if upstream in self._members and operation in self._reports:
+            self._reports[operation][upstream] = _Report(summary, now_ms)
+
+    def observe_trial(
+        self,
+        upstream: str,
+        operation: str,
+        sample: Sample,
+    ) -> None:
+        norm = self._norms.get(operation, Norm(0, 0))
+        is_slow = exceeds(sample.run_ms, norm, self._policy)
+        judged = replace(sample, ok=sample.ok and not is_slow)
+        for scope in (operation, ALL_OPERATIONS):
+            ring = self._trials.get((upstream, scope))
+            if ring is not None:
+                ring.add(judged)
+
+    def health(self, upstream: str, operation: str) -> Health:
+        whole = self._ejections.get((upstream, ALL_OPERATIONS))
+        if whole is not None and whole.health is not Health.WELL:
+            return whole.health
+        single = self._ejections.get((upstream, operation))
+        return Health.WELL if single is None else single.health
+
+    def tick(self, now_ms: float) -> tuple[HealthChange, ...]:
+        self._changes = []
+        summaries = self._summarise(now_ms)
+        self._norms = {
+            name: norm_of(list(found.values()), self._policy.min_samples)
+            for name, found in summaries.items()
+        }
+        self._begin_trials(now_ms)
+        self._judge_trials(now_ms)
+        self._eject(self._suspects(summaries), now_ms)
+        self._keep_floor(now_ms)
+        return tuple(self._changes)
+
+    def _summarise(self, now_ms: float) -> dict[str, dict[str, Summary]]:
+        oldest_ms = now_ms - self._policy.window_ms
+        return {
+            operation: {
+                upstream: report.summary
+                for upstream, report in reports.items()
+                if report.at_ms >= oldest_ms
+            }
+            for operation, reports in self._reports.items()
+        }
+
+    def _begin_trials(self, now_ms: float) -> None:
+        for key, ejection in self._ejections.items():
+            is_due = ejection.until_ms <= now_ms
+            if ejection.health is Health.EJECTED and is_due:
+                ejection.health = Health.TRIAL
+                self._trials[key] = EvidenceRing()
+                self._note(
+                    key, Health.TRIAL, 'the time of the ejection is over'
+                )
+
+    def _judge_trials(self, now_ms: float) -> None:
+        for key, ring in tuple(self._trials.items()):
+            verdict = self._trial_verdict(key[1], ring.summary(0))
+            if verdict is None:
+                continue
+            del self._trials[key]
+            ejection = self._ejections[key]
+            if verdict.severity:
+                ejection.eject(now_ms, verdict.severity, verdict.cause)
+                self._note(
+                    key, Health.EJECTED, f'trial failed: {verdict.cause}'
+                )
+            else:
+                ejection.restore(now_ms)
+                self._note(key, Health.WELL, 'trial passed')
+
+    def _trial_verdict(
+        self,
+        operation: str,
+        summary: Summary,
+    ) -> Suspicion | None:
+        shares = [each.error_share for each in self._norms.values()]
+        norm = self._norms.get(operation, Norm(max(shares, default=0), 0))
+        allowed = _TRIAL_FAILURES + norm.error_share * summary.count
+        if round(summary.error_share * summary.count) > allowed:
+            return Suspicion(1, f'errors or delays {summary.error_share:.0%}')
+        return Suspicion(0, '') if summary.count >= _TRIAL_SAMPLES else None
+
+    def _suspects(
+        self,
+        summaries: dict[str, dict[str, Summary]],
+    ) -> dict[_Key, Suspicion]:
+        found: dict[_Key, Suspicion] = {}
+        for upstream in self._members:
+            judged: dict[str, Suspicion] = {}
+            for operation, by_upstream in summaries.items():
+                summary = by_upstream.get(upstream)
+                if summary and summary.count >= self._policy.min_samples:
+                    judged[operation] = suspect(
+                        summary,
+                        self._norms[operation],
+                        self._policy,
+                    )
+            found.update(_by_scope(upstream, judged))
+        return found
+
+    def _eject(self, suspects: dict[_Key, Suspicion], now_ms: float) -> None:
+        limit = ejection_limit(
+            len(self._members),
+            self._service.healthy_floor_percent,
+        )
+        off = self._off()
+        for key, suspicion in sorted(suspects.items(), key=_rank):
+            upstream, operation = key
+            if self.health(upstream, operation) is not Health.WELL:
+                continue
+            if upstream not in off and len(off) >= limit:
+                continue
+            off.add(upstream)
+            ejection = self._ejections.setdefault(key, Ejection(self._policy))
+            ejection.eject(now_ms, suspicion.severity, suspicion.cause)
+            self._forget_reports(key)
+            self._note(key, Health.EJECTED, suspicion.cause)
+
+    def _keep_floor(self, now_ms: float) -> None:
+        limit = ejection_limit(
+            len(self._members),
+            self._service.healthy_floor_percent,
+        )
+        off = self._off()
+        if len(off) <= limit:
+            return
+        held = sorted(
+            (
+                (key, ejection)
+                for key, ejection in self._ejections.items()
+                if ejection.health is not Health.WELL
+            ),
+            key=lambda pair: (pair[1].severity, _hash(pair[0])),
+        )
+        for key, ejection in held:
+            if len(self._off()) <= limit:
+                break
+            ejection.restore(now_ms)
+            self._trials.pop(key, None)
+            self._note(key, Health.WELL, 'the floor of healthy capacity')
+
+    def _off(self) -> set[str]:
+        return {
+            key[0]
+            for key, ejection in self._ejections.items()
+            if ejection.health is not Health.WELL
+        }
+
+    def _forget_reports(self, key: _Key) -> None:
+        upstream, operation = key
+        for name, reports in self._reports.items():
+            if operation in {ALL_OPERATIONS, name}:
+                reports.pop(upstream, None)
+
+    def _note(self, key: _Key, health: Health, cause: str) -> None:
+        upstream, operation = key
+        self._changes.append(HealthChange(upstream, operation, health, cause))
+
+
+def _by_scope(
+    upstream: str,
+    judged: dict[str, Suspicion],
+) -> dict[_Key, Suspicion]:
+    suspects = {
+        name: suspicion
+        for name, suspicion in judged.items()
+        if suspicion.severity
+    }
+    if suspects and len(suspects) == len(judged):
+        worst = max(suspects.values(), key=lambda each: each.severity)
+        return {(upstream, ALL_OPERATIONS): worst}
+    return {(upstream, name): suspicion for name, suspicion in suspects.items()}
+
+
+def _rank(suspect_pair: tuple[_Key, Suspicion]) -> tuple[float, int]:
+    key, suspicion = suspect_pair
+    return -suspicion.severity, _hash(key)
+
+
+def _hash(key: _Key) -> int:
+    return xxhash.xxh3_64_intdigest('|'.join(key).encode())
+
+
+__all__ = ('PeerDetector',)
--- /dev/null
+++ b/src/jackdawhead/policy/poison.py
@@ -0,0 +1,120 @@
+"""Requests that crash each upstream that runs them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+if TYPE_CHECKING:
+    from ..config.model import PoisonPolicy
+
+_MAX_FINGERPRINTS: Final = 4096
+
+
+def fingerprint_of(
+    service: str,
+    method: str,
+    target: str,
+    body: bytes,
+) -> int:
+    """Return the fingerprint of a request, 64 bits of XXH3.
+
+    :param target: path and query.
+    :param body: the body as far as it is known before sending.
+    """
+    text = f'{service}|{method}|{target}|'.encode()
+    return xxhash.xxh3_64_intdigest(text + body)
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """Upstreams that a fingerprint was in flight on when they crashed."""
+
+    upstreams: set[str] = field(default_factory=set)
+    until_ms: float = 0
+
+
+class PoisonTable:
+    """Counts crashes by fingerprint; the oldest suspects are forgotten.
+
+    All requests in flight at a crash are suspects; one that later succeeds
+    is cleared, so that popular innocent requests are never refused.
+
+    :param policy: crashes allowed and time of quarantine.
+    """
+
+    def __init__(self, policy: PoisonPolicy) -> None:
+        self._policy = policy
+        self._suspects: OrderedDict[int, _Suspect] = OrderedDict()
+
+    def note_crash(
+        self,
+        fingerprint: int,
+        upstream: str,
+        now_ms: float,
+    ) -> bool:
+        """Take in that an upstream crashed with this request in flight.
+
+        :param fingerprint: of the request.
+        :param now_ms: monotonic time.
+        :returns: whether the fingerprint is quarantined by this crash.
+        """
+        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        self._suspects.move_to_end(fingerprint)
+        if len(self._suspects) > _MAX_FINGERPRINTS:
+            self._suspects.popitem(last=False)
+        suspect.upstreams.add(upstream)
+        if suspect.until_ms > now_ms:
+            return False
+        if len(suspect.upstreams) < self._policy.max_crashes:
+            return False
+        suspect.until_ms = now_ms + self._policy.quarantine_ms
+        return True
+
+    def note_success(self, fingerprint: int) -> None:
+        """Clear a request that an upstream has answered.
+
+        :param fingerprint: of the request.
+        """
+        if self._suspects and fingerprint in self._suspects:
+            del self._suspects[fingerprint]
+
+    def knows(self, fingerprint: int, upstream: str) -> bool:
+        """Return whether this crash has been counted.
+
+        :param fingerprint: of the request.
+        """
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and upstream in suspect.upstreams
+
+    def quarantined_ms(self, fingerprint: int, now_ms: float) -> int:
+        """Return for how much longer a request is refused, 0 if it is not.
+
+        :param now_ms: monotonic time.
+        """
+        if not self._suspects:
+            return 0
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return 0
+        return max(0, int(suspect.until_ms - now_ms))
+
+    def release_due(self, now_ms: float) -> tuple[int, ...]:
+        """Forget and return the quarantines that are over.
+
+        :param now_ms: monotonic time.
+        """
+        due = tuple(
+            fingerprint
+            for fingerprint, suspect in self._suspects.items()
+            if 0 < suspect.until_ms <= now_ms
+        )
+        for fingerprint in due:
+            del self._suspects[fingerprint]
+        return due
+
+
+__all__ = ('PoisonTable', 'fingerprint_of')
--- /dev/null
+++ b/src/jackdawhead/policy/readers.py
@@ -0,0 +1,40 @@
+"""Which nodes watch the platform on behalf of their zone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+if TYPE_CHECKING:
+    from ..blackboard import VmList
+
+_READERS_PER_ZONE: Final = 2
+
+
+def is_reader(own: str, zone: str, vm_list: VmList) -> bool:
+    """Return whether a node is one of the readers of its zone.
+
+    The readers are chosen by rendezvous hashing over the listed nodes. A
+    node that is not listed reads too, since it may know no other.
+
+    :param own: VM of the node.
+    :param zone: its zone.
+    """
+    nodes = [
+        vm.name
+        for vm in vm_list.vms.values()
+        if vm.zone == zone and vm.stream_port and not vm.leaving
+    ]
+    if own not in nodes:
+        return True
+    own_weight = _weight(own)
+    heavier = sum(1 for node in nodes if _weight(node) > own_weight)
+    return heavier < _READERS_PER_ZONE
+
+
+def _weight(node: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'reader|{node}'.encode())
+
+
+__all__ = ('is_reader',)
--- /dev/null
+++ b/src/jackdawhead/policy/run_times.py
@@ -0,0 +1,43 @@
+"""Expected run time of each operation, learned from real work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from ..config.model import Operation
+
+_WEIGHT: Final = 0.1
+
+
+class RunTimes:
+    """Moving averages of run times, by operation.
+
+    :param operations: the service's operations, whose expected times are
+        used until real work has been seen.
+    """
+
+    def __init__(self, operations: dict[str, Operation]) -> None:
+        self._operations = operations
+        self._average_ms: dict[str, float] = {}
+
+    def expected_ms(self, operation: str) -> float:
+        """Return the expected run time of an operation.
+
+        :param operation: its name.
+        """
+        learned = self._average_ms.get(operation)
+        if learned is not None:
+            return learned
+        return float(self._operations[operation].expected_ms)
+
+    def observe(self, operation: str, run_ms: float) -> None:
+        """Take in a run time.
+
+        :param run_ms: from the start of the run to its end.
+        """
+        before = self.expected_ms(operation)
+        self._average_ms[operation] = before + _WEIGHT * (run_ms - before)
+
+
+__all__ = ('RunTimes',)
--- /dev/null
+++ b/src/jackdawhead/policy/service_router.py
@@ -0,0 +1,253 @@
+"""Routing state of one service at an entry."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from .balancers import BALANCERS
+from .detection import Health, HealthChange
+from .evidence import Sample, Summary
+from .detectors import DETECTORS
+from .loads import LoadReport, Pool, RoutingQuery, UpstreamLoad
+from .poison import PoisonTable
+from .retries import RetryBudget
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..config.model import Service
+    from ..wire.messages import Standing
+
+_EMPTY: Final = Pool()
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """An upstream of a service, as listed.
+
+    :param name: identity, ``vm/service``.
+    :param home: VM of the node that owns its slots.
+    """
+
+    name: str
+    zone: str
+    home: str
+
+
+class ServiceRouter:
+    """Chooses upstreams of one service, and learns from what comes back.
+
+    :param service: policy and operations.
+    :param zone: zone of this node.
+    :param rng: source of randomness.
+    """
+
+    def __init__(self, service: Service, zone: str, rng: Random) -> None:
+        self.service = service
+        self.budget = RetryBudget(service.retry)
+        self.poison = PoisonTable(service.poison)
+        self._zone = zone
+        self._rng = rng
+        self._balancer = BALANCERS.find(service.balancer).unwrap()()
+        detector = DETECTORS.find(service.detection.detector).unwrap()
+        self._detector = detector(service)
+        self._loads: dict[str, UpstreamLoad] = {}
+        self._draining: set[str] = set()
+        self._pools: dict[str, Pool] = {}
+        self._trials: dict[str, tuple[UpstreamLoad, ...]] = {}
+
+    @property
+    def members(self) -> frozenset[str]:
+        """Listed upstreams that take new work, ejected ones included."""
+        return frozenset(self._loads.keys() - self._draining)
+
+    def set_members(self, members: tuple[Member, ...]) -> None:
+        """Replace the listed upstreams that are not leaving.
+
+        :param members: all of them.
+        """
+        named = {each.name: each for each in members}
+        for gone in self._loads.keys() - named.keys():
+            del self._loads[gone]
+        self._draining &= named.keys()
+        for name, member in named.items():
+            present = self._loads.get(name)
+            if present is None or present.home != member.home:
+                self._loads[name] = self._new_load(member)
+        self._members_changed()
+
+    def set_draining(self, upstream: str, draining: bool) -> None:
+        """Take in that an upstream drains, before the list says so.
+
+        :param draining: whether it takes no new work.
+        """
+        if upstream not in self._loads:
+            return
+        if draining == (upstream in self._draining):
+            return
+        if draining:
+            self._draining.add(upstream)
+        else:
+            self._draining.discard(upstream)
+        self._members_changed()
+
+    def choose(
+        self,
+        operation: str,
+        query: RoutingQuery,
+    ) -> UpstreamLoad | None:
+        """Return the upstream for a request, or nothing if none is left.
+
+        One request at a time goes to an upstream on trial, if its
+        operation is idempotent or the service has no such operation.
+
+        :param operation: its name.
+        :param query: time and upstreams already tried.
+        """
+        trial = self._due_trial(operation, query)
+        if trial is not None:
+            return trial
+        pool = self._pools.get(operation, _EMPTY)
+        return self._balancer.choose(pool, query, self._rng)
+
+    def find(self, upstream: str) -> UpstreamLoad | None:
+        """Return the load of an upstream.
+
+        :param upstream: its identity.
+        """
+        return self._loads.get(upstream)
+
+    def note_standing(self, standing: Standing, now_ms: float) -> None:
+        """Take in what a home says of an upstream.
+
+        :param standing: load and evidence.
+        :param now_ms: monotonic time.
+        """
+        load = self._loads.get(standing.upstream)
+        if load is None:
+            return
+        slots = self.service.slots_per_upstream
+        report = LoadReport(standing.wait_ms, standing.run_ms, slots)
+        load.note_report(report, now_ms)
+        if standing.avoid_ms:
+            load.avoid_until_ms = now_ms + standing.avoid_ms
+        count = standing.count
+        if count:
+            summary = Summary(
+                count,
+                standing.failures / count,
+                standing.median_ms,
+            )
+            self._detector.report(
+                standing.upstream,
+                standing.operation,
+                summary,
+                now_ms,
+            )
+        self.set_draining(standing.upstream, standing.draining)
+
+    def note_trial(
+        self,
+        upstream: str,
+        operation: str,
+        sample: Sample,
+    ) -> None:
+        """Take in the outcome of a request, in case it was a trial.
+
+        :param sample: when, whether it succeeded and how long it ran.
+        """
+        if self._detector.health(upstream, operation) is Health.TRIAL:
+            self._detector.observe_trial(upstream, operation, sample)
+
+    def health(self, upstream: str, operation: str) -> Health:
+        """Return the state of an operation on an upstream."""
+        return self._detector.health(upstream, operation)
+
+    def count_of(self, health: Health) -> int:
+        """Return how many upstreams have a state for any operation.
+
+        :param health: the state; ``WELL`` counts those with no other.
+        """
+        states = [
+            {self._detector.health(name, each) for each in self._pools}
+            for name in self._loads
+        ]
+        if health is Health.WELL:
+            return sum(1 for found in states if found == {Health.WELL})
+        return sum(1 for found in states if health in found)
+
+    def avoid_home(self, home: str, until_ms: float) -> None:
+        """Avoid the upstreams of a home that cannot be reached from here.
+
+        :param home: VM of the home.
+        :param until_ms: monotonic time.
+        """
+        for load in self._loads.values():
+            if load.home == home:
+                load.avoid_until_ms = until_ms
+
+    def tick(self, now_ms: float) -> tuple[HealthChange, ...]:
+        """Judge the upstreams anew.
+
+        :param now_ms: monotonic time.
+        :returns: changes, for the audit trail.
+        """
+        changes = self._detector.tick(now_ms)
+        if changes:
+            self._rebuild_pools()
+        return changes
+
+    def _new_load(self, member: Member) -> UpstreamLoad:
+        expected_ms = min(
+            each.expected_ms for each in self.service.operations.values()
+        )
+        report = LoadReport(0, expected_ms, self.service.slots_per_upstream)
+        return UpstreamLoad(member.name, member.zone, member.home, report)
+
+    def _members_changed(self) -> None:
+        self._detector.set_members(self.members)
+        self._rebuild_pools()
+
+    def _rebuild_pools(self) -> None:
+        members = [self._loads[name] for name in sorted(self.members)]
+        for operation in self.service.operations:
+            well = []
+            trials = []
+            for load in members:
+                health = self._detector.health(load.upstream, operation)
+                if health is Health.WELL:
+                    well.append(load)
+                elif health is Health.TRIAL:
+                    trials.append(load)
+            self._pools[operation] = self._split(well)
+            self._trials[operation] = tuple(trials)
+
+    def _split(self, members: list[UpstreamLoad]) -> Pool:
+        return Pool(
+            tuple(each for each in members if each.zone == self._zone),
+            tuple(each for each in members if each.zone != self._zone),
+        )
+
+    def _due_trial(
+        self,
+        operation: str,
+        query: RoutingQuery,
+    ) -> UpstreamLoad | None:
+        trials = self._trials.get(operation)
+        if not trials or not self._may_try(operation):
+            return None
+        for load in trials:
+            is_free = not load.in_flight and load.upstream not in query.tried
+            if is_free and load.avoid_until_ms <= query.now_ms:
+                return load
+        return None
+
+    def _may_try(self, operation: str) -> bool:
+        operations = self.service.operations
+        if operations[operation].idempotent:
+            return True
+        return not any(each.idempotent for each in operations.values())
+
+
+__all__ = ('Member', 'ServiceRouter')
--- /dev/null
+++ b/src/jackdawhead/policy/suspicion.py
@@ -0,0 +1,102 @@
+"""Compares an upstream's evidence with that of its peers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from statistics import median
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from ..config.model import DetectionPolicy
+    from .evidence import Summary
+
+_PERCENT: Final = 100
+_MIN_EXCESS_MS: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Norm:
+    """What the peers of a service show for one operation.
+
+    :param error_share: median share of failures, 0 to 1.
+    :param run_ms: median run time.
+    """
+
+    error_share: float
+    run_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """How far an upstream is off the norm.
+
+    :param severity: 0 for a normal one; larger is worse.
+    :param cause: figures for the audit trail.
+    """
+
+    severity: float
+    cause: str
+
+
+_NORMAL: Final = Suspicion(0, '')
+
+
+def norm_of(summaries: list[Summary], min_samples: int) -> Norm:
+    """Return the medians over all upstreams with enough outcomes.
+
+    Medians are not moved by a minority of sick upstreams, and a fault that
+    all share does not make any of them suspect.
+
+    :param summaries: one for each upstream.
+    """
+    known = [each for each in summaries if each.count >= min_samples]
+    if not known:
+        return Norm(0, 0)
+    runs = [each.run_ms for each in known if each.run_ms > 0]
+    return Norm(
+        median(each.error_share for each in known),
+        median(runs) if runs else 0,
+    )
+
+
+def suspect(
+    summary: Summary,
+    norm: Norm,
+    policy: DetectionPolicy,
+) -> Suspicion:
+    """Return how far one upstream is off the norm of its peers.
+
+    :param summary: evidence on the upstream.
+    :param norm: what its peers show.
+    :param policy: bounds.
+    """
+    if summary.count < policy.min_samples:
+        return _NORMAL
+    excess = summary.error_share - norm.error_share
+    if excess * _PERCENT >= policy.error_percent:
+        return Suspicion(
+            1 + excess,
+            f'errors {summary.error_share:.0%} of {summary.count}, '
+            f'peers {norm.error_share:.0%}',
+        )
+    if exceeds(summary.run_ms, norm, policy):
+        return Suspicion(
+            1 - norm.run_ms / summary.run_ms,
+            f'run time {summary.run_ms:.0f} ms, peers {norm.run_ms:.0f} ms',
+        )
+    return _NORMAL
+
+
+def exceeds(run_ms: float, norm: Norm, policy: DetectionPolicy) -> bool:
+    """Return whether a run time is far above that of the peers.
+
+    :param run_ms: a run time, or a median of run times.
+    :param norm: what the peers show; a norm of 0 is unknown.
+    """
+    if not norm.run_ms:
+        return False
+    factor_ms = norm.run_ms * policy.slow_factor
+    return run_ms > max(factor_ms, norm.run_ms + _MIN_EXCESS_MS)
+
+
+__all__ = ('Norm', 'Suspicion', 'exceeds', 'norm_of', 'suspect')
--- /dev/null
+++ b/src/jackdawhead/reasons.py
@@ -0,0 +1,33 @@
+"""Why a request got no answer of an upstream."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Documented in docs/reference/answers.md."""
+
+    NO_ROUTE = 'no-route'
+    NO_CONFIG = 'no-configuration'
+    NO_UPSTREAM = 'no-upstream'
+    BODY_TOO_LARGE = 'body-too-large'
+    BODY_CUT = 'request-body-cut'
+    OVERLOADED = 'overloaded'
+    DRAINING = 'draining'
+    NODE_LEAVING = 'node-leaving'
+    UPSTREAM_UNREACHABLE = 'upstream-unreachable'
+    UPSTREAM_REFUSED = 'upstream-refused'
+    UPSTREAM_SILENT = 'upstream-silent'
+    UPSTREAM_CRASHED = 'upstream-crashed'
+    UPSTREAM_RESET = 'upstream-reset'
+    ANSWER_CUT = 'answer-cut'
+    ANSWER_MALFORMED = 'answer-malformed'
+    DEADLINE = 'deadline'
+    CANCELLED = 'cancelled'
+    QUARANTINED = 'quarantined'
+    PEER_LOST = 'peer-lost'
+    PEER_UNREACHABLE = 'peer-unreachable'
+
+
+__all__ = ('Reason',)
--- /dev/null
+++ b/src/jackdawhead/registry.py
@@ -0,0 +1,56 @@
+"""Registries of interchangeable implementations, filled by decorators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from returns.result import Failure, Result, Success
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_EntryT = TypeVar('_EntryT')
+_SpecificT = TypeVar('_SpecificT')
+
+
+class Registry(Generic[_EntryT]):
+    """Named implementations of one abstract base.
+
+    :param kind: what the entries are, for error messages.
+    """
+
+    def __init__(self, kind: str) -> None:
+        self._kind = kind
+        self._entries: dict[str, type[_EntryT]] = {}
+
+    def register(
+        self,
+        name: str,
+    ) -> Callable[[type[_SpecificT]], type[_SpecificT]]:
+        """Return a class decorator that files the class under a name.
+
+        :param name: the name that configuration uses.
+        """
+
+        def decorate(cls: type[_SpecificT]) -> type[_SpecificT]:
+            self._entries[name] = cls  # type: ignore[assignment]
+            return cls
+
+        return decorate
+
+    def find(self, name: str) -> Result[type[_EntryT], str]:
+        """Return the class filed under a name, or a message for the user.
+
+        :param name: the name that configuration uses.
+        """
+        if name in self._entries:
+            return Success(self._entries[name])
+        known = ', '.join(self.names())
+        return Failure(f'unknown {self._kind} {name!r}; known are: {known}')
+
+    def names(self) -> tuple[str, ...]:
+        """Return all names in alphabetical order."""
+        return tuple(sorted(self._entries))
+
+
+__all__ = ('Registry',)
--- /dev/null
+++ b/src/jackdawhead/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of msgpack messages between nodes."""
--- /dev/null
+++ b/src/jackdawhead/wire/codec.py
@@ -0,0 +1,125 @@
+"""Frames: a length of four bytes, then a msgpack array of code and fields."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import fields
+from typing import Any, Final
+
+import msgpack
+from returns.result import Failure, Result, Success
+
+from .messages import MESSAGE_CODES, MESSAGE_TYPES, Message
+
+MAX_FRAME_BYTES: Final = 1_200_000
+_LENGTH: Final = struct.Struct('>I')
+_PLAIN_TYPES: Final = {
+    'int': int,
+    'str': str,
+    'bytes': bytes,
+    'bool': bool,
+    'HeaderPairs': list,
+}
+
+# Reading the fields of a data class for each message is slow, so the
+# readers and the expected types are prepared once for each class.
+_FIELD_NAMES: Final[dict[type[Message], tuple[str, ...]]] = {
+    cls: tuple(each.name for each in fields(cls)) for cls in MESSAGE_CODES
+}
+_FIELD_TYPES: Final[dict[type[Message], tuple[type, ...]]] = {
+    cls: tuple(_PLAIN_TYPES[str(each.type)] for each in fields(cls))
+    for cls in MESSAGE_CODES
+}
+_pack = msgpack.Packer(use_bin_type=True).pack
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message.
+
+    :param message: any registered message.
+    """
+    cls = type(message)
+    parts = [MESSAGE_CODES[cls]]
+    parts.extend(getattr(message, name) for name in _FIELD_NAMES[cls])
+    payload = _pack(parts)
+    return _LENGTH.pack(len(payload)) + payload
+
+
+def decode(payload: bytes) -> Result[Message, str]:
+    """Return the message of a frame without its length.
+
+    :param payload: msgpack array.
+    :returns: the message, or why it is refused.
+    """
+    try:
+        parts = msgpack.unpackb(payload, max_array_len=4096, max_map_len=0)
+    except (ValueError, msgpack.UnpackException) as error:
+        return Failure(f'not a msgpack array: {error}')
+    if not isinstance(parts, list) or not parts:
+        return Failure('not a msgpack array')
+    cls = MESSAGE_TYPES.get(parts[0]) if isinstance(parts[0], int) else None
+    if cls is None:
+        return Failure('unknown message code')
+    arguments: list[Any] = parts[1:]
+    if not _fits(cls, arguments):
+        return Failure(f'wrong fields for {cls.__name__}')
+    return Success(cls(*arguments))
+
+
+def _fits(cls: type[Message], arguments: list[Any]) -> bool:
+    expected = _FIELD_TYPES[cls]
+    if len(arguments) != len(expected):
+        return False
+    if any(
+        type(part) is not kind
+        for part, kind in zip(arguments, expected, strict=True)
+    ):
+        return False
+    pairs = [part for part in arguments if isinstance(part, list)]
+    return all(_is_pairs(part) for part in pairs)
+
+
+def _is_pairs(part: list[Any]) -> bool:
+    return all(
+        isinstance(pair, list)
+        and len(pair) == 2
+        and isinstance(pair[0], str)
+        and isinstance(pair[1], str)
+        for pair in part
+    )
+
+
+class FrameReader:
+    """Cuts received bytes into payloads of bounded length."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self.oversized = False
+
+    def feed(self, received: bytes) -> list[bytes]:
+        """Return the payloads completed by these bytes.
+
+        After a frame above the bound, ``oversized`` is set and nothing
+        more is returned.
+
+        :param received: bytes as read from the socket.
+        """
+        buffer = self._buffer
+        buffer += received
+        payloads: list[bytes] = []
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(buffer, start)
+            if length > MAX_FRAME_BYTES:
+                self.oversized = True
+                break
+            end = start + _LENGTH.size + length
+            if len(buffer) < end:
+                break
+            payloads.append(bytes(buffer[start + _LENGTH.size : end]))
+            start = end
+        del buffer[:start]
+        return payloads
+
+
+__all__ = ('MAX_FRAME_BYTES', 'FrameReader', 'decode', 'encode')
--- /dev/null
+++ b/src/jackdawhead/wire/stream.py
@@ -0,0 +1,151 @@
+"""A multiplexed stream of messages over one TCP connection."""
+
+from __future__ import annotations
+
+import socket as plain_socket
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+import gevent
+from gevent.event import Event
+from returns.result import Success
+
+from .codec import FrameReader, decode, encode
+from .messages import Body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent.socket import socket as Socket
+
+    from .messages import Message
+
+_RECEIVE_BYTES: Final = 65_536
+_BULK_BATCH_BYTES: Final = 65_536
+
+
+class Stream:
+    """Sends and receives messages; body chunks yield to everything else.
+
+    :param sock: connected gevent socket.
+    :param on_message: called with each message received.
+    :param on_close: called once with the reason when the stream ends.
+    """
+
+    def __init__(
+        self,
+        sock: Socket,
+        on_message: Callable[[Message], None],
+        on_close: Callable[[str], None],
+    ) -> None:
+        self._sock = sock
+        self._on_message = on_message
+        self._on_close = on_close
+        self._urgent: deque[bytes] = deque()
+        self._bulk: deque[bytes] = deque()
+        self._wake = Event()
+        self.closed = False
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        set_no_delay(sock)
+        self._greenlets = (gevent.spawn(self._read), gevent.spawn(self._write))
+
+    def send(self, message: Message) -> None:
+        """Queue a message; messages on a closed stream are dropped.
+
+        :param message: any registered message.
+        """
+        if self.closed:
+            return
+        queue = self._bulk if isinstance(message, Body) else self._urgent
+        queue.append(encode(message))
+        self._wake.set()
+
+    def close(self, reason: str) -> None:
+        """Close the stream and report the reason once.
+
+        :param reason: for the log.
+        """
+        if self.closed:
+            return
+        self.closed = True
+        self._wake.set()
+        self._sock.close()
+        self._on_close(reason)
+        current = gevent.getcurrent()
+        for greenlet in self._greenlets:
+            if greenlet is not current:
+                greenlet.kill(block=False)
+
+    def flush(self, timeout_s: float) -> None:
+        """Wait until what was queued has been handed to the system.
+
+        :param timeout_s: longest wait, in seconds.
+        """
+        with gevent.Timeout(timeout_s, False):
+            while (self._urgent or self._bulk) and not self.closed:
+                gevent.sleep(0.005)
+
+    def _read(self) -> None:
+        reader = FrameReader()
+        reason = 'closed by peer'
+        while not self.closed:
+            try:
+                received = self._sock.recv(_RECEIVE_BYTES)
+            except OSError as error:
+                reason = f'receive failed: {error}'
+                break
+            if not received:
+                break
+            self.received_bytes += len(received)
+            refusal = self._deliver(reader, received)
+            if refusal:
+                reason = refusal
+                break
+        self.close(reason)
+
+    def _deliver(self, reader: FrameReader, received: bytes) -> str:
+        for payload in reader.feed(received):
+            match decode(payload):
+                case Success(message):
+                    self._on_message(message)
+                case refused:
+                    return f'malformed message: {refused.failure()}'
+            if self.closed:
+                return 'closed here'
+        return 'oversized frame' if reader.oversized else ''
+
+    def _write(self) -> None:
+        while not self.closed:
+            batch = self._next_batch()
+            if not batch:
+                self._wake.clear()
+                self._wake.wait()
+                continue
+            try:
+                self._sock.sendall(batch)
+            except OSError as error:
+                self.close(f'send failed: {error}')
+                return
+            self.sent_bytes += len(batch)
+
+    def _next_batch(self) -> bytes:
+        frames = list(self._urgent)
+        self._urgent.clear()
+        bulk_bytes = 0
+        while self._bulk and bulk_bytes < _BULK_BATCH_BYTES:
+            frame = self._bulk.popleft()
+            bulk_bytes += len(frame)
+            frames.append(frame)
+        return b''.join(frames)
+
+
+def set_no_delay(sock: Socket) -> None:
+    """Switch Nagle's algorithm off, which delays small messages.
+
+    :param sock: connected TCP socket.
+    """
+    sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+
+
+__all__ = ('Stream', 'set_no_delay')
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,103 @@
+"""Demo: a site served end to end while one upstream fails gray."""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+from random import Random
+from typing import Any, Final
+
+import gevent
+
+from jackdawhead.bench.client import Call
+from jackdawhead.bench.load import LoadPlan, LoadResult, run_load
+from jackdawhead.config.settings import Address
+
+from .fleet import Fleet, read_json, wait_until
+from .sites import HELVETIA, Site
+
+_RATE_PER_S: Final = 200.0
+_SECONDS: Final = 4.0
+_IP: Final = '127.0.0.1'
+_SICK: Final = 'registry-4/registry-desk'
+
+
+def main() -> None:
+    """Run the demo and print what happened."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    seed = parser.parse_args().seed
+    with contextlib.ExitStack() as stack:
+        fleet = Fleet()
+        stack.callback(fleet.close)
+        _start(fleet, HELVETIA)
+        rng = Random(seed)
+        _report('steady load', _load(fleet, rng))
+        fleet.control(_SICK, fail_share=0.6)
+        health = read_json(fleet.upstreams[_SICK].port, '/health')
+        print(f'{_SICK} now fails 60% of its work; its health check: {health}')
+        _report('load while it fails', _load(fleet, rng))
+        wait_until(lambda: _ejections(fleet), 'ejection')
+        for line in _ejections(fleet)[:1]:
+            print(f'audit: {line}')
+        _report('load after its ejection', _load(fleet, rng))
+        fleet.control(_SICK, fail_share=0)
+        print('it is well again; trials of real work bring it back')
+
+
+def _start(fleet: Fleet, site: Site) -> None:
+    fleet.start_platform()
+    for service in site.services:
+        spots = site.spots(service)
+        fleet.start_upstreams(
+            service.name,
+            spots,
+            service.slots,
+            service.behaviour(),
+        )
+        for vm, zone in spots:
+            fleet.start_node(vm, zone)
+    fleet.publish_vms()
+    fleet.publish_config(site.folder)
+    fleet.await_ready()
+    print(
+        f'{site.name}: {len(fleet.nodes)} nodes before {len(fleet.upstreams)} upstreams'
+    )
+
+
+def _load(fleet: Fleet, rng: Random) -> LoadResult:
+    addresses = tuple(
+        Address(_IP, node.caller_port) for node in fleet.nodes.values()
+    )
+    plan = LoadPlan(addresses, _lookup, _RATE_PER_S, _SECONDS)
+    return run_load(plan, rng)
+
+
+def _lookup(number: int) -> Call:
+    return Call('GET', f'/cultivars/rosa-{number}')
+
+
+def _ejections(fleet: Fleet) -> list[str]:
+    found: list[dict[str, Any]] = []
+    for vm in fleet.nodes:
+        found.extend(
+            record
+            for record in fleet.audit(vm)
+            if record['kind'] == 'upstream-ejected'
+        )
+        gevent.sleep(0)
+    return [f'{each["subject"]} ejected: {each["cause"]}' for each in found]
+
+
+def _report(title: str, result: LoadResult) -> None:
+    answers = ', '.join(
+        f'{count}x {answer}' for answer, count in result.answers.most_common()
+    )
+    print(
+        f'{title}: {answers}; p50 {result.percentile_ms(50):.1f} ms, '
+        f'p99 {result.percentile_ms(99):.1f} ms',
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,309 @@
+"""Starts stand-ins and nodes as processes, for demo, bench and tests."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import SystemRandom
+from typing import Any, Final
+
+import gevent
+
+from jackdawhead.bench.client import Call, CallerClient, Reply
+from jackdawhead.config.settings import Address
+
+_KEY: Final = 'a-shared-key-for-tests-only'
+_PORTS: Final = (10_000, 30_000)
+_START_S: Final = 30.0
+_POLL_S: Final = 0.05
+_CALL_S: Final = 30.0
+_IP: Final = '127.0.0.1'
+_ROOT: Final = Path(__file__).resolve().parent.parent
+
+
+@dataclass(slots=True)
+class NodeProcess:
+    """A running node and its ports."""
+
+    vm: str
+    zone: str
+    caller_port: int
+    stream_port: int
+    admin_port: int
+    process: subprocess.Popen[bytes]
+    log: Path
+
+
+@dataclass(slots=True)
+class UpstreamSpot:
+    """Where an upstream of a stand-in listens."""
+
+    vm: str
+    zone: str
+    service: str
+    port: int
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Processes of one test or demo; closing it ends all of them."""
+
+    stack: ExitStack = field(default_factory=ExitStack)
+    nodes: dict[str, NodeProcess] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamSpot] = field(default_factory=dict)
+    leaving: set[str] = field(default_factory=set)
+    platform_port: int = 0
+    platform_process: subprocess.Popen[bytes] | None = None
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
+
+    def __post_init__(self) -> None:
+        self.stack.callback(shutil.rmtree, self.folder, ignore_errors=True)
+
+    def close(self) -> None:
+        """End all processes."""
+        self.stack.close()
+
+    def start_platform(self, port: int = 0) -> None:
+        """Start the platform."""
+        process = self._spawn('standins.platform', '--port', str(port))
+        self.platform_process = process
+        self.platform_port = _first_line(process)['port']
+
+    def start_upstreams(
+        self,
+        service: str,
+        spots: list[tuple[str, str]],
+        slots: int,
+        behaviour: dict[str, Any],
+    ) -> subprocess.Popen[bytes]:
+        """Start a process with upstreams.
+
+        :param spots: VM and zone of each.
+        """
+        names = [f'{vm}/{service}' for vm, _ in spots]
+        process = self._spawn(
+            'standins.upstream',
+            *names,
+            '--slots',
+            str(slots),
+            '--behaviour',
+            json.dumps(behaviour),
+        )
+        ports = _first_line(process)
+        for (vm, zone), name in zip(spots, names, strict=True):
+            self.upstreams[name] = UpstreamSpot(vm, zone, service, ports[name])
+        return process
+
+    def start_node(
+        self,
+        vm: str,
+        zone: str,
+        ports: tuple[int, int, int] | None = None,
+        **extra: Any,
+    ) -> NodeProcess:
+        """Start a node; it is not awaited."""
+        caller, stream, admin = ports or free_ports(3)
+        folder = self.folder / f'{vm}-settings'
+        folder.mkdir(exist_ok=True)
+        settings = {
+            'vm': vm,
+            'zone': zone,
+            'caller_address': f'{_IP}:{caller}',
+            'stream_address': f'{_IP}:{stream}',
+            'admin_address': f'{_IP}:{admin}',
+            'platform_address': f'{_IP}:{self.platform_port}',
+            'stream_keys': [_KEY],
+            **extra,
+        }
+        (folder / '10-node.yaml').write_text(json.dumps(settings))
+        log = self.folder / f'{vm}.log'
+        process = self._spawn(
+            'jackdawhead',
+            'node',
+            '--settings',
+            str(folder),
+            log=log,
+        )
+        node = NodeProcess(vm, zone, caller, stream, admin, process, log)
+        self.nodes[vm] = node
+        return node
+
+    def publish_vms(self) -> None:
+        """Publish the list of all VMs."""
+        vms: dict[str, dict[str, Any]] = {}
+        for spot in self.upstreams.values():
+            vm = vms.setdefault(spot.vm, _vm(spot.vm, spot.zone))
+            vm['upstream_ports'][spot.service] = spot.port
+        for node in self.nodes.values():
+            vm = vms.setdefault(node.vm, _vm(node.vm, node.zone))
+            vm['stream_port'] = node.stream_port
+        for name in self.leaving & vms.keys():
+            vms[name]['leaving'] = True
+        self.publish('vms', list(vms.values()))
+
+    def publish_config(self, folder: Path) -> Reply:
+        """Publish a folder of configuration files."""
+        files = {path.name: path.read_text() for path in folder.glob('*.yaml')}
+        return self.publish('config', files)
+
+    def publish(self, key: str, value: Any, **extra: Any) -> Reply:
+        """Publish a value at the platform."""
+        fields = {'key': key, 'value': value, **extra}
+        return call(
+            self.platform_port,
+            'POST',
+            '/_control/publish',
+            json.dumps(fields),
+        )
+
+    def control(self, upstream: str, **fields: Any) -> None:
+        """Change how an upstream behaves."""
+        port = self.upstreams[upstream].port
+        reply = call(port, 'POST', '/_control', json.dumps(fields))
+        assert reply.status == 200, reply
+
+    def executed(self) -> list[dict[str, Any]]:
+        """Return the work that all upstreams have started."""
+        records: list[dict[str, Any]] = []
+        for spot in self.upstreams.values():
+            records.extend(read_json(spot.port, '/_control/executed'))
+        return records
+
+    def audit(self, vm: str) -> list[dict[str, Any]]:
+        """Return the audit trail of a node."""
+        found: list[dict[str, Any]] = read_json(
+            self.nodes[vm].admin_port,
+            '/audit',
+        )
+        return found
+
+    def await_ready(self, vms: list[str] | None = None) -> None:
+        """Wait until nodes are ready and know all upstreams."""
+        for vm in vms or list(self.nodes):
+            wait_until(lambda: self._is_ready(self.nodes[vm]), f'{vm} ready')
+
+    def stop_node(self, vm: str, timeout_s: float = _START_S) -> int:
+        """Ask a node to stop; return its exit code."""
+        process = self.nodes[vm].process
+        process.send_signal(signal.SIGTERM)
+        wait_until(lambda: process.poll() is not None, 'exit', timeout_s)
+        return process.returncode
+
+    def _is_ready(self, node: NodeProcess) -> bool:
+        if node.process.poll() is not None:
+            raise AssertionError(node.log.read_text())
+        try:
+            status = read_json(node.admin_port, '/status')
+        except OSError:
+            return False
+        members = {
+            each['service']: each['members'] for each in status['services']
+        }
+        expected: dict[str, int] = {}
+        for spot in self.upstreams.values():
+            if spot.vm not in self.leaving:
+                expected[spot.service] = expected.get(spot.service, 0) + 1
+        return status['ready'] and expected.items() <= members.items()
+
+    def _spawn(
+        self,
+        module: str,
+        *arguments: str,
+        log: Path | None = None,
+    ) -> subprocess.Popen[bytes]:
+        errors = self.stack.enter_context(
+            (log or self.folder / f'{module}.log').open('ab'),
+        )
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=errors,
+            cwd=_ROOT,
+        )
+        self.stack.callback(_end, process)
+        return process
+
+
+def call(
+    port: int,
+    method: str,
+    target: str,
+    body: str | bytes = b'',
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Send one request on a connection of its own."""
+    payload = body.encode() if isinstance(body, str) else body
+    client = CallerClient(Address(_IP, port), _CALL_S)
+    try:
+        return client.send(Call(method, target, payload, headers or {}))
+    finally:
+        client.close()
+
+
+def read_json(port: int, target: str) -> Any:
+    """Return what a GET answers, as plain data."""
+    return json.loads(call(port, 'GET', target).body)
+
+
+def wait_until(
+    condition: Any,
+    what: str,
+    timeout_s: float = _START_S,
+) -> None:
+    """Wait for a condition with an ample bound."""
+    end = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f'not in {timeout_s} s: {what}')
+        gevent.sleep(_POLL_S)
+
+
+def free_ports(count: int) -> tuple[int, ...]:
+    """Return ports that nobody listens on, outside the ephemeral range."""
+    rng = SystemRandom()
+    found: set[int] = set()
+    while len(found) < count:
+        port = rng.randint(*_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((_IP, port))
+            except OSError:
+                continue
+        found.add(port)
+    return tuple(found)
+
+
+def _vm(name: str, zone: str) -> dict[str, Any]:
+    return {'name': name, 'zone': zone, 'ip': _IP, 'upstream_ports': {}}
+
+
+def _first_line(process: subprocess.Popen[bytes]) -> Any:
+    assert process.stdout is not None
+    return json.loads(process.stdout.readline())
+
+
+def _end(process: subprocess.Popen[bytes]) -> None:
+    if process.poll() is None:
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+    process.wait()
+
+
+__all__ = (
+    'Fleet',
+    'NodeProcess',
+    'Reply',
+    'call',
+    'free_ports',
+    'read_json',
+    'wait_until',
+)
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,158 @@
+"""Stand-in for the platform: values that can be read and watched.
+
+The interface is described in docs/reference/stand-ins.md.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import time
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+import gevent
+from gevent.event import Event
+
+from jackdawhead.config.settings import Address
+from jackdawhead.node.http_server import QuickServer
+
+_IDLE_S: Final = 600
+_MS_PER_S: Final = 1000
+
+
+@dataclass(slots=True)
+class _Value:
+    """A published value."""
+
+    version: int = 0
+    value: Any = None
+    changed: Event = field(default_factory=Event)
+
+
+class StandInPlatform:
+    """Answers reads and watches; operators publish through ``/_control``."""
+
+    def __init__(self) -> None:
+        self._values = {'config': _Value(), 'vms': _Value()}
+        self._frozen: dict[str, _Value] = {}
+        self._mode = 'up'
+        self._lag_ms = 0
+        self._reads: Counter[str] = Counter()
+
+    def serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Serve one request."""
+        path = environ['PATH_INFO']
+        if path.startswith('/_control/'):
+            return self._control(path, environ, start)
+        key = path.rpartition('/')[2]
+        if key not in self._values:
+            return _json(start, '404 Not Found', {})
+        self._reads[key] += 1
+        if self._mode == 'down':
+            return _json(start, '503 Down', {})
+        return self._read(key, parse_qs(environ['QUERY_STRING']), start)
+
+    def _read(
+        self,
+        key: str,
+        query: dict[str, list[str]],
+        start: Any,
+    ) -> Iterable[bytes]:
+        after = int(query.get('after', ['0'])[0])
+        wait_s = int(query.get('wait_ms', ['0'])[0]) / _MS_PER_S
+        end = time.monotonic() + wait_s
+        while True:
+            entry = self._frozen.get(key, self._values[key])
+            is_news = entry.version > after or self._mode == 'stale'
+            if entry.version and is_news:
+                plain = {'version': entry.version, 'value': entry.value}
+                return _json(start, '200 OK', plain)
+            left_s = end - time.monotonic()
+            if left_s <= 0:
+                start('204 No Content', [])
+                return []
+            entry.changed.clear()
+            entry.changed.wait(left_s)
+
+    def _control(
+        self,
+        path: str,
+        environ: dict[str, Any],
+        start: Any,
+    ) -> Iterable[bytes]:
+        action = path.rpartition('/')[2]
+        if action == 'reads':
+            return _json(start, '200 OK', dict(self._reads))
+        fields = json.loads(environ['wsgi.input'].read() or b'{}')
+        if action == 'mode':
+            self._set_mode(fields['mode'])
+            self._lag_ms = fields.get('lag_ms', self._lag_ms)
+            return _json(start, '200 OK', {'mode': self._mode})
+        return self._publish(fields, start)
+
+    def _set_mode(self, mode: str) -> None:
+        """``up``, ``down`` or ``stale``, which serves what is there now."""
+        self._mode = mode
+        self._frozen = {}
+        if mode == 'stale':
+            self._frozen = {
+                key: _Value(entry.version, entry.value)
+                for key, entry in self._values.items()
+            }
+        for entry in self._values.values():
+            entry.changed.set()
+
+    def _publish(self, fields: dict[str, Any], start: Any) -> Iterable[bytes]:
+        entry = self._values[fields['key']]
+        expected = fields.get('expected_version', entry.version)
+        if expected != entry.version:
+            return _json(start, '409 Conflict', {'version': entry.version})
+        delay_s = self._lag_ms / _MS_PER_S if fields['key'] == 'vms' else 0
+        version = fields.get('version', entry.version + 1)
+        if delay_s:
+            gevent.spawn_later(delay_s, _set, entry, version, fields['value'])
+        else:
+            _set(entry, version, fields['value'])
+        return _json(start, '200 OK', {'version': version})
+
+
+def _set(entry: _Value, version: int, value: Any) -> None:
+    entry.version = version
+    entry.value = value
+    entry.changed.set()
+
+
+def _json(start: Any, status: str, plain: Any) -> Iterable[bytes]:
+    body = json.dumps(plain).encode()
+    start(
+        status,
+        [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ],
+    )
+    return [body]
+
+
+def main() -> None:
+    """Run the platform until it is ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--port', type=int, default=0)
+    options = parser.parse_args()
+    platform = StandInPlatform()
+    server = QuickServer(
+        Address('127.0.0.1', options.port),
+        platform.serve,
+        _IDLE_S,
+    )
+    server.start()
+    print(json.dumps({'port': server.server_port}), flush=True)
+    gevent.wait()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,293 @@
+"""Stand-in upstreams: slots, drain, shedding, faults, and a record of work.
+
+The interface is described in docs/reference/stand-ins.md. One process runs
+one or more upstreams, each on a port of its own.
+"""
+
+from __future__ import annotations
+
+import argparse
+import hashlib
+import json
+import socket as plain_socket
+import struct
+import time
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from random import Random
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+import gevent
+from gevent import socket
+from gevent.lock import Semaphore
+
+from jackdawhead.config.settings import Address
+from jackdawhead.node.http_server import SOCKET_KEY, QuickServer
+
+from .behaviour import Behaviour
+
+_IDLE_S: Final = 600
+_SHED_FACTOR: Final = 4
+_POLL_S: Final = 0.02
+_MS_PER_S: Final = 1000
+_CHUNK_BYTES: Final = 65_536
+_LINGER_RESET: Final = struct.pack('ii', 1, 0)
+
+
+@dataclass(slots=True)
+class Executed:
+    """One piece of work that was started.
+
+    :param key: the caller's mark of the work, from ``X-Work-Key``.
+    :param state: ``running``, ``done``, ``failed``, ``cancelled`` or
+        ``lost`` in a crash.
+    """
+
+    key: str
+    method: str
+    path: str
+    state: str = 'running'
+
+
+class StandInUpstream:
+    """One upstream.
+
+    :param name: identity, for the answers.
+    :param slots: requests that run at the same time.
+    """
+
+    def __init__(self, name: str, slots: int, seed: int) -> None:
+        self.name = name
+        self.behaviour = Behaviour()
+        self.executed: list[Executed] = []
+        self._slots = Semaphore(slots)
+        self._slot_count = slots
+        self._active = 0
+        self._incarnation = 0
+        self._started_at = time.monotonic()
+        self._rng = Random(seed)
+        self._sockets: set[Any] = set()
+        self._worked: set[Any] = set()
+        self._server: QuickServer | None = None
+        self.port = 0
+
+    def start(self) -> int:
+        """Listen; return the port."""
+        server = QuickServer(
+            Address('127.0.0.1', self.port),
+            self.serve,
+            _IDLE_S,
+        )
+        server.start()
+        self.port = server.server_port
+        self._server = server
+        self._started_at = time.monotonic()
+        return self.port
+
+    def serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Serve one request: control, health or work."""
+        path = environ['PATH_INFO']
+        if path.startswith('/_control'):
+            return self._control(environ, start)
+        if path == '/health':
+            return _json(start, '200 OK', {'healthy': True})
+        return self._work(environ, start)
+
+    def _control(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        if environ['PATH_INFO'].endswith('/executed'):
+            return _json(start, '200 OK', [asdict(e) for e in self.executed])
+        body = environ['wsgi.input'].read()
+        was_silent = self.behaviour.silent
+        self.behaviour.update(json.loads(body or b'{}'))
+        if self.behaviour.silent and not was_silent:
+            self._worked = set(self._sockets)
+        return _json(start, '200 OK', asdict(self.behaviour))
+
+    def _work(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        sock = environ[SOCKET_KEY]
+        if self.behaviour.silent and sock in self._worked:
+            gevent.sleep(_IDLE_S)
+        self._sockets.add(sock)
+        path = environ['PATH_INFO']
+        refused = self._refusal(start)
+        if refused is not None:
+            return refused
+        self._active += 1
+        record = Executed(
+            environ.get('HTTP_X_WORK_KEY', ''),
+            environ['REQUEST_METHOD'],
+            path,
+        )
+        try:
+            body = _read_body(environ)
+            with self._slots:
+                self.executed.append(record)
+                if 'poison' in path:
+                    self._crash()
+                return self._run(environ, start, record, body)
+        finally:
+            self._active -= 1
+
+    def _refusal(self, start: Any) -> Iterable[bytes] | None:
+        headers = [('X-Outcome', 'not-run'), ('Retry-After', '1')]
+        if self.behaviour.draining:
+            headers.append(('X-Draining', '1'))
+            return _json(start, '503 Draining', {}, headers)
+        is_full = self._active >= _SHED_FACTOR * self._slot_count
+        if self.behaviour.shed or is_full:
+            return _json(start, '503 Shedding', {}, headers)
+        return None
+
+    def _run(
+        self,
+        environ: dict[str, Any],
+        start: Any,
+        record: Executed,
+        body: bytes,
+    ) -> Iterable[bytes]:
+        query = parse_qs(environ.get('QUERY_STRING', ''))
+        age_ms = (time.monotonic() - self._started_at) * _MS_PER_S
+        run_ms = self.behaviour.run_time_ms(record.path, age_ms, self._rng)
+        run_ms = float(query.get('ms', [run_ms])[0])
+        deadline_ms = float(environ.get('HTTP_X_DEADLINE_MS', 1e9))
+        incarnation = self._incarnation
+        is_whole = _sleep_while_connected(
+            environ[SOCKET_KEY],
+            min(run_ms, deadline_ms),
+        )
+        if self._incarnation != incarnation:
+            record.state = 'lost'
+            return []
+        if not is_whole or run_ms > deadline_ms:
+            record.state = 'cancelled'
+            return _json(start, '504 Deadline', {})
+        if self.behaviour.fails(record.path, self._rng):
+            record.state = 'failed'
+            return _json(start, '500 Failed', {'upstream': self.name})
+        record.state = 'done'
+        size = int(query.get('bytes', [self.behaviour.answer_bytes])[0])
+        return self._answer(environ, start, record, body, size)
+
+    def _answer(
+        self,
+        environ: dict[str, Any],
+        start: Any,
+        record: Executed,
+        body: bytes,
+        size: int,
+    ) -> Iterable[bytes]:
+        plain = {
+            'upstream': self.name,
+            'path': record.path,
+            'key': record.key,
+            'body_sha256': hashlib.sha256(body).hexdigest(),
+            'deadline_ms': environ.get('HTTP_X_DEADLINE_MS', ''),
+        }
+        if not size:
+            return _json(start, '200 OK', plain)
+        start('200 OK', [('Content-Length', str(size))])
+        return _filling(size)
+
+    def _crash(self) -> None:
+        self._incarnation += 1
+        assert self._server is not None
+        self._server.close()
+        for sock in self._sockets:
+            _reset(sock)
+        self._sockets.clear()
+        self._worked.clear()
+        for record in self.executed:
+            if record.state == 'running':
+                record.state = 'lost'
+        gevent.spawn_later(self.behaviour.restart_ms / _MS_PER_S, self.start)
+        raise ConnectionResetError(104, 'crashed')
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    return bytes(environ['wsgi.input'].read())
+
+
+def _sleep_while_connected(sock: Any, duration_ms: float) -> bool:
+    """Sleep; return whether the connection stayed open."""
+    end = time.monotonic() + duration_ms / _MS_PER_S
+    while True:
+        left_s = end - time.monotonic()
+        if left_s <= 0:
+            return True
+        gevent.sleep(min(left_s, _POLL_S))
+        if left_s > _POLL_S and _is_closed(sock):
+            return False
+
+
+def _is_closed(sock: Any) -> bool:
+    timeout = sock.gettimeout()
+    sock.settimeout(0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(timeout)
+
+
+def _reset(sock: Any) -> None:
+    try:
+        sock.setsockopt(
+            plain_socket.SOL_SOCKET,
+            plain_socket.SO_LINGER,
+            _LINGER_RESET,
+        )
+        sock.shutdown(plain_socket.SHUT_RDWR)
+    except OSError:
+        return
+    sock.close()
+
+
+def _filling(size: int) -> Iterable[bytes]:
+    chunk = b'x' * _CHUNK_BYTES
+    while size > 0:
+        yield chunk[:size]
+        size -= _CHUNK_BYTES
+
+
+def _json(
+    start: Any,
+    status: str,
+    plain: Any,
+    headers: Iterable[tuple[str, str]] = (),
+) -> Iterable[bytes]:
+    body = json.dumps(plain).encode()
+    start(
+        status,
+        [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+            *headers,
+        ],
+    )
+    return [body]
+
+
+def main() -> None:
+    """Run the upstreams named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('names', nargs='+', help='names, vm/service')
+    parser.add_argument('--slots', type=int, default=3)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--behaviour', default='{}', help='JSON')
+    options = parser.parse_args()
+    ports = {}
+    for number, name in enumerate(options.names):
+        upstream = StandInUpstream(name, options.slots, options.seed + number)
+        upstream.behaviour.update(json.loads(options.behaviour))
+        ports[name] = upstream.start()
+    print(json.dumps(ports), flush=True)
+    gevent.get_hub().join()
+    gevent.wait()
+
+
+if __name__ == '__main__':
+    main()
