Split the links of a node, and make linter and types clean

Change: channels, dialler, acceptor, news and local channel are modules of their own; assembly builds the controllers.

--- a/features/runner.py
+++ b/features/runner.py
@@ -53,7 +53,9 @@
 
 def _count(runner: Any) -> Counts:
     red = known_red()
-    passed = failed = known = 0
+    passed = 0
+    failed = 0
+    known = 0
     for scenario in _scenarios(runner):
         if scenario.status in _SKIPPED:
             continue
@@ -63,7 +65,8 @@
             passed += 1
         elif scenario.name in red:
             known += 1
-            print(f'known red: {red[scenario.name]}')
+            entry = red.get(scenario.name)
+            print(f'known red: {entry}')
         else:
             failed += 1
             print(f'failed: {scenario.location} {scenario.name}')
--- a/src/jackdawhead/cli/command.py
+++ b/src/jackdawhead/cli/command.py
@@ -34,7 +34,9 @@
         """
 
 
-COMMANDS: Final[dict[tuple[str, ...], type[Command]]] = {}
+CommandTable = dict[tuple[str, ...], type[Command]]
+
+COMMANDS: Final[CommandTable] = {}
 
 
 def command(*words: str) -> Callable[[type[Command]], type[Command]]:
@@ -63,4 +65,4 @@
     )
 
 
-__all__ = ('COMMANDS', 'Command', 'add_format', 'command')
+__all__ = ('COMMANDS', 'Command', 'CommandTable', 'add_format', 'command')
--- a/src/jackdawhead/cli/commands/__init__.py
+++ b/src/jackdawhead/cli/commands/__init__.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from . import config as config
-from . import node as node
+from ..command import COMMANDS
+from .config import CheckCommand, DiffCommand, ShowCommand
+from .node import NodeCommand
 
-__all__ = ('config', 'node')
+__all__ = (
+    'COMMANDS',
+    'CheckCommand',
+    'DiffCommand',
+    'NodeCommand',
+    'ShowCommand',
+)
--- a/src/jackdawhead/cli/commands/config.py
+++ b/src/jackdawhead/cli/commands/config.py
@@ -107,8 +107,8 @@
                 else:
                     _print_changes(changes)
                 return ExitCode.OK
-            case results:
-                for loaded in results:
+            case both:
+                for loaded in both:
                     print_problems(loaded.swap().value_or(()))
         return ExitCode.BAD_CONFIG
 
--- a/src/jackdawhead/cli/parser.py
+++ b/src/jackdawhead/cli/parser.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from .. import VERSION
-from .command import COMMANDS, Command
+from .command import Command, CommandTable
 from .exit_codes import ExitCode
 
 if TYPE_CHECKING:
@@ -37,8 +37,11 @@
         self.exit(ExitCode.BAD_USAGE, f'{self.prog}: {message}; see --help\n')
 
 
-def build_parser() -> ArgumentParser:
-    """Return the parser of the whole command line."""
+def build_parser(commands: CommandTable) -> ArgumentParser:
+    """Return the parser of the whole command line.
+
+    :param commands: sub-commands by the words that call them.
+    """
     parser = _Parser(
         prog=_PROGRAM,
         description=_DESCRIPTION,
@@ -50,8 +53,10 @@
         action='version',
         version=f'{_PROGRAM} {VERSION}',
     )
-    groups = {(): _subparsers(parser)}
-    for words, cls in sorted(COMMANDS.items()):
+    groups: dict[tuple[str, ...], _SubParsersAction[Any]] = {
+        (): _subparsers(parser),
+    }
+    for words, command_type in sorted(commands.items()):
         group, name = words[:-1], words[-1]
         if group not in groups:
             summary = _GROUP_SUMMARIES[group[0]]
@@ -61,7 +66,7 @@
                 description=summary,
             )
             groups[group] = _subparsers(outer)
-        _add_command(groups[group], name, cls())
+        _add_command(groups[group], name, command_type())
     return parser
 
 
--- a/src/jackdawhead/cli/run.py
+++ b/src/jackdawhead/cli/run.py
@@ -6,7 +6,7 @@
 import sys
 from typing import TYPE_CHECKING, Final
 
-from . import commands as commands
+from .commands import COMMANDS
 from .exit_codes import ExitCode
 from .parser import build_parser
 
@@ -22,7 +22,7 @@
     :param arguments: words after the program's name.
     :returns: the exit code of the process.
     """
-    options = build_parser().parse_args(arguments)
+    options = build_parser(COMMANDS).parse_args(arguments)
     try:
         return int(options.run(options))
     except KeyboardInterrupt:
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 import xxhash
 
--- a/src/jackdawhead/config/checks.py
+++ b/src/jackdawhead/config/checks.py
@@ -20,9 +20,13 @@
     from .schema import Schema
 
 _REMEDIES: Final[dict[str, str]] = {
-    'additionalProperties': 'check the spelling; docs/reference/configuration.md lists the fields',
+    'additionalProperties': (
+        'check the spelling; docs/reference/configuration.md lists the fields'
+    ),
     'required': 'add the missing field',
-    'type': 'write a value of that type; times are whole milliseconds without a unit',
+    'type': (
+        'write a value of that type; times are whole milliseconds, no unit'
+    ),
     'maximum': 'lower the value',
     'minimum': 'raise the value',
     'enum': 'choose one of the listed values',
@@ -37,15 +41,12 @@
     :param schema: JSON schema, draft 2020-12.
     """
     validator = Draft202012Validator(schema)
-    breaches = sorted(
-        validator.iter_errors(tree.plain),
-        key=lambda breach: list(map(str, breach.absolute_path)),
-    )
+    breaches = sorted(validator.iter_errors(tree.plain), key=_path_of)
     return tuple(_problem(tree, breach) for breach in breaches)
 
 
 def check_references(tree: MergedTree) -> tuple[Problem, ...]:
-    """Return every name that refers to nothing, and every rule that contradicts another.
+    """Return names that refer to nothing and rules that contradict another.
 
     :param tree: merged files that fit the schema.
     """
@@ -92,11 +93,12 @@
                 f'declare it in services.{route["service"]}',
             )
         target = f'{route["method"]} {route["path_prefix"]}'
-        if target in seen:
+        rival = seen.get(target)
+        if rival is not None:
             yield Problem(
                 tree.place_of(path),
                 path,
-                f'matches {target!r} as route {seen[target]!r} does',
+                f'matches {target!r} as route {rival!r} does',
                 'keep one of the two',
             )
         seen[target] = name
@@ -147,13 +149,18 @@
     return section if isinstance(section, dict) else {}
 
 
+def _path_of(breach: ValidationError) -> list[str]:
+    return [str(part) for part in breach.absolute_path]
+
+
 def _problem(tree: MergedTree, breach: ValidationError) -> Problem:
-    path = '.'.join(str(part) for part in breach.absolute_path)
+    path = '.'.join(_path_of(breach))
     field = path
     if breach.validator == 'additionalProperties' and isinstance(
         breach.instance, dict
     ):
-        known = breach.schema.get('properties', {})
+        schema = breach.schema if isinstance(breach.schema, dict) else {}
+        known = schema.get('properties', {})
         unknown = sorted(set(breach.instance) - set(known))
         field = '.'.join(filter(None, (path, unknown[0])))
     remedy = _REMEDIES.get(str(breach.validator), 'correct the value')
--- a/src/jackdawhead/config/merge.py
+++ b/src/jackdawhead/config/merge.py
@@ -37,8 +37,9 @@
         :param path: dotted path of the field.
         """
         while path:
-            if path in self.origins:
-                return self.origins[path]
+            place = self.origins.get(path)
+            if place is not None:
+                return place
             path = path.rpartition('.')[0]
         return Place('(merged)')
 
@@ -114,7 +115,8 @@
         for name, child in branch.children.items():
             path = f'{prefix}.{name}' if prefix else name
             present = target.get(name)
-            if name not in target:
+            is_new = name not in target
+            if is_new:
                 self.origins[path] = child.place
                 target[name] = self._plain(child, path)
             elif isinstance(child, Branch) and isinstance(present, dict):
--- a/src/jackdawhead/config/settings.py
+++ b/src/jackdawhead/config/settings.py
@@ -4,14 +4,20 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
 
 from returns.result import Failure, Result, Success
 
 from .checks import check_schema
 from .merge import MergedTree, merge_sources, read_folder
-from .problems import Problem
 from .schema import SETTINGS_SCHEMA
 
+if TYPE_CHECKING:
+    from .problems import Problem
+
+
+_DEFAULT_BODY_BYTES: Final = 1_073_741_824
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -53,7 +59,7 @@
     platform_address: Address
     stream_keys: tuple[str, ...]
     seed_addresses: tuple[Address, ...] = ()
-    max_body_bytes: int = 1 << 30
+    max_body_bytes: int = _DEFAULT_BODY_BYTES
     drain_ms: int = 60_000
     caller_idle_ms: int = 75_000
 
@@ -73,18 +79,20 @@
     problems = check_schema(tree, SETTINGS_SCHEMA)
     if problems:
         return Failure(problems)
-    plain = dict(tree.plain)
-    fields = {
-        name: Address.parse(str(setting))
-        if name.endswith('_address')
-        else setting
-        for name, setting in plain.items()
-    }
-    fields['stream_keys'] = tuple(plain['stream_keys'])
-    fields['seed_addresses'] = tuple(
-        Address.parse(text) for text in plain.get('seed_addresses', ())
-    )
-    return Success(NodeSettings(**fields))
+    return Success(_build(tree.plain))
+
+
+def _build(plain: dict[str, Any]) -> NodeSettings:
+    fields = {name: _typed(name, setting) for name, setting in plain.items()}
+    return NodeSettings(**fields)
+
+
+def _typed(name: str, setting: Any) -> Any:
+    if name.endswith('_address'):
+        return Address.parse(setting)
+    if name.endswith('_addresses'):
+        return tuple(Address.parse(text) for text in setting)
+    return tuple(setting) if isinstance(setting, list) else setting
 
 
 __all__ = ('Address', 'NodeSettings', 'load_settings')
--- a/src/jackdawhead/config/sources.py
+++ b/src/jackdawhead/config/sources.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 import yaml
 from returns.result import Failure, Result, Success
@@ -107,7 +107,7 @@
 def _refuse_aliases(source: SourceFile) -> None:
     depth = 0
     for event in yaml.parse(source.text, Loader=yaml.CSafeLoader):
-        line = event.start_mark.line + 1 if event.start_mark else 0
+        line = _line_of(event.start_mark)
         if isinstance(event, yaml.AliasEvent):
             raise _SourceError(
                 Problem(
@@ -184,6 +184,10 @@
         )
 
 
+def _line_of(mark: Any) -> int:
+    return mark.line + 1 if mark else 0
+
+
 def _too_large(name: str) -> Problem:
     return Problem(
         Place(name),
@@ -194,8 +198,7 @@
 
 
 def _syntax_problem(name: str, error: yaml.MarkedYAMLError) -> Problem:
-    mark = error.problem_mark
-    line = mark.line + 1 if mark else 0
+    line = _line_of(error.problem_mark)
     return Problem(
         Place(name, line),
         '',
--- a/src/jackdawhead/logs.py
+++ b/src/jackdawhead/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from typing import IO, Any, Final
 
@@ -33,7 +34,7 @@
             for key, field in message.items()
             if key not in _HIDDEN
         )
-        self._out.write(' '.join(pairs) + '\n')
+        print(*pairs, file=self._out)  # noqa: WPS421
         self._out.flush()
 
 
@@ -58,10 +59,9 @@
     if isinstance(field, float):
         return f'{field:.{_PLACES}f}'
     text = str(field)
-    if not text or any(char in _QUOTED for char in text):
-        escaped = text.replace('\\', '\\\\').replace('"', '\\"')
-        return '"' + escaped.replace('\n', '\\n').replace('\r', '\\r') + '"'
-    return text
+    if text and not _QUOTED.intersection(text):
+        return text
+    return json.dumps(text, ensure_ascii=False)
 
 
 __all__ = ('KeyValueDestination', 'log_event', 'start_logging')
--- /dev/null
+++ b/src/jackdawhead/node/acceptor.py
@@ -0,0 +1,83 @@
+"""Links that other nodes dial: their requests run at this home."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent.server import StreamServer
+
+from ..audit import AuditKind
+from .home.session import HomeSession
+from .links import AcceptedLink, Link
+
+if TYPE_CHECKING:
+    from gevent.socket import socket as Socket
+
+    from ..wire.messages import Message
+    from .news import NewsDesk
+    from .parts import NodeParts
+
+
+class Acceptor:
+    """Listens for other nodes.
+
+    :param parts: controllers of this node.
+    :param news: where news goes.
+    """
+
+    def __init__(self, parts: NodeParts, news: NewsDesk) -> None:
+        self._parts = parts
+        self._news = news
+        self._sessions: dict[Link, HomeSession] = {}
+        address = parts.settings.stream_address
+        self._server = StreamServer((address.ip, address.port), self._accept)
+
+    @property
+    def links(self) -> tuple[Link, ...]:
+        """Links whose handshake has ended."""
+        return tuple(link for link in self._sessions if link.is_ready)
+
+    def start(self) -> None:
+        """Listen.
+
+        :raises OSError: if the address cannot be bound.
+        """
+        self._server.start()
+
+    def stop(self) -> None:
+        """Take no further links."""
+        self._server.close()
+
+    def _accept(self, sock: Socket, address: tuple[str, int]) -> None:
+        link = AcceptedLink(
+            self._parts.identity, sock, self._receive, self._lose
+        )
+        self._sessions[link] = HomeSession(
+            self._parts.home, self._parts.board, link.send
+        )
+        link.challenge()
+        if link.ready.get():
+            self._news.greet(link)
+        else:
+            self._parts.audit.record(
+                AuditKind.PEER_REFUSED, address[0], 'handshake failed'
+            )
+        # The server closes the socket when this function returns.
+        link.ended.wait()
+
+    def _receive(self, link: Link, message: Message) -> None:
+        if self._news.take(link, message):
+            return
+        session = self._sessions.get(link)
+        if session is not None:
+            session.on_message(message)
+
+    def _lose(self, link: Link, reason: str) -> None:
+        session = self._sessions.pop(link, None)
+        if session is not None:
+            session.close()
+        if link.vm:
+            self._parts.audit.record(AuditKind.PEER_LOST, link.vm, reason)
+
+
+__all__ = ('Acceptor',)
--- /dev/null
+++ b/src/jackdawhead/node/assembly.py
@@ -0,0 +1,53 @@
+"""Builds the controllers of a node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..audit import AuditTrail
+from ..blackboard import Blackboard
+from .config_controller import ConfigController
+from .entry.attempts import Attempts
+from .entry.routing import RoutingController
+from .home.controller import HomeController
+from .identity import new_identity
+from .membership import MembershipController
+from .parts import NodeParts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from ..config.settings import NodeSettings
+
+
+def build_parts(
+    settings: NodeSettings,
+    rng: Random,
+    on_drain: Callable[[str, bool], None],
+    on_crash: Callable[[str, int, str], None],
+) -> NodeParts:
+    """Return the controllers of a node, which share one blackboard.
+
+    :param settings: addresses, zone and keys.
+    :param rng: source of randomness of all decisions.
+    :param on_drain: called when an upstream begins or ends to drain.
+    :param on_crash: called when an upstream crashed with a request of this
+        node in flight.
+    """
+    board = Blackboard()
+    audit = AuditTrail()
+    return NodeParts(
+        settings=settings,
+        identity=new_identity(settings.vm, settings.stream_keys),
+        board=board,
+        audit=audit,
+        attempts=Attempts(),
+        home=HomeController(settings.vm, board, audit, rng, on_drain),
+        routing=RoutingController(settings.zone, board, audit, rng, on_crash),
+        config=ConfigController(board, audit),
+        membership=MembershipController(board, audit),
+    )
+
+
+__all__ = ('build_parts',)
--- /dev/null
+++ b/src/jackdawhead/node/dialler.py
@@ -0,0 +1,137 @@
+"""Links that this node dials: to homes, and to its gossip peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import gevent
+from gevent import socket
+
+from ..audit import AuditKind
+from ..clock import monotonic_ms, seconds
+from ..config.settings import Address
+from ..policy.gossip import gossip_peers
+from .links import DialledLink, Link
+from .local_channel import receive_answer
+
+if TYPE_CHECKING:
+    from ..wire.messages import Message
+    from .news import NewsDesk
+    from .parts import NodeParts
+
+_CONNECT_MS: Final = 800
+_REDIAL_MS: Final = 500
+
+
+class Dialler:
+    """Keeps one link to each node that is needed.
+
+    :param parts: controllers of this node.
+    :param news: where news goes.
+    """
+
+    def __init__(self, parts: NodeParts, news: NewsDesk) -> None:
+        self._parts = parts
+        self._news = news
+        self._links: dict[str, DialledLink] = {}
+        self._dialling: dict[str, gevent.Greenlet] = {}
+        self._redial_at_ms: dict[str, float] = {}
+
+    @property
+    def links(self) -> tuple[DialledLink, ...]:
+        """Links whose handshake has ended."""
+        return tuple(link for link in self._links.values() if link.is_ready)
+
+    def link_to(self, vm: str) -> DialledLink | None:
+        """Return the link to a node, dialling it if there is none yet.
+
+        Requests that arrive while a node is dialled wait for that dial.
+
+        :param vm: VM of the node.
+        :returns: the link, or nothing if the node cannot be reached.
+        """
+        link = self._links.get(vm)
+        if link is not None and link.is_ready:
+            return link
+        dialling = self._dialling.get(vm)
+        if dialling is None:
+            if self._redial_at_ms.get(vm, 0) > monotonic_ms():
+                return None
+            dialling = gevent.spawn(self._dial, vm)
+            self._dialling[vm] = dialling
+        dialling.join()
+        self._dialling.pop(vm, None)
+        link = self._links.get(vm)
+        return link if link is not None and link.is_ready else None
+
+    def dial_seeds(self) -> None:
+        """Link to the nodes named in the settings."""
+        for address in self._parts.settings.seed_addresses:
+            self._keep(self._connect(address))
+
+    def dial_peers(self, timeout_ms: float) -> None:
+        """Link to the gossip peers and wait for what they know.
+
+        :param timeout_ms: longest wait.
+        """
+        dials = [gevent.spawn(self.link_to, vm) for vm in self._missing_peers()]
+        gevent.joinall(dials, timeout=seconds(timeout_ms))
+        waits = [link.heard_heartbeat for link in self.links]
+        gevent.wait(waits, timeout=seconds(timeout_ms))
+
+    def keep_peers(self) -> None:
+        """Dial gossip peers that are not linked, without waiting."""
+        for vm in self._missing_peers():
+            gevent.spawn(self.link_to, vm)
+
+    def _missing_peers(self) -> tuple[str, ...]:
+        vms = self._parts.board.vm_list.read().vms
+        nodes = tuple(
+            vm.name for vm in vms.values() if vm.stream_port and not vm.leaving
+        )
+        return tuple(
+            vm
+            for vm in gossip_peers(self._parts.identity.vm, nodes)
+            if vm not in self._links and vm not in self._dialling
+        )
+
+    def _dial(self, name: str) -> None:
+        vm = self._parts.board.vm_list.read().vms.get(name)
+        if vm is None or not vm.stream_port:
+            return
+        if not self._keep(self._connect(Address(vm.ip, vm.stream_port))):
+            self._redial_at_ms[name] = monotonic_ms() + _REDIAL_MS
+
+    def _connect(self, address: Address) -> DialledLink | None:
+        target = (address.ip, address.port)
+        try:
+            sock = socket.create_connection(target, seconds(_CONNECT_MS))
+        except OSError:
+            return None
+        sock.settimeout(None)
+        return DialledLink(
+            self._parts.identity, sock, self._receive, self._lose
+        )
+
+    def _keep(self, link: DialledLink | None) -> bool:
+        if link is None or not link.ready.get():
+            return False
+        self._links[link.vm] = link
+        self._news.greet(link)
+        return True
+
+    def _receive(self, link: Link, message: Message) -> None:
+        if not receive_answer(self._parts, link, message):
+            self._news.take(link, message)
+
+    def _lose(self, link: Link, reason: str) -> None:
+        if not link.vm:
+            return
+        if self._links.get(link.vm) is link:
+            self._links.pop(link.vm)
+        self._parts.attempts.fail_all(link)
+        self._parts.routing.avoid(link.vm)
+        self._parts.audit.record(AuditKind.PEER_LOST, link.vm, reason)
+
+
+__all__ = ('Dialler',)
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -59,9 +59,12 @@
         :param timeout_ms: longest wait.
         """
         try:
-            return self._inbox.get(timeout=max(0, seconds(timeout_ms)))
+            message: Head | Refusal = self._inbox.get(
+                timeout=max(0, seconds(timeout_ms)),
+            )
         except Empty:
             return None
+        return message
 
 
 class Attempts:
--- a/src/jackdawhead/node/entry/caller_watch.py
+++ b/src/jackdawhead/node/entry/caller_watch.py
@@ -16,7 +16,7 @@
 _READABLE: Final = 1
 
 
-class CallerGoneError(BaseException):
+class CallerGoneError(BaseException):  # noqa: WPS418
     """The caller has closed its connection.
 
     Not an ``Exception``, so that no handler for failures swallows it.
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -26,6 +26,7 @@
 _BUFFERED_BODY_BYTES: Final = 65_536
 _MAX_ORGANISATION_CHARS: Final = 64
 _MS_PER_S: Final = 1000
+_LENGTH_UNKNOWN: Final = -1
 _HEADER_PREFIX: Final = 'HTTP_'
 _STATUS_OF_REASON: Final = {
     Reason.NO_ROUTE: 404,
@@ -112,12 +113,17 @@
         response.set_header(names.outcome, Outcome.RAN.value)
         response.set_header(names.node, self._settings.vm)
         whole = answer.body.whole
-        if whole is not None:
-            response.data = whole
-        elif answer.body_bytes < 0:
-            response.stream = answer.body
+        if whole is None:
+            _stream(response, answer)
         else:
-            response.set_stream(answer.body, answer.body_bytes)
+            response.data = whole
+
+
+def _stream(response: Response, answer: UpstreamAnswer) -> None:
+    if answer.body_bytes == _LENGTH_UNKNOWN:
+        response.stream = answer.body
+    else:
+        response.set_stream(answer.body, answer.body_bytes)
 
 
 def _caller_request(
@@ -134,7 +140,9 @@
         last = length == len(chunk) or len(chunk) < _BUFFERED_BODY_BYTES
     if last and length and len(chunk) < length:
         raise OSError('the body is shorter than its length')
-    body_bytes = len(chunk) if last else (-1 if length is None else length)
+    body_bytes = _LENGTH_UNKNOWN if length is None else length
+    if last:
+        body_bytes = len(chunk)
     target = environ['RAW_URI']
     return CallerRequest(
         method=environ['REQUEST_METHOD'],
--- a/src/jackdawhead/node/entry/routes.py
+++ b/src/jackdawhead/node/entry/routes.py
@@ -36,8 +36,9 @@
             return None
         prefix = path.rstrip('/')
         while prefix:
-            if prefix in prefixes:
-                return prefixes[prefix]
+            route = prefixes.get(prefix)
+            if route is not None:
+                return route
             prefix = prefix.rpartition('/')[0]
         return prefixes.get('')
 
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -108,7 +108,7 @@
         """
         router = self._routers.get(upstream.rpartition('/')[2])
         if router is not None:
-            router.set_draining(upstream, draining)
+            router.mark_draining(upstream, draining)
 
     def note_crash(
         self,
@@ -175,11 +175,11 @@
         config = loaded.config
         self.table = RouteTable(config.routes.values())
         for gone in self._routers.keys() - config.services.keys():
-            del self._routers[gone]
+            self._routers.pop(gone)
         vm_list = self._board.vm_list.read()
         homes = HomeMap(vm_list)
         for service in config.services.values():
-            self._router_for(service).set_members(
+            self._router_for(service).replace_members(
                 _members(service, vm_list, homes),
             )
 
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -98,7 +98,7 @@
             )
             self._upstreams[name] = present
         vm = self._board.vm_list.read().vms[name.partition('/')[0]]
-        present.set_listed_leaving(vm.leaving)
+        present.mark_listed_leaving(vm.leaving)
 
     def _specs(self) -> dict[str, UpstreamSpec]:
         loaded = self._board.config.read().loaded
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -102,7 +102,7 @@
         self._job = job
         self._target = target
         self._started_ms = monotonic_ms()
-        self._blocked_ms = 0.0
+        self._blocked_ms: float = 0
         self._sent = False
         self._head_sent = False
 
@@ -206,7 +206,7 @@
             return
         if chunked:
             size = f'{len(chunk):x}\r\n'.encode()
-            connection.sock.sendall(size + chunk + b'\r\n')
+            connection.sock.sendall(b''.join((size, chunk, b'\r\n')))
         else:
             connection.sock.sendall(chunk)
 
--- a/src/jackdawhead/node/home/request_head.py
+++ b/src/jackdawhead/node/home/request_head.py
@@ -56,13 +56,15 @@
     return '\r\n'.join((*lines, '', '')).encode('latin-1')
 
 
-def answer_headers(items: list[tuple[str, str]]) -> HeaderPairs:
+def answer_headers(received: list[tuple[str, str]]) -> HeaderPairs:
     """Return an answer's end-to-end headers.
 
-    :param items: names and values as received.
+    :param received: names and values.
     """
     return [
-        [name, text] for name, text in items if name.lower() not in HOP_BY_HOP
+        [name, text]
+        for name, text in received
+        if name.lower() not in HOP_BY_HOP
     ]
 
 
--- a/src/jackdawhead/node/home/session.py
+++ b/src/jackdawhead/node/home/session.py
@@ -67,12 +67,8 @@
         match message:
             case Submit():
                 self._submit(message)
-            case Body(request_id=request_id):
-                if request_id in self._placed:
-                    self._placed[request_id].job.body.put(message)
-            case Credit(request_id=request_id, byte_count=byte_count):
-                if request_id in self._placed:
-                    self._placed[request_id].job.credit.grant(byte_count)
+            case Body() | Credit():
+                self._feed(message)
             case Cancel(request_id=request_id):
                 self._cancel(request_id)
 
@@ -81,6 +77,15 @@
         for request_id in tuple(self._placed):
             self._cancel(request_id)
 
+    def _feed(self, message: Body | Credit) -> None:
+        placed = self._placed.get(message.request_id)
+        if placed is None:
+            return
+        if isinstance(message, Body):
+            placed.job.body.put(message)
+        else:
+            placed.job.credit.grant(message.byte_count)
+
     def _submit(self, submit: Submit) -> None:
         upstream = self._home.find(submit.upstream)
         service = upstream.spec.service if upstream else None
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -77,9 +77,9 @@
         self._audit = audit
         self._on_drain = on_drain
         self._waiting: dict[int, Job] = {}
-        self._avoid_until_ms = 0.0
+        self._avoid_until_ms: float = 0
         self._avoid_ms = 0
-        self._draining_until_ms = 0.0
+        self._draining_until_ms: float = 0
         self._listed_leaving = False
 
     @property
@@ -135,7 +135,7 @@
             job = self._waiting.pop(work.work_id)
             job.refuse(Reason.DEADLINE)
 
-    def set_listed_leaving(self, leaving: bool) -> None:
+    def mark_listed_leaving(self, leaving: bool) -> None:
         """Take over what the platform's list says.
 
         :param leaving: whether the VM is listed as leaving.
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -44,7 +44,7 @@
         finally:
             self.server.active -= 1
 
-    def get_environ(self) -> dict[str, Any]:
+    def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
         """Return the WSGI environment, with the socket."""
         environ: dict[str, Any] = super().get_environ()
         environ[SOCKET_KEY] = self.socket
--- /dev/null
+++ b/src/jackdawhead/node/news.py
@@ -0,0 +1,97 @@
+"""News that travels between nodes: versions, lists, crashes, leaving."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from ..audit import AuditKind
+from ..wire.messages import (
+    ConfigNews,
+    Heartbeat,
+    Message,
+    PoisonNews,
+    VmNews,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .links import Link
+    from .parts import NodeParts
+
+_LEAVING_AVOID_MS: Final = 3000
+
+
+class NewsDesk:
+    """Takes news in and passes on what was not known.
+
+    Each kind is merged so that order and repetition do not matter.
+
+    :param parts: controllers of this node.
+    :param links: gives all links whose handshake has ended.
+    """
+
+    def __init__(
+        self,
+        parts: NodeParts,
+        links: Callable[[], tuple[Link, ...]],
+    ) -> None:
+        self._parts = parts
+        self._links = links
+
+    def broadcast(self, message: Message, source: Link | None = None) -> None:
+        """Send news to all linked nodes.
+
+        :param message: the news.
+        :param source: link that it came from, which is left out.
+        """
+        for link in self._links():
+            if link is not source:
+                link.send(message)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat of this node."""
+        board = self._parts.board
+        return Heartbeat(board.config.read().version, board.leaving.read())
+
+    def greet(self, link: Link) -> None:
+        """Tell a node that has just been linked what is known here.
+
+        :param link: way to the node.
+        """
+        self._parts.audit.record(
+            AuditKind.PEER_JOINED, link.vm, f'incarnation {link.incarnation}'
+        )
+        link.send(self.heartbeat())
+        self._parts.membership.greet(link)
+
+    def take(self, link: Link, message: Message) -> bool:
+        """Take in a message.
+
+        :param link: where it came from.
+        :param message: any message.
+        :returns: whether it was news.
+        """
+        match message:
+            case Heartbeat():
+                self._take_heartbeat(link, message)
+            case PoisonNews():
+                if self._parts.routing.note_poison(message):
+                    self.broadcast(message, link)
+            case ConfigNews():
+                self._parts.config.take_news(message, link)
+            case VmNews():
+                self._parts.membership.take_news(message, link)
+            case _:
+                return False
+        return True
+
+    def _take_heartbeat(self, link: Link, beat: Heartbeat) -> None:
+        link.config_version = max(link.config_version, beat.config_version)
+        link.heard_heartbeat.set()
+        if beat.leaving:
+            self._parts.routing.avoid(link.vm, _LEAVING_AVOID_MS)
+        self._parts.config.bring_up_to_date(link)
+
+
+__all__ = ('NewsDesk',)
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -19,6 +19,7 @@
 _OK: Final = 200
 _NO_CONTENT: Final = 204
 _TIMEOUT_MS: Final = 3000
+_FAILURES: Final = (OSError, HTTPParseError, ValueError, KeyError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,7 @@
         )
         try:
             return _read(client, f'/v1/{key}?after={after}&wait_ms={wait_ms}')
-        except (OSError, HTTPParseError, ValueError, KeyError) as error:
+        except _FAILURES as error:
             return Failure(f'{type(error).__name__}: {error}')
         finally:
             client.close()
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -10,23 +10,16 @@
 import gevent
 from gevent.event import Event
 
-from ..audit import AuditKind, AuditTrail
-from ..blackboard import Blackboard
+from ..audit import AuditKind
 from ..clock import monotonic_ms, seconds
 from ..wire.messages import DrainNews, PoisonNews
 from .admin import admin_app
+from .assembly import build_parts
 from .channels import Channels
-from .config_controller import ConfigController
-from .entry.attempts import Attempts
 from .entry.dispatcher import Dispatcher
 from .entry.http import CallerApi
-from .entry.routing import RoutingController
 from .entry.traffic import Traffic
-from .home.controller import HomeController
 from .http_server import QuickServer
-from .identity import new_identity
-from .membership import MembershipController
-from .parts import NodeParts
 from .pause_watch import PauseWatch
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
@@ -51,15 +44,20 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
-        self._rng = Random(SystemRandom().getrandbits(64))
+        self._rng = Random(SystemRandom().random())
         self._stopping = Event()
         self._started = False
         self._failure: BaseException | None = None
         self.traffic = Traffic()
-        self.parts = self._build_parts()
+        self.parts = build_parts(
+            settings,
+            self._rng,
+            self._tell_drain,
+            self._tell_crash,
+        )
         self._channels = Channels(self.parts)
-        self.parts.config.broadcast = self._channels.broadcast
-        self.parts.membership.broadcast = self._channels.broadcast
+        self.parts.config.broadcast = self._channels.news.broadcast
+        self.parts.membership.broadcast = self._channels.news.broadcast
         self._platform = PlatformClient(settings.platform_address)
         self._callers = self._caller_server()
 
@@ -156,8 +154,7 @@
         """Ask platform and other nodes before taking work."""
         for watch in watches:
             watch.read_once()
-        self._channels.dial_seeds()
-        self._channels.say_hello(_SETTLE_MS)
+        self._channels.meet_peers(_SETTLE_MS)
         for watch in watches:
             self._spawn(stack, watch.run)
         self._started = True
@@ -170,7 +167,7 @@
             self._settings.vm,
             'asked to stop',
         )
-        self._channels.say_leaving()
+        self._channels.beat()
         self._callers.close()
         last_ms = monotonic_ms() + self._settings.drain_ms
         quiet_ms = monotonic_ms()
@@ -181,34 +178,6 @@
                 return
             gevent.sleep(seconds(_POLL_MS))
 
-    def _build_parts(self) -> NodeParts:
-        settings = self._settings
-        board = Blackboard()
-        audit = AuditTrail()
-        return NodeParts(
-            settings=settings,
-            identity=new_identity(settings.vm, settings.stream_keys),
-            board=board,
-            audit=audit,
-            attempts=Attempts(),
-            home=HomeController(
-                settings.vm,
-                board,
-                audit,
-                self._rng,
-                self._tell_drain,
-            ),
-            routing=RoutingController(
-                settings.zone,
-                board,
-                audit,
-                self._rng,
-                self._tell_crash,
-            ),
-            config=ConfigController(board, audit),
-            membership=MembershipController(board, audit),
-        )
-
     def _caller_server(self) -> QuickServer:
         settings = self._settings
         dispatcher = Dispatcher(
@@ -225,7 +194,7 @@
 
     def _tell_drain(self, upstream: str, draining: bool) -> None:
         self.parts.routing.note_drain(upstream, draining)
-        self._channels.broadcast(DrainNews(upstream, draining))
+        self._channels.news.broadcast(DrainNews(upstream, draining))
 
     def _tell_crash(
         self,
@@ -233,7 +202,9 @@
         fingerprint: int,
         upstream: str,
     ) -> None:
-        self._channels.broadcast(PoisonNews(service, fingerprint, upstream))
+        self._channels.news.broadcast(
+            PoisonNews(service, fingerprint, upstream),
+        )
 
 
 __all__ = ('Node',)
--- a/src/jackdawhead/policy/class_queue.py
+++ b/src/jackdawhead/policy/class_queue.py
@@ -51,7 +51,7 @@
         organisation, queue = next(iter(self._by_organisation.items()))
         work = queue.popleft()
         self._count -= 1
-        del self._by_organisation[organisation]
+        self._by_organisation.pop(organisation)
         if queue:
             self._by_organisation[organisation] = queue
         return work
@@ -68,7 +68,7 @@
         queue.remove(work)
         self._count -= 1
         if not queue:
-            del self._by_organisation[work.organisation]
+            self._by_organisation.pop(work.organisation)
         return True
 
     def drain(self) -> tuple[Work, ...]:
--- a/src/jackdawhead/policy/detection.py
+++ b/src/jackdawhead/policy/detection.py
@@ -48,7 +48,7 @@
         self._service = service
 
     @abstractmethod
-    def set_members(self, upstreams: frozenset[str]) -> None:
+    def replace_members(self, upstreams: frozenset[str]) -> None:
         """Replace the set of upstreams that take new work.
 
         :param upstreams: all listed upstreams that are not leaving.
@@ -100,7 +100,7 @@
 class NoDetector(Detector):
     """Baseline: every upstream is well."""
 
-    def set_members(self, upstreams: frozenset[str]) -> None:
+    def replace_members(self, upstreams: frozenset[str]) -> None:
         """Ignore the members."""
 
     def report(
--- a/src/jackdawhead/policy/peer_detector.py
+++ b/src/jackdawhead/policy/peer_detector.py
@@ -58,14 +58,14 @@
         self._norms: dict[str, Norm] = {}
         self._changes: list[HealthChange] = []
 
-    def set_members(self, upstreams: frozenset[str]) -> None:
+    def replace_members(self, upstreams: frozenset[str]) -> None:
         self._members = upstreams
         for reports in self._reports.values():
             for gone in reports.keys() - upstreams:
-                del reports[gone]
+                reports.pop(gone)
         for key in tuple(self._ejections):
             if key[0] not in upstreams:
-                del self._ejections[key]
+                self._ejections.pop(key)
                 self._trials.pop(key, None)
 
     def report(
@@ -138,7 +138,7 @@
             verdict = self._trial_verdict(key[1], ring.summary(0))
             if verdict is None:
                 continue
-            del self._trials[key]
+            self._trials.pop(key)
             ejection = self._ejections[key]
             if verdict.severity:
                 ejection.eject(now_ms, verdict.severity, verdict.cause)
--- a/src/jackdawhead/policy/poison.py
+++ b/src/jackdawhead/policy/poison.py
@@ -80,7 +80,7 @@
         :param fingerprint: of the request.
         """
         if self._suspects and fingerprint in self._suspects:
-            del self._suspects[fingerprint]
+            self._suspects.pop(fingerprint)
 
     def knows(self, fingerprint: int, upstream: str) -> bool:
         """Return whether this crash has been counted.
@@ -113,7 +113,7 @@
             if 0 < suspect.until_ms <= now_ms
         )
         for fingerprint in due:
-            del self._suspects[fingerprint]
+            self._suspects.pop(fingerprint)
         return due
 
 
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -22,7 +22,7 @@
 
     def __init__(self, policy: RetryPolicy) -> None:
         self._policy = policy
-        self._tokens = _FIRST_TOKENS if policy.budget_percent else 0.0
+        self._tokens: float = _FIRST_TOKENS if policy.budget_percent else 0
 
     def note_first_attempt(self) -> None:
         """Count a request that was sent for the first time."""
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -62,14 +62,14 @@
         """Listed upstreams that take new work, ejected ones included."""
         return frozenset(self._loads.keys() - self._draining)
 
-    def set_members(self, members: tuple[Member, ...]) -> None:
+    def replace_members(self, members: tuple[Member, ...]) -> None:
         """Replace the listed upstreams that are not leaving.
 
         :param members: all of them.
         """
         named = {each.name: each for each in members}
         for gone in self._loads.keys() - named.keys():
-            del self._loads[gone]
+            self._loads.pop(gone)
         self._draining &= named.keys()
         for name, member in named.items():
             present = self._loads.get(name)
@@ -77,7 +77,7 @@
                 self._loads[name] = self._new_load(member)
         self._members_changed()
 
-    def set_draining(self, upstream: str, draining: bool) -> None:
+    def mark_draining(self, upstream: str, draining: bool) -> None:
         """Take in that an upstream drains, before the list says so.
 
         :param draining: whether it takes no new work.
@@ -145,7 +145,7 @@
                 summary,
                 now_ms,
             )
-        self.set_draining(standing.upstream, standing.draining)
+        self.mark_draining(standing.upstream, standing.draining)
 
     def note_trial(
         self,
@@ -206,7 +206,7 @@
         return UpstreamLoad(member.name, member.zone, member.home, report)
 
     def _members_changed(self) -> None:
-        self._detector.set_members(self.members)
+        self._detector.replace_members(self.members)
         self._rebuild_pools()
 
     def _rebuild_pools(self) -> None:
--- a/src/jackdawhead/registry.py
+++ b/src/jackdawhead/registry.py
@@ -43,8 +43,9 @@
 
         :param name: the name that configuration uses.
         """
-        if name in self._entries:
-            return Success(self._entries[name])
+        entry = self._entries.get(name)
+        if entry is not None:
+            return Success(entry)
         known = ', '.join(self.names())
         return Failure(f'unknown {self._kind} {name!r}; known are: {known}')
 
--- a/src/jackdawhead/wire/codec.py
+++ b/src/jackdawhead/wire/codec.py
@@ -12,6 +12,7 @@
 from .messages import MESSAGE_CODES, MESSAGE_TYPES, Message
 
 MAX_FRAME_BYTES: Final = 1_200_000
+_MAX_ITEMS: Final = 4096
 _LENGTH: Final = struct.Struct('>I')
 _PLAIN_TYPES: Final = {
     'int': int,
@@ -24,11 +25,11 @@
 # Reading the fields of a data class for each message is slow, so the
 # readers and the expected types are prepared once for each class.
 _FIELD_NAMES: Final[dict[type[Message], tuple[str, ...]]] = {
-    cls: tuple(each.name for each in fields(cls)) for cls in MESSAGE_CODES
+    kind: tuple(each.name for each in fields(kind)) for kind in MESSAGE_CODES
 }
 _FIELD_TYPES: Final[dict[type[Message], tuple[type, ...]]] = {
-    cls: tuple(_PLAIN_TYPES[str(each.type)] for each in fields(cls))
-    for cls in MESSAGE_CODES
+    kind: tuple(_PLAIN_TYPES[str(each.type)] for each in fields(kind))
+    for kind in MESSAGE_CODES
 }
 _pack = msgpack.Packer(use_bin_type=True).pack
 
@@ -38,11 +39,11 @@
 
     :param message: any registered message.
     """
-    cls = type(message)
-    parts = [MESSAGE_CODES[cls]]
-    parts.extend(getattr(message, name) for name in _FIELD_NAMES[cls])
-    payload = _pack(parts)
-    return _LENGTH.pack(len(payload)) + payload
+    kind = type(message)
+    parts = [MESSAGE_CODES[kind]]
+    parts.extend(getattr(message, name) for name in _FIELD_NAMES[kind])
+    payload: bytes = _pack(parts)
+    return b''.join((_LENGTH.pack(len(payload)), payload))
 
 
 def decode(payload: bytes) -> Result[Message, str]:
@@ -52,28 +53,25 @@
     :returns: the message, or why it is refused.
     """
     try:
-        parts = msgpack.unpackb(payload, max_array_len=4096, max_map_len=0)
+        parts = msgpack.unpackb(
+            payload, max_array_len=_MAX_ITEMS, max_map_len=0
+        )
     except (ValueError, msgpack.UnpackException) as error:
         return Failure(f'not a msgpack array: {error}')
     if not isinstance(parts, list) or not parts:
         return Failure('not a msgpack array')
-    cls = MESSAGE_TYPES.get(parts[0]) if isinstance(parts[0], int) else None
-    if cls is None:
+    kind = MESSAGE_TYPES.get(parts[0]) if isinstance(parts[0], int) else None
+    if kind is None:
         return Failure('unknown message code')
     arguments: list[Any] = parts[1:]
-    if not _fits(cls, arguments):
-        return Failure(f'wrong fields for {cls.__name__}')
-    return Success(cls(*arguments))
+    if not _fits(kind, arguments):
+        return Failure(f'wrong fields for {kind.__name__}')
+    return Success(kind(*arguments))
 
 
-def _fits(cls: type[Message], arguments: list[Any]) -> bool:
-    expected = _FIELD_TYPES[cls]
-    if len(arguments) != len(expected):
-        return False
-    if any(
-        type(part) is not kind
-        for part, kind in zip(arguments, expected, strict=True)
-    ):
+def _fits(kind: type[Message], arguments: list[Any]) -> bool:
+    expected = _FIELD_TYPES[kind]
+    if tuple(map(type, arguments)) != expected:
         return False
     pairs = [part for part in arguments if isinstance(part, list)]
     return all(_is_pairs(part) for part in pairs)
@@ -109,7 +107,7 @@
         payloads: list[bytes] = []
         start = 0
         while len(buffer) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(buffer, start)
+            length = _LENGTH.unpack_from(buffer, start)[0]
             if length > MAX_FRAME_BYTES:
                 self.oversized = True
                 break
@@ -118,7 +116,7 @@
                 break
             payloads.append(bytes(buffer[start + _LENGTH.size : end]))
             start = end
-        del buffer[:start]
+        del buffer[:start]  # noqa: WPS420
         return payloads
 
 
--- a/src/jackdawhead/wire/stream.py
+++ b/src/jackdawhead/wire/stream.py
@@ -22,6 +22,7 @@
 
 _RECEIVE_BYTES: Final = 65_536
 _BULK_BATCH_BYTES: Final = 65_536
+_FLUSH_POLL_S: Final = 0.005
 
 
 class Stream:
@@ -84,7 +85,7 @@
         """
         with gevent.Timeout(timeout_s, False):
             while (self._urgent or self._bulk) and not self.closed:
-                gevent.sleep(0.005)
+                gevent.sleep(_FLUSH_POLL_S)
 
     def _read(self) -> None:
         reader = FrameReader()
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -61,7 +61,8 @@
     fleet.publish_config(site.folder)
     fleet.await_ready()
     print(
-        f'{site.name}: {len(fleet.nodes)} nodes before {len(fleet.upstreams)} upstreams'
+        f'{site.name}: {len(fleet.nodes)} nodes '
+        f'before {len(fleet.upstreams)} upstreams',
     )
 
 
