--- a/src/jackdawhead/audit.py
+++ b/src/jackdawhead/audit.py
@@ -4,9 +4,9 @@
 
 from collections import deque
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import Final
 
+from .audit_kinds import AuditKind
 from .clock import wall_ms
 from .logs import log_event
 
@@ -14,33 +14,6 @@
 _MAX_CAUSE_CHARS: Final = 500
 
 
-class AuditKind(StrEnum):
-    """What changed."""
-
-    NODE_STARTED = 'node-started'
-    NODE_LEAVING = 'node-leaving'
-    CONFIG_ACCEPTED = 'config-accepted'
-    CONFIG_REFUSED = 'config-refused'
-    UPSTREAM_EJECTED = 'upstream-ejected'
-    UPSTREAM_TRIAL = 'upstream-trial'
-    UPSTREAM_RETURNED = 'upstream-returned'
-    UPSTREAM_UNREACHABLE = 'upstream-unreachable'
-    UPSTREAM_RESTARTED = 'upstream-restarted'
-    UPSTREAM_DRAINING = 'upstream-draining'
-    UPSTREAM_JOINED = 'upstream-joined'
-    UPSTREAM_LEFT = 'upstream-left'
-    CONNECTION_CONDEMNED = 'connection-condemned'
-    REQUEST_QUARANTINED = 'request-quarantined'
-    REQUEST_RELEASED = 'request-released'
-    PEER_LOST = 'peer-lost'
-    PEER_JOINED = 'peer-joined'
-    PEER_REFUSED = 'peer-refused'
-    PLATFORM_LOST = 'platform-lost'
-    PLATFORM_BACK = 'platform-back'
-    PLATFORM_STALE = 'platform-stale'
-    PAUSE_NOTICED = 'pause-noticed'
-
-
 @dataclass(frozen=True, slots=True)
 class AuditRecord:
     """One change.
--- /dev/null
+++ b/src/jackdawhead/audit_kinds.py
@@ -0,0 +1,35 @@
+"""Kinds of changes in the audit trail."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class AuditKind(StrEnum):
+    """What changed."""
+
+    NODE_STARTED = 'node-started'
+    NODE_LEAVING = 'node-leaving'
+    CONFIG_ACCEPTED = 'config-accepted'
+    CONFIG_REFUSED = 'config-refused'
+    UPSTREAM_EJECTED = 'upstream-ejected'
+    UPSTREAM_TRIAL = 'upstream-trial'
+    UPSTREAM_RETURNED = 'upstream-returned'
+    UPSTREAM_UNREACHABLE = 'upstream-unreachable'
+    UPSTREAM_RESTARTED = 'upstream-restarted'
+    UPSTREAM_DRAINING = 'upstream-draining'
+    UPSTREAM_JOINED = 'upstream-joined'
+    UPSTREAM_LEFT = 'upstream-left'
+    CONNECTION_CONDEMNED = 'connection-condemned'
+    REQUEST_QUARANTINED = 'request-quarantined'
+    REQUEST_RELEASED = 'request-released'
+    PEER_LOST = 'peer-lost'
+    PEER_JOINED = 'peer-joined'
+    PEER_REFUSED = 'peer-refused'
+    PLATFORM_LOST = 'platform-lost'
+    PLATFORM_BACK = 'platform-back'
+    PLATFORM_STALE = 'platform-stale'
+    PAUSE_NOTICED = 'pause-noticed'
+
+
+__all__ = ('AuditKind',)
--- a/src/jackdawhead/cli/commands/__init__.py
+++ b/src/jackdawhead/cli/commands/__init__.py
@@ -7,6 +7,7 @@
 from .config import CheckCommand, DiffCommand, ShowCommand
 from .node import NodeCommand
 from .operators import AuditCommand, StatusCommand
+from .replay import ReplayCommand
 
 __all__ = (
     'COMMANDS',
@@ -15,6 +16,7 @@
     'CheckCommand',
     'DiffCommand',
     'NodeCommand',
+    'ReplayCommand',
     'ShowCommand',
     'StatusCommand',
 )
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -23,7 +23,7 @@
 
 _QUEUE_DEFAULTS: Final = {
     'admission': 'deadline',
-    'max_wait_ms': 2000,
+    'max_wait_ms': 500,
     'long_slots_percent': 67,
     'aging_ms': 1500,
 }
@@ -34,12 +34,13 @@
 }
 _DETECTION_DEFAULTS: Final = {
     'detector': 'peers',
-    'window_ms': 5000,
-    'min_samples': 5,
+    'window_ms': 4000,
+    'min_samples': 8,
     'error_percent': 30,
     'slow_factor': 3.0,
     'ejection_ms': 5000,
     'max_ejection_ms': 300_000,
+    'warm_up_ms': 5000,
 }
 _POISON_DEFAULTS: Final = {
     'max_crashes': 2,
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -75,6 +75,7 @@
     :param slow_factor: multiple of the peers' run time that ejects.
     :param ejection_ms: first time spent ejected; doubled for each relapse.
     :param max_ejection_ms: upper bound of that time.
+    :param warm_up_ms: time after a start in which run times do not count.
     """
 
     detector: str
@@ -84,6 +85,7 @@
     slow_factor: float
     ejection_ms: int
     max_ejection_ms: int
+    warm_up_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -79,6 +79,7 @@
         },
         'ejection_ms': _DURATION,
         'max_ejection_ms': _DURATION,
+        'warm_up_ms': _whole(0, _DAY_MS),
     }
 )
 _POISON: Final = _closed(
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -16,6 +16,8 @@
 
 _UNAVAILABLE: Final = 503
 _SINCE: Final = 'since'
+_TRACE_S: Final = 10.0
+_MAX_TRACE_S: Final = 600.0
 
 
 class _Live:
@@ -70,6 +72,20 @@
         response.media = [asdict(each) for each in records]
 
 
+class _Trace:
+    """Streams a trace, for as many seconds as asked for."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def on_get(self, request: Request, response: Response) -> None:
+        duration_s = request.get_param_as_float('seconds') or _TRACE_S
+        response.content_type = 'application/x-ndjson'
+        response.stream = self._node.parts.tap.read(
+            min(duration_s, _MAX_TRACE_S)
+        )
+
+
 def status_of(node: Node) -> dict[str, Any]:
     """Return a summary as plain data, for the status command.
 
@@ -121,6 +137,7 @@
     app.add_route('/metrics', _Metrics(node))
     app.add_route('/status', _Status(node))
     app.add_route('/audit', _Audit(node))
+    app.add_route('/trace', _Trace(node))
     return app
 
 
--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -13,6 +13,7 @@
 from .identity import new_identity
 from .membership import MembershipController
 from .parts import NodeParts
+from .trace_tap import TraceTap
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,13 +38,15 @@
     """
     board = Blackboard()
     audit = AuditTrail()
+    tap = TraceTap(settings, board)
     return NodeParts(
         settings=settings,
         identity=new_identity(settings.vm, settings.stream_keys),
         board=board,
         audit=audit,
+        tap=tap,
         attempts=Attempts(),
-        home=HomeController(settings.vm, board, audit, rng, on_drain),
+        home=HomeController(settings.vm, board, audit, rng, tap, on_drain),
         routing=RoutingController(settings.zone, board, audit, rng, on_crash),
         config=ConfigController(board, audit),
         membership=MembershipController(board, audit),
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -151,6 +151,7 @@
         if link is None or not link.ready.get():
             return False
         self._links[link.vm] = link
+        self._parts.tap.note_path(link.vm, True)
         self._news.greet(link)
         return True
 
@@ -163,6 +164,7 @@
             return
         if self._links.get(link.vm) is link:
             self._links.pop(link.vm)
+        self._parts.tap.note_path(link.vm, False)
         self._parts.attempts.fail_all(link)
         self._parts.routing.avoid(link.vm)
         self._parts.audit.record(AuditKind.PEER_LOST, link.vm, reason)
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -12,6 +12,7 @@
 from ...policy.evidence import Sample
 from ...policy.loads import RoutingQuery, UpstreamLoad
 from ...policy.poison import fingerprint_of
+from ...policy.resend import AttemptEnd, is_resend_safe
 from ...policy.retries import backoff_ms
 from ...reasons import Reason
 from ...wire.messages import Body, Head, Refusal, Submit
@@ -24,6 +25,7 @@
     from ...config.model import Operation
     from ...policy.service_router import ServiceRouter
     from ..channels import Channels
+    from ..trace_tap import TraceTap
     from .routing import RoutingController
 
 _GRACE_MS: Final = 50
@@ -56,6 +58,7 @@
     :param routing: routes and the state of the services.
     :param channels: ways to the homes.
     :param attempts: where answers are awaited.
+    :param tap: records arrivals for replay.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         routing: RoutingController,
         channels: Channels,
         attempts: Attempts,
+        tap: TraceTap,
     ) -> None:
+        self._tap = tap
         self._routing = routing
         self._channels = channels
         self._attempts = attempts
@@ -98,6 +103,12 @@
             request.target,
             request.chunk,
         )
+        self._tap.note_arrival(
+            route.service,
+            route.operation,
+            request.organisation,
+            fingerprint,
+        )
         return _Call(
             request,
             router,
@@ -247,19 +258,18 @@
             return False
         if attempt >= call.router.service.retry.max_attempts:
             return False
-        if not _is_safe(call, answer):
+        idempotent = call.operation.idempotent
+        if not is_resend_safe(_end_of(answer), idempotent=idempotent):
             return False
         return call.router.budget.try_spend()
 
 
-def _is_safe(call: _Call, answer: Answer) -> bool:
-    """Return whether a resend cannot make work run twice, and may help."""
-    is_idempotent = call.operation.idempotent
-    if isinstance(answer, UpstreamAnswer):
-        return is_idempotent and answer.status >= _SERVER_ERROR
-    if answer.reason in {Reason.QUARANTINED, Reason.DEADLINE}:
-        return False
-    return is_idempotent or answer.outcome is Outcome.NOT_RUN
+def _end_of(answer: Answer) -> AttemptEnd:
+    if isinstance(answer, Refused):
+        return AttemptEnd(answer.outcome, answer.reason)
+    return AttemptEnd(
+        Outcome.RAN, is_server_error=answer.status >= _SERVER_ERROR
+    )
 
 
 def _is_unsent(answer: Answer) -> bool:
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -17,6 +17,7 @@
 
     from ...audit import AuditTrail
     from ...blackboard import Blackboard
+    from ..trace_tap import TraceTap
 
 _EXPIRE_EVERY_S: Final = 0.02
 
@@ -28,6 +29,7 @@
     :param board: source of both.
     :param audit: trail of changes.
     :param rng: source of randomness.
+    :param tap: records the ends of runs for replay.
     :param on_drain: called when an upstream begins or ends to drain.
     """
 
@@ -37,15 +39,18 @@
         board: Blackboard,
         audit: AuditTrail,
         rng: Random,
+        tap: TraceTap,
         on_drain: Callable[[str, bool], None],
     ) -> None:
         self._vm = vm
         self._board = board
         self._audit = audit
         self._rng = rng
+        self._tap = tap
         self._on_drain = on_drain
         self._upstreams: dict[str, HomeUpstream] = {}
         self._waiting = Event()
+        self._has_started = False
         board.config.on_change(lambda _: self._update())
         board.vm_list.on_change(lambda _: self._update())
 
@@ -90,10 +95,12 @@
         specs = self._specs()
         for name in self._upstreams.keys() - specs.keys():
             self._upstreams.pop(name).close()
+        is_new = self._has_started
         for name, spec in specs.items():
-            self._place(name, spec)
+            self._place(name, spec, is_new=is_new)
+        self._has_started = self._has_started or bool(specs)
 
-    def _place(self, name: str, spec: UpstreamSpec) -> None:
+    def _place(self, name: str, spec: UpstreamSpec, *, is_new: bool) -> None:
         present = self._upstreams.get(name)
         if present is None or present.spec != spec:
             if present is not None:
@@ -102,7 +109,10 @@
                 spec,
                 self._audit,
                 self._rng,
-                HomeEvents(self._on_drain, self._waiting.set),
+                HomeEvents(
+                    self._on_drain, self._waiting.set, self._tap.note_end
+                ),
+                is_new=is_new,
             )
             self._upstreams[name] = present
         vm = self._board.vm_list.read().vms[name.partition('/')[0]]
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -4,7 +4,6 @@
 
 from contextlib import ExitStack
 from dataclasses import dataclass, replace
-from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -12,6 +11,7 @@
 
 from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
+from ...policy.ending import Ending
 from ...reasons import Reason
 from ...wire.messages import Body, Credit, Head, Message
 from ..credit import CHUNK_BYTES
@@ -32,18 +32,6 @@
 _MIN_SILENCE_MS: Final = 250
 
 
-class Ending(Enum):
-    """How an execution ended, as evidence about the upstream."""
-
-    SUCCEEDED = auto()
-    FAILED = auto()
-    CRASHED = auto()
-    SHED = auto()
-    DRAINING = auto()
-    UNREACHABLE = auto()
-    CANCELLED = auto()
-
-
 @dataclass(frozen=True, slots=True)
 class Ended:
     """End of an execution.
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -4,21 +4,18 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import gevent
 
-from ...audit import AuditKind
+from ...audit_kinds import AuditKind
 from ...clock import monotonic_ms
 from ...outcome import Outcome
-from ...policy.admission import ADMISSIONS
-from ...policy.evidence import Sample
+from ...policy.upstream_state import RunEnd, UpstreamState
 from ...policy.work import Verdict
 from ...reasons import Reason
-from ...wire.messages import Standing
 from .connections import ConnectionPool
-from .evidence_book import EvidenceBook
-from .execution import Ended, Ending, Execution, Target
+from .execution import Ended, Execution, Target
 
 if TYPE_CHECKING:
     from random import Random
@@ -26,12 +23,9 @@
     from ...audit import AuditTrail
     from ...config.model import HeaderNames, Service
     from ...config.settings import Address
+    from ...wire.messages import Standing
     from .job import Job
 
-_FIRST_AVOID_MS: Final = 100
-_MAX_AVOID_MS: Final = 3200
-_DRAIN_FORGOTTEN_MS: Final = 5000
-
 
 @dataclass(frozen=True, slots=True)
 class UpstreamSpec:
@@ -52,10 +46,12 @@
 
     :param on_drain: called when it begins or ends to drain.
     :param on_waiting: called when a request has to wait.
+    :param on_end: called with upstream, fingerprint and end of each run.
     """
 
     on_drain: Callable[[str, bool], None]
     on_waiting: Callable[[], None]
+    on_end: Callable[[str, int, RunEnd], None]
 
 
 class HomeUpstream:
@@ -65,6 +61,7 @@
     :param audit: trail of changes.
     :param rng: source of randomness.
     :param events: called when something changes.
+    :param is_new: whether it has joined after this home has started.
     """
 
     def __init__(
@@ -73,36 +70,29 @@
         audit: AuditTrail,
         rng: Random,
         events: HomeEvents,
+        *,
+        is_new: bool = False,
     ) -> None:
         self.spec = spec
-        service = spec.service
-        rule = ADMISSIONS.find(service.queue.admission).unwrap()
-        self._admission = rule(service, rng)
-        self._pool = ConnectionPool(
-            spec.address,
-            service.connections_per_upstream,
+        self._state = UpstreamState(
+            spec.name, spec.service, rng, audit.record, is_new=is_new
         )
-        self._book = EvidenceBook(
-            service.operations,
-            service.detection.window_ms,
+        self._pool = ConnectionPool(
+            spec.address, spec.service.connections_per_upstream
         )
         self._audit = audit
         self._events = events
         self._waiting: dict[int, Job] = {}
-        self._avoid_until_ms: float = 0
-        self._avoid_ms = 0
-        self._draining_until_ms: float = 0
-        self._listed_leaving = False
 
     @property
     def draining(self) -> bool:
         """Whether the upstream takes no new work."""
-        return self._listed_leaving or self._draining_until_ms > monotonic_ms()
+        return self._state.is_draining(monotonic_ms())
 
     @property
     def running(self) -> int:
         """Number of requests that hold a slot."""
-        return self._admission.running
+        return self._state.admission.running
 
     @property
     def waiting(self) -> int:
@@ -117,8 +107,7 @@
         if self.draining:
             job.refuse(Reason.DRAINING)
             return
-        now_ms = monotonic_ms()
-        admission = self._admission.offer(job.work, now_ms)
+        admission = self._state.offer(job.work, monotonic_ms())
         if admission.verdict is Verdict.START:
             self._start(job)
         elif admission.verdict is Verdict.WAIT:
@@ -132,7 +121,7 @@
 
         :param job: the request.
         """
-        if self._admission.withdraw(job.work):
+        if self._state.admission.withdraw(job.work):
             self._waiting.pop(job.work.work_id, None)
             job.refuse(Reason.CANCELLED)
         elif job.running and job.greenlet is not None:
@@ -144,7 +133,7 @@
         """Refuse waiting requests whose deadline has passed."""
         if not self._waiting:
             return
-        for work in self._admission.expire(monotonic_ms()):
+        for work in self._state.admission.expire(monotonic_ms()):
             job = self._waiting.pop(work.work_id)
             job.refuse(Reason.DEADLINE)
 
@@ -153,29 +142,15 @@
 
         :param leaving: whether the VM is listed as leaving.
         """
-        if leaving == self._listed_leaving:
-            return
-        self._listed_leaving = leaving
-        self._drain_changed('listed as leaving' if leaving else 'listed again')
+        if self._state.mark_listed_leaving(leaving):
+            self._drain_changed()
 
     def standing(self, operation: str) -> Standing:
         """Return load and evidence, as told to entries.
 
         :param operation: operation whose evidence is asked for.
         """
-        now_ms = monotonic_ms()
-        summary = self._book.summary(operation, now_ms)
-        return Standing(
-            upstream=self.spec.name,
-            operation=operation,
-            wait_ms=int(self._admission.expected_wait_ms(now_ms)),
-            run_ms=int(self._admission.short_run_ms()),
-            count=summary.count,
-            failures=round(summary.error_share * summary.count),
-            median_ms=int(summary.run_ms),
-            avoid_ms=max(0, int(self._avoid_until_ms - now_ms)),
-            draining=self.draining,
-        )
+        return self._state.standing(operation, monotonic_ms())
 
     def close(self) -> None:
         """Refuse what waits and close idle connections."""
@@ -186,112 +161,68 @@
         job.greenlet = gevent.spawn(self._run, job)
 
     def _run(self, job: Job) -> None:
-        operation = self.spec.service.operations[job.submit.operation]
-        target = Target(
-            self.spec.address,
-            self._pool,
-            operation,
-            self.spec.headers,
-            self._admission.run_times.expected_ms(operation.name),
-        )
         if job.cancelled:
-            self._admission.finish(job.work, None)
+            self._state.finish(job.work, None, monotonic_ms())
             job.refuse(Reason.CANCELLED)
             self._start_waiting()
             return
         job.running = True
         ended: Ended | None = None
         try:
-            ended = Execution(job, target).run()
+            ended = Execution(job, self._target(job)).run()
         finally:
             self._finish(job, ended)
 
+    def _target(self, job: Job) -> Target:
+        operation = self.spec.service.operations[job.submit.operation]
+        return Target(
+            self.spec.address,
+            self._pool,
+            operation,
+            self.spec.headers,
+            self._state.admission.run_times.expected_ms(operation.name),
+        )
+
     def _finish(self, job: Job, ended: Ended | None) -> None:
         """Free the slot, then deliver the end with the latest evidence."""
         if ended is None:
-            self._admission.finish(job.work, None)
+            self._state.finish(job.work, None, monotonic_ms())
             job.deliver(job.refusal(Outcome.UNKNOWN, Reason.CANCELLED))
         else:
-            is_success = ended.ending is Ending.SUCCEEDED
-            run_ms = ended.run_ms if is_success else None
-            self._admission.finish(job.work, run_ms)
-            self._note(job.submit.operation, ended)
+            self._learn(job, ended)
             job.deliver(ended.final)
         self._start_waiting()
 
-    def _start_waiting(self) -> None:
-        while True:
-            work = self._admission.start_next(monotonic_ms())
-            if work is None:
-                return
-            self._start(self._waiting.pop(work.work_id))
-
-    def _note(self, operation: str, ended: Ended) -> None:
+    def _learn(self, job: Job, ended: Ended) -> None:
         if ended.condemned:
             self._audit.record(
                 AuditKind.CONNECTION_CONDEMNED,
                 self.spec.name,
                 'a pooled connection went silent while a new one answered',
             )
-        ending = ended.ending
-        if ending in {Ending.SUCCEEDED, Ending.FAILED}:
-            is_ok = ending is Ending.SUCCEEDED
-            sample = Sample(monotonic_ms(), is_ok, ended.run_ms)
-            self._book.add(operation, sample)
-            self._note_reachable()
-        elif ending in {Ending.CRASHED, Ending.UNREACHABLE}:
-            self._note_unreachable(ending)
-        elif ending is Ending.SHED:
-            self._avoid_until_ms = monotonic_ms() + ended.avoid_ms
-        elif ending is Ending.DRAINING:
-            self._note_draining()
-
-    def _note_reachable(self) -> None:
-        if not self._avoid_ms:
-            return
-        self._avoid_ms = 0
-        self._avoid_until_ms = 0
-        self._book.restart()
-        self._audit.record(
-            AuditKind.UPSTREAM_RESTARTED,
-            self.spec.name,
-            'accepts connections again',
+        end = RunEnd(
+            job.submit.operation, ended.ending, ended.run_ms, ended.avoid_ms
         )
+        self._events.on_end(self.spec.name, job.submit.fingerprint, end)
+        if self._state.finish(job.work, end, monotonic_ms()):
+            self._drain_changed()
 
-    def _note_unreachable(self, ending: Ending) -> None:
-        now_ms = monotonic_ms()
-        if not self._avoid_ms:
-            self._audit.record(
-                AuditKind.UPSTREAM_UNREACHABLE,
-                self.spec.name,
-                f'a request ended as {ending.name.lower()}',
-            )
-        if now_ms < self._avoid_until_ms:
-            return
-        doubled_ms = max(_FIRST_AVOID_MS, 2 * self._avoid_ms)
-        self._avoid_ms = min(_MAX_AVOID_MS, doubled_ms)
-        self._avoid_until_ms = now_ms + self._avoid_ms
-
-    def _note_draining(self) -> None:
-        was_draining = self.draining
-        self._draining_until_ms = monotonic_ms() + _DRAIN_FORGOTTEN_MS
-        if not was_draining:
-            self._drain_changed('its own answer says so')
+    def _start_waiting(self) -> None:
+        while True:
+            work = self._state.admission.start_next(monotonic_ms())
+            if work is None:
+                return
+            self._start(self._waiting.pop(work.work_id))
 
-    def _drain_changed(self, cause: str) -> None:
+    def _drain_changed(self) -> None:
         draining = self.draining
         if draining:
-            self._audit.record(
-                AuditKind.UPSTREAM_DRAINING,
-                self.spec.name,
-                cause,
-            )
             self._withdraw_waiting(Reason.DRAINING)
         self._events.on_drain(self.spec.name, draining)
 
     def _withdraw_waiting(self, reason: Reason) -> None:
-        for work in self._admission.withdraw_all():
+        for work in self._state.admission.withdraw_all():
             self._waiting.pop(work.work_id).refuse(reason)
 
 
-__all__ = ('HomeUpstream', 'UpstreamSpec')
+__all__ = ('HomeEvents', 'HomeUpstream', 'UpstreamSpec')
--- a/src/jackdawhead/node/parts.py
+++ b/src/jackdawhead/node/parts.py
@@ -15,6 +15,7 @@
     from .home.controller import HomeController
     from .identity import Identity
     from .membership import MembershipController
+    from .trace_tap import TraceTap
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,7 @@
     identity: Identity
     board: Blackboard
     audit: AuditTrail
+    tap: TraceTap
     attempts: Attempts
     home: HomeController
     routing: RoutingController
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -186,6 +186,7 @@
             self.parts.routing,
             self._channels,
             self.parts.attempts,
+            self.parts.tap,
         )
         api = CallerApi(settings, self.parts.board, dispatcher, self.traffic)
         return QuickServer(
--- /dev/null
+++ b/src/jackdawhead/node/trace_tap.py
@@ -0,0 +1,154 @@
+"""Streams arrivals and outcomes out of a node, for replay.
+
+Nothing is recorded while nobody reads. Bodies, paths and names of
+organisations are never recorded, only hashes of them.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+import gevent
+import xxhash
+
+from ..policy.homes import HomeMap
+from ..trace.records import (
+    TRACE_VERSION,
+    ArrivalRecord,
+    MemberRecord,
+    PathRecord,
+    Record,
+    RunRecord,
+    TraceStart,
+    encode_record,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..blackboard import Blackboard, VmList
+    from ..config.settings import NodeSettings
+    from ..policy.upstream_state import RunEnd
+
+_MAX_RECORDS: Final = 50_000
+_POLL_S: Final = 0.1
+_MS_PER_S: Final = 1000
+
+
+class TraceTap:
+    """Keeps records for the one reader, up to a bound.
+
+    :param settings: VM and zone of this node.
+    :param board: source of the list of VMs.
+    """
+
+    def __init__(self, settings: NodeSettings, board: Blackboard) -> None:
+        self._settings = settings
+        self._board = board
+        self._records: deque[Record] = deque(maxlen=_MAX_RECORDS)
+        self._is_read = False
+        board.vm_list.on_change(self._note_list)
+
+    def note_arrival(
+        self,
+        service: str,
+        operation: str,
+        organisation: str,
+        fingerprint: int,
+    ) -> None:
+        """Record a request of a caller.
+
+        :param organisation: its name, of which a hash is kept.
+        """
+        if not self._is_read:
+            return
+        self._records.append(
+            ArrivalRecord(
+                _now_ms(),
+                self._settings.vm,
+                service,
+                operation,
+                xxhash.xxh3_64_hexdigest(organisation.encode()),
+                fingerprint,
+            )
+        )
+
+    def note_end(self, upstream: str, fingerprint: int, end: RunEnd) -> None:
+        """Record the end of a run.
+
+        :param upstream: where it ran.
+        :param end: how it ended.
+        """
+        if not self._is_read:
+            return
+        self._records.append(
+            RunRecord(
+                _now_ms(),
+                upstream,
+                end.operation,
+                fingerprint,
+                end.ending.value,
+                round(end.run_ms, 1),
+            )
+        )
+
+    def note_path(self, home: str, is_up: bool) -> None:
+        """Record that the way to a home was lost or found.
+
+        :param home: VM of the home.
+        """
+        if self._is_read:
+            self._records.append(
+                PathRecord(_now_ms(), self._settings.vm, home, is_up)
+            )
+
+    def read(self, duration_s: float) -> Iterator[bytes]:
+        """Yield lines of the trace for some time.
+
+        :param duration_s: how long to record.
+        """
+        end = time.monotonic() + duration_s
+        self._records.clear()
+        self._is_read = True
+        start = TraceStart(
+            _now_ms(), TRACE_VERSION, self._settings.vm, self._settings.zone
+        )
+        self._records.append(start)
+        self._note_list(self._board.vm_list.read())
+        try:
+            while time.monotonic() < end:
+                yield self._take()
+                gevent.sleep(_POLL_S)
+            yield self._take()
+        finally:
+            self._is_read = False
+
+    def _take(self) -> bytes:
+        lines = [encode_record(each) for each in self._records]
+        self._records.clear()
+        return ''.join(f'{line}\n' for line in lines).encode()
+
+    def _note_list(self, vm_list: VmList) -> None:
+        if not self._is_read:
+            return
+        homes = HomeMap(vm_list)
+        for vm in vm_list.vms.values():
+            for service in vm.upstream_ports:
+                self._records.append(
+                    MemberRecord(
+                        _now_ms(),
+                        f'{vm.name}/{service}',
+                        vm.zone,
+                        homes.home_of(vm),
+                        'leaving' if vm.leaving else 'live',
+                    )
+                )
+
+
+def _now_ms() -> float:
+    return round(time.time() * _MS_PER_S, 1)
+
+
+__all__ = ('TraceTap',)
--- a/src/jackdawhead/policy/evidence.py
+++ b/src/jackdawhead/policy/evidence.py
@@ -4,10 +4,19 @@
 
 from collections import deque
 from dataclasses import dataclass
+from math import log
 from statistics import median
 from typing import Final
 
+ALARM_SCALE: Final = 100
 _RING_SIZE: Final = 32
+_TIMED_SIZE: Final = 16
+_LEAST_TIMED: Final = 8
+_USUAL_SHARE: Final = 0.02
+_FAILING_SHARE: Final = 0.4
+_FAILURE_STEP: Final = log(_FAILING_SHARE / _USUAL_SHARE)
+_SUCCESS_STEP: Final = log((1 - _FAILING_SHARE) / (1 - _USUAL_SHARE))
+_MAX_ALARM: Final = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,7 +25,8 @@
 
     :param at_ms: monotonic time of its end.
     :param ok: whether the upstream did the work.
-    :param run_ms: run time at the upstream; for failures, up to the failure.
+    :param run_ms: run time at the upstream; for failures, up to the failure;
+        0 if it says nothing.
     """
 
     at_ms: float
@@ -29,24 +39,29 @@
     """What the recent outcomes of one operation on one upstream say.
 
     :param error_share: failures as a share of all, 0 to 1.
-    :param run_ms: median run time of the successes, 0 if there are none.
+    :param run_ms: median run time of the latest successes, 0 if unknown.
+    :param alarm: cumulative sum of the evidence for failing, 0 or more.
     """
 
     count: int
     error_share: float
     run_ms: float
+    alarm: float = 0
 
 
 class EvidenceRing:
     """The last few outcomes; old ones are dropped by count and by age.
 
     A bound on the count, not the age alone, lets a busy upstream be judged
-    within a fraction of a second and an idle one at all.
+    within a fraction of a second and an idle one at all. Failures are also
+    summed up by a one-sided CUSUM (Page, 1954), which tells a change from
+    2 % to 40 % of failures sooner than any share of a fixed count.
     """
 
-    __slots__ = ('_samples', '_summary')
+    __slots__ = ('_alarm', '_samples', '_summary')
 
     def __init__(self) -> None:
+        self._alarm: float = 0
         self._samples: deque[Sample] = deque(maxlen=_RING_SIZE)
         self._summary: Summary | None = None
 
@@ -56,11 +71,14 @@
         :param new: the latest outcome.
         """
         self._samples.append(new)
+        step = _SUCCESS_STEP if new.ok else _FAILURE_STEP
+        self._alarm = max(0, min(_MAX_ALARM, self._alarm + step))
         self._summary = None
 
     def clear(self) -> None:
         """Forget everything, for example when a trial begins."""
         self._samples.clear()
+        self._alarm = 0
         self._summary = None
 
     def summary(self, oldest_ms: float) -> Summary:
@@ -78,10 +96,16 @@
     def _summarise(self) -> Summary:
         count = len(self._samples)
         if not count:
+            self._alarm = 0
             return Summary(0, 0, 0)
-        runs = [each.run_ms for each in self._samples if each.ok]
-        share = (count - len(runs)) / count
-        return Summary(count, share, median(runs) if runs else 0)
+        good = [each.run_ms for each in self._samples if each.ok]
+        timed = [run_ms for run_ms in good if run_ms][-_TIMED_SIZE:]
+        return Summary(
+            count,
+            (count - len(good)) / count,
+            median(timed) if len(timed) >= _LEAST_TIMED else 0,
+            self._alarm,
+        )
 
 
-__all__ = ('EvidenceRing', 'Sample', 'Summary')
+__all__ = ('ALARM_SCALE', 'EvidenceRing', 'Sample', 'Summary')
--- a/src/jackdawhead/policy/peer_detector.py
+++ b/src/jackdawhead/policy/peer_detector.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from ..config.model import Service
 
+_PERCENT: Final = 100
 _TRIAL_SAMPLES: Final = 8
 _TRIAL_FAILURES: Final = 1
 
@@ -167,18 +168,56 @@
     ) -> dict[_Key, Suspicion]:
         found: dict[_Key, Suspicion] = {}
         for upstream in self._members:
-            judged: dict[str, Suspicion] = {}
-            for operation, by_upstream in summaries.items():
-                summary = by_upstream.get(upstream)
-                if summary and summary.count >= self._policy.min_samples:
-                    judged[operation] = suspect(
-                        summary,
-                        self._norms[operation],
-                        self._policy,
-                    )
-            found.update(_by_scope(upstream, judged))
+            known = {
+                operation: by_upstream[upstream]
+                for operation, by_upstream in summaries.items()
+                if upstream in by_upstream
+            }
+            found.update(self._suspects_of(upstream, known))
         return found
 
+    def _suspects_of(
+        self,
+        upstream: str,
+        known: dict[str, Summary],
+    ) -> dict[_Key, Suspicion]:
+        judged = {
+            operation: suspect(summary, self._norms[operation], self._policy)
+            for operation, summary in known.items()
+        }
+        sick = {
+            operation: suspicion
+            for operation, suspicion in judged.items()
+            if suspicion.severity
+        }
+        if not sick:
+            return {}
+        for operation in known.keys() - sick.keys():
+            if self._fails_too(operation, known[operation]):
+                sick[operation] = next(iter(sick.values()))
+        return self._by_scope(upstream, sick, known)
+
+    def _fails_too(self, operation: str, summary: Summary) -> bool:
+        """Judge an operation with little evidence beside one that fails."""
+        excess = summary.error_share - self._norms[operation].error_share
+        return excess * _PERCENT >= self._policy.error_percent
+
+    def _by_scope(
+        self,
+        upstream: str,
+        sick: dict[str, Suspicion],
+        known: dict[str, Summary],
+    ) -> dict[_Key, Suspicion]:
+        is_all_known = len(sick) == len(known)
+        is_enough = len(sick) > 1 or len(self._reports) == 1
+        if is_all_known and is_enough:
+            worst = max(sick.values(), key=lambda each: each.severity)
+            return {(upstream, ALL_OPERATIONS): worst}
+        return {
+            (upstream, operation): suspicion
+            for operation, suspicion in sick.items()
+        }
+
     def _eject(self, suspects: dict[_Key, Suspicion], now_ms: float) -> None:
         limit = ejection_limit(
             len(self._members),
@@ -238,21 +277,6 @@
         self._changes.append(HealthChange(upstream, operation, health, cause))
 
 
-def _by_scope(
-    upstream: str,
-    judged: dict[str, Suspicion],
-) -> dict[_Key, Suspicion]:
-    suspects = {
-        name: suspicion
-        for name, suspicion in judged.items()
-        if suspicion.severity
-    }
-    if suspects and len(suspects) == len(judged):
-        worst = max(suspects.values(), key=lambda each: each.severity)
-        return {(upstream, ALL_OPERATIONS): worst}
-    return {(upstream, name): suspicion for name, suspicion in suspects.items()}
-
-
 def _rank(suspect_pair: tuple[_Key, Suspicion]) -> tuple[float, int]:
     key, suspicion = suspect_pair
     return -suspicion.severity, _hash(key)
--- /dev/null
+++ b/src/jackdawhead/policy/resend.py
@@ -0,0 +1,43 @@
+"""Whether a request may be sent again."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from ..outcome import Outcome
+from ..reasons import Reason
+
+_FINAL_REASONS: Final = frozenset((Reason.QUARANTINED, Reason.DEADLINE))
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """End of one attempt.
+
+    :param outcome: whether the work ran.
+    :param reason: why there is no answer, or nothing if there is one.
+    :param is_server_error: whether there is one with a status of 500 or more.
+    """
+
+    outcome: Outcome
+    reason: Reason | None = None
+    is_server_error: bool = False
+
+
+def is_resend_safe(end: AttemptEnd, *, idempotent: bool) -> bool:
+    """Return whether a resend cannot run work twice, and may help.
+
+    Work that is not idempotent is only resent on proof that it did not run.
+
+    :param end: of the attempt before.
+    :param idempotent: whether running the work twice does no harm.
+    """
+    if end.reason in _FINAL_REASONS:
+        return False
+    if end.reason is None:
+        return idempotent and end.is_server_error
+    return idempotent or end.outcome is Outcome.NOT_RUN
+
+
+__all__ = ('AttemptEnd', 'is_resend_safe')
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -7,7 +7,7 @@
 
 from .balancers import BALANCERS
 from .detection import Health, HealthChange
-from .evidence import Sample, Summary
+from .evidence import ALARM_SCALE, Sample, Summary
 from .detectors import DETECTORS
 from .loads import LoadReport, Pool, RoutingQuery, UpstreamLoad
 from .poison import PoisonTable
@@ -141,6 +141,7 @@
                 count,
                 standing.failures / count,
                 standing.median_ms,
+                standing.alarm / ALARM_SCALE,
             )
             self._detector.report(
                 standing.upstream,
--- a/src/jackdawhead/policy/suspicion.py
+++ b/src/jackdawhead/policy/suspicion.py
@@ -12,6 +12,7 @@
 
 _PERCENT: Final = 100
 _MIN_EXCESS_MS: Final = 10.0
+_ALARM_LIMIT: Final = 11.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,10 +21,12 @@
 
     :param error_share: median share of failures, 0 to 1.
     :param run_ms: median run time.
+    :param alarm: median of the evidence for failing.
     """
 
     error_share: float
     run_ms: float
+    alarm: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +59,7 @@
     return Norm(
         median(each.error_share for each in known),
         median(runs) if runs else 0,
+        median(each.alarm for each in known),
     )
 
 
@@ -73,7 +77,8 @@
     if summary.count < policy.min_samples:
         return _NORMAL
     excess = summary.error_share - norm.error_share
-    if excess * _PERCENT >= policy.error_percent:
+    is_alarmed = summary.alarm - norm.alarm >= _ALARM_LIMIT
+    if is_alarmed or excess * _PERCENT >= policy.error_percent:
         return Suspicion(
             1 + excess,
             f'errors {summary.error_share:.0%} of {summary.count}, '
--- /dev/null
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -0,0 +1,178 @@
+"""What the home of an upstream knows and decides, without any I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from ..audit_kinds import AuditKind
+from ..wire.messages import Standing
+from .admission import ADMISSIONS
+from .ending import Ending
+from .evidence import ALARM_SCALE, Sample
+from .evidence_book import EvidenceBook
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..config.model import Service
+    from .work import Admission, Work
+
+_FIRST_AVOID_MS: Final = 100
+_MAX_AVOID_MS: Final = 3200
+_DRAIN_FORGOTTEN_MS: Final = 5000
+
+RecordChange = Callable[[AuditKind, str, str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnd:
+    """End of a run.
+
+    :param run_ms: time the upstream took, waits for the caller excluded.
+    :param avoid_ms: time for which it asked to be left alone.
+    """
+
+    operation: str
+    ending: Ending
+    run_ms: float
+    avoid_ms: int = 0
+
+
+class UpstreamState:
+    """Slots, queue, evidence and reachability of one upstream.
+
+    :param name: identity, ``vm/service``.
+    :param service: policy.
+    :param rng: source of randomness.
+    :param record: writes a change to the audit trail.
+    :param is_new: whether it has joined after this home has started.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: Service,
+        rng: Random,
+        record: RecordChange,
+        *,
+        is_new: bool = False,
+    ) -> None:
+        self.name = name
+        rule = ADMISSIONS.find(service.queue.admission).unwrap()
+        self.admission = rule(service, rng)
+        self._book = EvidenceBook(service, is_new=is_new)
+        self._record = record
+        self._avoid_until_ms: float = 0
+        self._avoid_ms = 0
+        self._draining_until_ms: float = 0
+        self._listed_leaving = False
+
+    def is_draining(self, now_ms: float) -> bool:
+        """Return whether the upstream takes no new work.
+
+        :param now_ms: monotonic time.
+        """
+        return self._listed_leaving or self._draining_until_ms > now_ms
+
+    def mark_listed_leaving(self, leaving: bool) -> bool:
+        """Take over what the platform's list says.
+
+        :param leaving: whether the VM is listed as leaving.
+        :returns: whether that is a change.
+        """
+        if leaving == self._listed_leaving:
+            return False
+        self._listed_leaving = leaving
+        if leaving:
+            self._record(
+                AuditKind.UPSTREAM_DRAINING, self.name, 'listed as leaving'
+            )
+        return True
+
+    def offer(self, work: Work, now_ms: float) -> Admission:
+        """Start, queue or refuse work.
+
+        :param now_ms: monotonic time.
+        """
+        return self.admission.offer(work, now_ms)
+
+    def finish(self, work: Work, end: RunEnd | None, now_ms: float) -> bool:
+        """Free the slot of a run that ended, and learn from it.
+
+        :param end: how it ended, or nothing if it was broken off.
+        :param now_ms: monotonic time.
+        :returns: whether the upstream has begun to drain.
+        """
+        is_success = end is not None and end.ending is Ending.SUCCEEDED
+        self.admission.finish(work, end.run_ms if end and is_success else None)
+        return False if end is None else self._learn(end, now_ms)
+
+    def standing(self, operation: str, now_ms: float) -> Standing:
+        """Return load and evidence, as told to entries.
+
+        :param operation: operation whose evidence is asked for.
+        :param now_ms: monotonic time.
+        """
+        summary = self._book.summary(operation, now_ms)
+        return Standing(
+            upstream=self.name,
+            operation=operation,
+            wait_ms=int(self.admission.expected_wait_ms(now_ms)),
+            run_ms=int(self.admission.short_run_ms()),
+            count=summary.count,
+            failures=round(summary.error_share * summary.count),
+            median_ms=int(summary.run_ms),
+            alarm=int(summary.alarm * ALARM_SCALE),
+            avoid_ms=max(0, int(self._avoid_until_ms - now_ms)),
+            draining=self.is_draining(now_ms),
+        )
+
+    def _learn(self, end: RunEnd, now_ms: float) -> bool:
+        match end.ending:
+            case Ending.SUCCEEDED | Ending.FAILED:
+                is_ok = end.ending is Ending.SUCCEEDED
+                sample = Sample(now_ms, is_ok, end.run_ms)
+                self._book.add(end.operation, sample)
+                self._note_reachable()
+            case Ending.CRASHED | Ending.UNREACHABLE:
+                self._note_unreachable(end.ending, now_ms)
+            case Ending.SHED:
+                self._avoid_until_ms = now_ms + end.avoid_ms
+            case Ending.DRAINING:
+                return self._note_draining(now_ms)
+        return False
+
+    def _note_reachable(self) -> None:
+        if not self._avoid_ms:
+            return
+        self._avoid_ms = 0
+        self._avoid_until_ms = 0
+        self._book.restart()
+        self._record(AuditKind.UPSTREAM_RESTARTED, self.name, 'answers again')
+
+    def _note_unreachable(self, ending: Ending, now_ms: float) -> None:
+        if not self._avoid_ms:
+            self._record(
+                AuditKind.UPSTREAM_UNREACHABLE,
+                self.name,
+                f'a request ended as {ending.value}',
+            )
+        if now_ms < self._avoid_until_ms:
+            return
+        doubled_ms = max(_FIRST_AVOID_MS, 2 * self._avoid_ms)
+        self._avoid_ms = min(_MAX_AVOID_MS, doubled_ms)
+        self._avoid_until_ms = now_ms + self._avoid_ms
+
+    def _note_draining(self, now_ms: float) -> bool:
+        was_draining = self.is_draining(now_ms)
+        self._draining_until_ms = now_ms + _DRAIN_FORGOTTEN_MS
+        if not was_draining:
+            self._record(
+                AuditKind.UPSTREAM_DRAINING, self.name, 'its own answer says so'
+            )
+        return not was_draining
+
+
+__all__ = ('RecordChange', 'RunEnd', 'UpstreamState')
--- /dev/null
+++ b/src/jackdawhead/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the decisions in virtual time against a recorded trace."""
--- /dev/null
+++ b/src/jackdawhead/replay/entries.py
@@ -0,0 +1,279 @@
+"""The entry side of a replay."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING, Final
+
+from ..outcome import Outcome
+from ..policy.detection import Health
+from ..policy.evidence import Sample
+from ..policy.loads import RoutingQuery, UpstreamLoad
+from ..policy.resend import AttemptEnd, is_resend_safe
+from ..policy.retries import backoff_ms
+from ..policy.service_router import Member, ServiceRouter
+from ..policy.work import Work
+from ..reasons import Reason
+from .homes import HomeAnswer, HomeJob, ReplayUpstream, Shared
+from .result import Finished, HealthyShare, SeenChange
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..config.model import Operation, Service
+    from ..trace.records import ArrivalRecord
+
+_OWN_ZONE_MS: Final = 0.5
+_OTHER_ZONE_MS: Final = 2.5
+_CUT_AVOID_MS: Final = 500
+
+_work_ids: Final = count(1)
+
+
+@dataclass(slots=True)
+class _Request:
+    """A caller's request on its way.
+
+    :param tried: upstreams it was sent to.
+    """
+
+    arrival: ArrivalRecord
+    router: ServiceRouter
+    operation: Operation
+    arrived_ms: float
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+
+    @property
+    def deadline_at_ms(self) -> float:
+        """Virtual time at which it is given up."""
+        return self.arrived_ms + self.operation.deadline_ms
+
+
+class ReplayEntry:
+    """One entry with the routing state that a live one would keep.
+
+    :param node: VM of the entry.
+    :param zone: its zone.
+    :param shared: time and result.
+    :param upstreams: homes' state of all upstreams, kept by the replay.
+    :param on_crash: tells the other entries of a crash.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        shared: Shared,
+        upstreams: dict[str, ReplayUpstream],
+        on_crash: Callable[[ReplayEntry, str, int, str], None],
+    ) -> None:
+        self.node = node
+        self._zone = zone
+        self._shared = shared
+        self._on_crash = on_crash
+        self._routers: dict[str, ServiceRouter] = {}
+        self._upstreams = upstreams
+        self._zones: dict[str, str] = {}
+        self._cut_homes: set[str] = set()
+
+    def add_service(self, service: Service) -> None:
+        """Route to a service from now on.
+
+        :param service: policy.
+        """
+        router = ServiceRouter(service, self._zone, self._shared.rng)
+        self._routers[service.name] = router
+
+    def replace_members(
+        self,
+        service: str,
+        members: tuple[Member, ...],
+    ) -> None:
+        """Take over a new list.
+
+        :param members: those that take new work.
+        """
+        self._zones.update({each.name: each.zone for each in members})
+        self._routers[service].replace_members(members)
+
+    def mark_path(self, home: str, *, is_up: bool) -> None:
+        """Take in that the way to a home is cut or whole.
+
+        :param home: VM of the home.
+        """
+        if is_up:
+            self._cut_homes.discard(home)
+        else:
+            self._cut_homes.add(home)
+
+    def note_crash(self, service: str, fingerprint: int, upstream: str) -> None:
+        """Take in a crash that another entry has seen."""
+        poison = self._routers[service].poison
+        now_ms = self._shared.timeline.now_ms
+        poison.note_crash(fingerprint, upstream, now_ms)
+
+    def tick(self) -> None:
+        """Judge the upstreams, as the live node does at regular times."""
+        now_ms = self._shared.timeline.now_ms
+        for router in self._routers.values():
+            changes = router.tick(now_ms)
+            for change in changes:
+                self._shared.result.changes.append(
+                    SeenChange(now_ms, self.node, change)
+                )
+            if changes:
+                self._note_share(router, now_ms)
+
+    def arrive(self, arrival: ArrivalRecord) -> None:
+        """Take a request.
+
+        :param arrival: as recorded.
+        """
+        router = self._routers[arrival.service]
+        operation = router.service.operations[arrival.operation]
+        router.budget.note_first_attempt()
+        now_ms = self._shared.timeline.now_ms
+        self._attempt(_Request(arrival, router, operation, now_ms))
+
+    def _attempt(self, request: _Request) -> None:
+        now_ms = self._shared.timeline.now_ms
+        request.attempts += 1
+        router = request.router
+        fingerprint = request.arrival.fingerprint
+        if router.poison.quarantined_ms(fingerprint, now_ms):
+            end = HomeAnswer(Outcome.NOT_RUN, Reason.QUARANTINED)
+            self._finish(request, end)
+            return
+        query = RoutingQuery(now_ms, frozenset(request.tried))
+        load = router.choose(request.operation.name, query)
+        if load is None:
+            end = HomeAnswer(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
+            self._finish(request, end)
+            return
+        request.tried.add(load.upstream)
+        self._send(request, load)
+
+    def _send(self, request: _Request, load: UpstreamLoad) -> None:
+        timeline = self._shared.timeline
+        if load.home in self._cut_homes:
+            until_ms = timeline.now_ms + _CUT_AVOID_MS
+            request.router.avoid_home(load.home, until_ms)
+            end = HomeAnswer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
+            self._end_attempt(request, end)
+            return
+        load.note_sent()
+        sent_ms = timeline.now_ms
+        upstream = self._upstreams[load.upstream]
+        hop_ms = self._hop_ms(load.upstream)
+        job = HomeJob(
+            self._work_of(request, sent_ms + hop_ms),
+            request.arrival.fingerprint,
+            request.attempts > 1,
+            lambda answer: timeline.after(
+                hop_ms,
+                lambda: self._receive(request, load, answer, sent_ms),
+            ),
+        )
+        timeline.after(hop_ms, lambda: upstream.submit(job))
+
+    def _receive(
+        self,
+        request: _Request,
+        load: UpstreamLoad,
+        answer: HomeAnswer,
+        sent_ms: float,
+    ) -> None:
+        now_ms = self._shared.timeline.now_ms
+        load.note_done()
+        name = request.operation.name
+        state = self._upstreams[load.upstream].state
+        request.router.note_standing(state.standing(name, now_ms), now_ms)
+        self._learn(request, load, answer, now_ms - sent_ms)
+        self._end_attempt(request, answer)
+
+    def _learn(
+        self,
+        request: _Request,
+        load: UpstreamLoad,
+        answer: HomeAnswer,
+        took_ms: float,
+    ) -> None:
+        router = request.router
+        fingerprint = request.arrival.fingerprint
+        if answer.is_good:
+            router.poison.note_success(fingerprint)
+        if answer.reason is Reason.UPSTREAM_CRASHED:
+            service = router.service.name
+            self.note_crash(service, fingerprint, load.upstream)
+            self._on_crash(self, service, fingerprint, load.upstream)
+        if answer.outcome is Outcome.NOT_RUN:
+            return
+        now_ms = self._shared.timeline.now_ms
+        sample = Sample(now_ms, answer.is_good, took_ms)
+        router.note_trial(load.upstream, request.operation.name, sample)
+
+    def _end_attempt(self, request: _Request, answer: HomeAnswer) -> None:
+        policy = request.router.service.retry
+        now_ms = self._shared.timeline.now_ms
+        may_resend = (
+            request.attempts < policy.max_attempts
+            and now_ms < request.deadline_at_ms
+            and is_resend_safe(
+                _end_of(answer), idempotent=request.operation.idempotent
+            )
+            and request.router.budget.try_spend()
+        )
+        if not may_resend:
+            self._finish(request, answer)
+            return
+        delay_ms = backoff_ms(policy, request.attempts, self._shared.rng)
+        self._shared.timeline.after(delay_ms, lambda: self._attempt(request))
+
+    def _finish(self, request: _Request, answer: HomeAnswer) -> None:
+        now_ms = self._shared.timeline.now_ms
+        spent_ms = now_ms - request.arrived_ms
+        self._shared.result.finished.append(
+            Finished(
+                request.router.service.name,
+                request.operation,
+                request.arrival.organisation,
+                request.arrived_ms,
+                now_ms,
+                max(0, spent_ms - answer.run_ms),
+                request.attempts,
+                answer.outcome,
+                answer.reason,
+                answer.is_good,
+            )
+        )
+
+    def _work_of(self, request: _Request, arrived_ms: float) -> Work:
+        return Work(
+            next(_work_ids),
+            request.operation.name,
+            request.operation.work_class,
+            request.arrival.organisation,
+            arrived_ms,
+            request.deadline_at_ms,
+        )
+
+    def _hop_ms(self, upstream: str) -> float:
+        is_own = self._zones.get(upstream) == self._zone
+        return _OWN_ZONE_MS if is_own else _OTHER_ZONE_MS
+
+    def _note_share(self, router: ServiceRouter, now_ms: float) -> None:
+        members = max(1, len(router.members))
+        share = router.count_of(Health.WELL) / members
+        self._shared.result.shares.append(
+            HealthyShare(now_ms, router.service.name, share)
+        )
+
+
+def _end_of(answer: HomeAnswer) -> AttemptEnd:
+    is_error = answer.reason is None and not answer.is_good
+    return AttemptEnd(answer.outcome, answer.reason, is_error)
+
+
+__all__ = ('ReplayEntry',)
--- /dev/null
+++ b/src/jackdawhead/replay/homes.py
@@ -0,0 +1,231 @@
+"""The home side of a replay."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from ..outcome import Outcome
+from ..policy.ending import Ending
+from ..policy.upstream_state import RunEnd, UpstreamState
+from ..policy.work import Verdict, Work
+from ..reasons import Reason
+from .behaviour import RecordedBehaviour, Run
+from .result import ReplayResult, Started
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..config.model import Service
+    from .timeline import Timeline
+
+_EXPIRE_MS: Final = 20
+_RESTART_MS: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class HomeAnswer:
+    """What a home answers.
+
+    :param reason: why there is no answer of the upstream, or nothing.
+    :param is_good: whether the upstream did the work.
+    :param run_ms: time the upstream took.
+    """
+
+    outcome: Outcome
+    reason: Reason | None
+    is_good: bool = False
+    run_ms: float = 0
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HomeJob:
+    """A request at a home.
+
+    :param answer: takes the answer.
+    """
+
+    work: Work
+    fingerprint: int
+    is_retry: bool
+    answer: Callable[[HomeAnswer], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """What all homes of a replay share.
+
+    :param trace_start_ms: time of the trace at virtual time 0.
+    """
+
+    timeline: Timeline
+    behaviour: RecordedBehaviour
+    result: ReplayResult
+    rng: Random
+    trace_start_ms: float
+
+
+@dataclass(slots=True)
+class _Running:
+    """A run in progress; crashes end all of an upstream."""
+
+    job: HomeJob
+    is_over: bool = field(default=False)
+
+
+class ReplayUpstream:
+    """One upstream with the state that its live home would keep.
+
+    :param name: identity.
+    :param service: policy.
+    :param shared: time, behaviour and result.
+    :param is_new: whether it joins during the replay.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: Service,
+        shared: Shared,
+        *,
+        is_new: bool,
+    ) -> None:
+        self.state = UpstreamState(
+            name, service, shared.rng, _ignore, is_new=is_new
+        )
+        self.is_cut = False
+        self._name = name
+        self._shared = shared
+        self._waiting: dict[int, HomeJob] = {}
+        self._running: dict[int, _Running] = {}
+        self._down_until_ms: float = 0
+        self._is_expiring = False
+
+    def submit(self, job: HomeJob) -> None:
+        """Take a request that arrives from an entry.
+
+        :param job: the request.
+        """
+        now_ms = self._shared.timeline.now_ms
+        if self.state.is_draining(now_ms):
+            job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DRAINING))
+            return
+        admission = self.state.offer(job.work, now_ms)
+        if admission.verdict is Verdict.START:
+            self._start(job)
+        elif admission.verdict is Verdict.WAIT:
+            self._waiting[job.work.work_id] = job
+            self._plan_expiry()
+        else:
+            job.answer(
+                HomeAnswer(
+                    Outcome.NOT_RUN,
+                    Reason.OVERLOADED,
+                    retry_after_ms=admission.retry_after_ms,
+                )
+            )
+
+    def leave(self) -> None:
+        """Take no new work, and give back what waits."""
+        self.state.mark_listed_leaving(True)
+        for work in self.state.admission.withdraw_all():
+            job = self._waiting.pop(work.work_id)
+            job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DRAINING))
+
+    def _start(self, job: HomeJob) -> None:
+        timeline = self._shared.timeline
+        run = self._run_of(job)
+        running = _Running(job)
+        self._running[job.work.work_id] = running
+        self._shared.result.started.append(
+            Started(
+                timeline.now_ms,
+                self._name,
+                job.work.operation,
+                job.fingerprint,
+                job.is_retry,
+                run.ending is Ending.CRASHED,
+            )
+        )
+        left_ms = max(0, job.work.deadline_at_ms - timeline.now_ms)
+        if run.run_ms > left_ms:
+            run = Run(Ending.FAILED, left_ms)
+        timeline.after(run.run_ms, lambda: self._end(running, run))
+
+    def _run_of(self, job: HomeJob) -> Run:
+        now_ms = self._shared.timeline.now_ms
+        if now_ms < self._down_until_ms:
+            return Run(Ending.UNREACHABLE, 1)
+        return self._shared.behaviour.run(
+            self._name,
+            job.work.operation,
+            job.fingerprint,
+            self._shared.trace_start_ms + now_ms,
+            self._shared.rng,
+        )
+
+    def _end(self, running: _Running, run: Run) -> None:
+        if running.is_over:
+            return
+        running.is_over = True
+        work = running.job.work
+        self._running.pop(work.work_id)
+        now_ms = self._shared.timeline.now_ms
+        end = RunEnd(work.operation, run.ending, run.run_ms)
+        self.state.finish(work, end, now_ms)
+        if run.ending is Ending.CRASHED:
+            self._crash(now_ms)
+        is_late = now_ms >= work.deadline_at_ms
+        running.job.answer(_answer_of(run, is_late=is_late))
+        self._start_waiting()
+
+    def _crash(self, now_ms: float) -> None:
+        self._down_until_ms = now_ms + _RESTART_MS
+        for other in tuple(self._running.values()):
+            self._end(other, Run(Ending.CRASHED, 1))
+
+    def _start_waiting(self) -> None:
+        while True:
+            work = self.state.admission.start_next(self._shared.timeline.now_ms)
+            if work is None:
+                return
+            self._start(self._waiting.pop(work.work_id))
+
+    def _plan_expiry(self) -> None:
+        if not self._is_expiring:
+            self._is_expiring = True
+            self._shared.timeline.after(_EXPIRE_MS, self._expire)
+
+    def _expire(self) -> None:
+        self._is_expiring = False
+        now_ms = self._shared.timeline.now_ms
+        for work in self.state.admission.expire(now_ms):
+            job = self._waiting.pop(work.work_id)
+            job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DEADLINE))
+        if self._waiting:
+            self._plan_expiry()
+
+
+def _answer_of(run: Run, *, is_late: bool) -> HomeAnswer:
+    match run.ending:
+        case Ending.SUCCEEDED:
+            return HomeAnswer(Outcome.RAN, None, True, run.run_ms)
+        case Ending.FAILED if is_late:
+            return HomeAnswer(Outcome.UNKNOWN, Reason.DEADLINE)
+        case Ending.FAILED:
+            return HomeAnswer(Outcome.RAN, None, False, run.run_ms)
+        case Ending.CRASHED:
+            return HomeAnswer(Outcome.UNKNOWN, Reason.UPSTREAM_CRASHED)
+        case Ending.UNREACHABLE:
+            return HomeAnswer(Outcome.NOT_RUN, Reason.UPSTREAM_UNREACHABLE)
+        case _:
+            return HomeAnswer(Outcome.NOT_RUN, Reason.UPSTREAM_REFUSED)
+
+
+def _ignore(*_: object) -> None:
+    """Take a change of state that only the live audit trail needs."""
+
+
+__all__ = ('HomeAnswer', 'HomeJob', 'ReplayUpstream', 'Shared')
--- /dev/null
+++ b/src/jackdawhead/trace/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded arrivals and outcomes."""
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -212,6 +212,7 @@
     :param count: outcomes that the evidence rests on.
     :param failures: how many of them are failures.
     :param median_ms: median run time of the successes, 0 if unknown.
+    :param alarm: evidence for failing, in hundredths.
     :param avoid_ms: time for which it cannot be reached, 0 if it can.
     """
 
@@ -222,6 +223,7 @@
     count: int
     failures: int
     median_ms: int
+    alarm: int
     avoid_ms: int
     draining: bool
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -62,6 +62,9 @@
     nodes: dict[str, NodeProcess] = field(default_factory=dict)
     upstreams: dict[str, UpstreamSpot] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
+    by_zone: dict[str, list[subprocess.Popen[bytes]]] = field(
+        default_factory=dict
+    )
     platform_port: int = 0
     platform_process: subprocess.Popen[bytes] | None = None
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
