--- /dev/null
+++ b/features/replay/decisions.feature
@@ -0,0 +1,96 @@
+Feature: Decisions meet their targets on recorded traces
+
+  The traces were recorded from stand-ins under the baseline rules. Each
+  decision is replayed with a baseline, which must miss a bound, and with the
+  rules that the site is configured with, which must meet all of them.
+
+  Scenario Outline: <site>: <trace> is not handled by <baseline>
+    When the trace "<trace>" of "<site>" is replayed with "<baseline>"
+    Then a bound is not met
+    When the trace "<trace>" of "<site>" is replayed with the rules of the site
+    Then all bounds are met
+
+    Examples: detection and ejection
+      | site     | trace         | baseline      |
+      | helvetia | gray-error    | detector=none |
+      | amakusa  | gray-error    | detector=none |
+      | helvetia | gray-slow     | detector=none |
+      | amakusa  | gray-slow     | detector=none |
+      | helvetia | one-operation | detector=none |
+      | amakusa  | one-operation | detector=none |
+      | helvetia | flapping      | detector=none |
+      | amakusa  | flapping      | detector=none |
+      | helvetia | two-together  | detector=none |
+      | amakusa  | two-together  | detector=none |
+
+    Examples: the crest of a demand swing
+      | site     | trace         | baseline       |
+      | helvetia | crest         | admission=fifo |
+      | amakusa  | crest         | admission=fifo |
+
+  Scenario Outline: <site>: nobody is ejected by mistake in <trace>
+    When the trace "<trace>" of "<site>" is replayed with the rules of the site
+    Then all bounds are met
+
+    Examples: days without a sick upstream
+      | site     | trace     |
+      | helvetia | steady    |
+      | amakusa  | steady    |
+      | helvetia | straggler |
+      | amakusa  | straggler |
+      | helvetia | swing     |
+      | amakusa  | swing     |
+      | helvetia | silent    |
+      | amakusa  | silent    |
+      | helvetia | poison    |
+      | amakusa  | poison    |
+      | helvetia | rolling   |
+      | amakusa  | rolling   |
+      | helvetia | zone-loss |
+      | amakusa  | zone-loss |
+      | helvetia | outage    |
+      | amakusa  | outage    |
+
+  Scenario Outline: <site>: short work does not wait behind <long>
+    When "long-work" of "<site>" is replayed with "admission=fifo" and without "<long>"
+    Then the p99 wait of "<short>" with "<long>" is above 1.2 times that without
+    When "long-work" of "<site>" is replayed with its rules and without "<long>"
+    Then the p99 wait of "<short>" with "<long>" is at most 1.2 times that without
+    When the trace "long-work" of "<site>" is replayed with the rules of the site
+    Then all bounds are met
+
+    Examples: a quick lookup beside long work at seven tenths of the capacity
+      | site     | long       | short   |
+      | helvetia | bundle     | balance |
+      | amakusa  | label-file | lookup  |
+
+  Scenario Outline: <site>: waits are shorter than with <balancer>
+    When the trace "swing" of "<site>" is replayed with "balancer=<balancer>"
+    And the p99 wait of its requests is noted
+    And the trace "swing" of "<site>" is replayed with the rules of the site
+    Then the p99 wait of its requests is below the noted one
+
+    Examples: baselines of the registry
+      | site     | balancer    |
+      | helvetia | round-robin |
+      | helvetia | random      |
+      | helvetia | two-choices |
+      | amakusa  | round-robin |
+      | amakusa  | random      |
+      | amakusa  | two-choices |
+
+  Scenario: Equal traces and seeds give equal bytes
+    When the command line replays "gray-error" of "helvetia" twice with seed 7
+    Then both outputs are equal and not empty
+
+  Scenario Outline: A faulty <what> is refused
+    When the command line replays with a faulty <what>
+    Then the exit code is 2
+    And the errors contain "<message>"
+    And no traceback is printed
+
+    Examples: input of an operator
+      | what         | message        |
+      | trace        | not a record   |
+      | expectation  | measure        |
+      | trace file   | cannot be read |
--- /dev/null
+++ b/features/steps/replay_steps.py
@@ -0,0 +1,225 @@
+"""Steps that replay traces."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from behave import then, when
+
+from features.steps.cli_steps import new_folder, run_command
+from jackdawhead.config.load import load_folder
+from jackdawhead.replay.engine import Replay, with_rules
+from jackdawhead.replay.expectations import judge, read_expectations
+from jackdawhead.replay.measures import MEASURES, Query
+from jackdawhead.trace.reader import read_trace, without_operations
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from jackdawhead.config.model import Config
+    from jackdawhead.replay.result import ReplayResult
+    from jackdawhead.trace.reader import Trace
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+_FEATURES = _ROOT / 'features'
+_SEED = 1
+
+
+def trace_path(site: str, name: str) -> Path:
+    """Return the file of a trace."""
+    return _FEATURES / 'traces' / f'{site}-{name}.jsonl.gz'
+
+
+def expectation_path(site: str, name: str) -> Path:
+    """Return the file of a trace's stated outcomes."""
+    return _FEATURES / 'expect' / f'{site}-{name}.yaml'
+
+
+def load_trace(site: str, name: str) -> Trace:
+    """Return a trace."""
+    return read_trace((trace_path(site, name),)).unwrap()
+
+
+def load_config(site: str, rule: str = '') -> Config:
+    """Return the configuration of a site, with one rule changed."""
+    config = load_folder(_ROOT / 'examples' / site).unwrap().config
+    if not rule:
+        return config
+    kind, _, name = rule.partition('=')
+    return with_rules(config, {kind: name})
+
+
+def replay(context: Context, site: str, name: str, rule: str) -> None:
+    """Replay a trace and judge it by its stated outcomes."""
+    expected = read_expectations(expectation_path(site, name)).unwrap()
+    config = load_config(site, rule)
+    context.result = Replay(config, load_trace(site, name), _SEED).run()
+    context.findings = judge(context.result, expected)
+
+
+@when('the trace "{name}" of "{site}" is replayed with "{rule}"')
+def replay_with(context: Context, name: str, site: str, rule: str) -> None:
+    """Replay with one rule changed."""
+    replay(context, site, name, rule)
+
+
+@when('the trace "{name}" of "{site}" is replayed with the rules of the site')
+def replay_site(context: Context, name: str, site: str) -> None:
+    """Replay as the site is configured."""
+    replay(context, site, name, '')
+
+
+@then('a bound is not met')
+def check_missed(context: Context) -> None:
+    """Look for a missed bound."""
+    assert not all(each.is_met for each in context.findings), context.findings
+
+
+@then('all bounds are met')
+def check_met(context: Context) -> None:
+    """Look for missed bounds."""
+    missed = [each for each in context.findings if not each.is_met]
+    assert not missed, missed
+
+
+@when('"{name}" of "{site}" is replayed with "{rule}" and without "{long}"')
+def replay_pair(
+    context: Context,
+    name: str,
+    site: str,
+    rule: str,
+    long: str,
+) -> None:
+    """Replay twice, the second time without an operation."""
+    trace = load_trace(site, name)
+    config = load_config(site, rule)
+    context.result = Replay(config, trace, _SEED).run()
+    alone = without_operations(trace, [long])
+    context.result_alone = Replay(config, alone, _SEED).run()
+
+
+@when('"{name}" of "{site}" is replayed with its rules and without "{long}"')
+def replay_site_pair(
+    context: Context,
+    name: str,
+    site: str,
+    long: str,
+) -> None:
+    """Replay twice as the site is configured."""
+    replay_pair(context, name, site, '', long)
+
+
+def wait_ratio(context: Context, short: str, long: str) -> float:
+    """Return the wait beside long work as a multiple of that without."""
+    long_service = next(
+        each.service
+        for each in context.result.finished
+        if each.operation.name == long
+    )
+    query = Query(service=long_service, operation=short, percentile=99)
+    beside = MEASURES['wait_ms'](context.result, query)
+    alone = MEASURES['wait_ms'](context.result_alone, query)
+    return beside / alone
+
+
+@then(
+    'the p99 wait of "{short}" with "{long}" is above {factor:f} times '
+    'that without'
+)
+def check_ratio_above(
+    context: Context,
+    short: str,
+    long: str,
+    factor: float,
+) -> None:
+    """Compare the waits."""
+    ratio = wait_ratio(context, short, long)
+    assert ratio > factor, ratio
+
+
+@then(
+    'the p99 wait of "{short}" with "{long}" is at most {factor:f} times '
+    'that without'
+)
+def check_ratio(
+    context: Context,
+    short: str,
+    long: str,
+    factor: float,
+) -> None:
+    """Compare the waits."""
+    ratio = wait_ratio(context, short, long)
+    assert ratio <= factor, ratio
+
+
+def wait_p99(result: ReplayResult) -> float:
+    """Return the p99 wait of all requests."""
+    return MEASURES['wait_ms'](result, replace(Query(), percentile=99))
+
+
+@when('the p99 wait of its requests is noted')
+def note_wait(context: Context) -> None:
+    """Keep the wait."""
+    context.noted_ms = wait_p99(context.result)
+
+
+@then('the p99 wait of its requests is below the noted one')
+def check_wait(context: Context) -> None:
+    """Compare with the wait that was kept."""
+    found_ms = wait_p99(context.result)
+    assert found_ms < context.noted_ms, (found_ms, context.noted_ms)
+
+
+@when('the command line replays "{name}" of "{site}" twice with seed {seed:d}')
+def replay_twice(context: Context, name: str, site: str, seed: int) -> None:
+    """Replay by the command line."""
+    context.outputs = []
+    for _ in range(2):
+        run_command(
+            context,
+            'replay',
+            str(trace_path(site, name)),
+            '--config',
+            str(_ROOT / 'examples' / site),
+            '--expect',
+            str(expectation_path(site, name)),
+            '--seed',
+            str(seed),
+            '--format',
+            'json',
+        )
+        context.outputs.append(context.output)
+
+
+@then('both outputs are equal and not empty')
+def check_equal(context: Context) -> None:
+    """Compare the outputs."""
+    assert context.outputs[0], context.errors
+    assert context.outputs[0] == context.outputs[1]
+
+
+@when('the command line replays with a faulty {what}')
+def replay_faulty(context: Context, what: str) -> None:
+    """Replay with one input out of order."""
+    folder = new_folder(context)
+    trace = trace_path('helvetia', 'steady')
+    expectation = expectation_path('helvetia', 'steady')
+    if what == 'trace':
+        trace = folder / 'trace.jsonl'
+        trace.write_text('["x",1]\n')
+    elif what == 'trace file':
+        trace = folder / 'none.jsonl'
+    else:
+        expectation = folder / 'expect.yaml'
+        expectation.write_text('expect: [{measure: guess, max: 1}]\n')
+    run_command(
+        context,
+        'replay',
+        str(trace),
+        '--config',
+        str(_ROOT / 'examples' / 'helvetia'),
+        '--expect',
+        str(expectation),
+    )
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -28,7 +28,8 @@
     'aging_ms': 1500,
 }
 _RETRY_DEFAULTS: Final = {
-    'budget_percent': 10,
+    'budget_percent': 8,
+    'redirect_percent': 20,
     'max_attempts': 3,
     'backoff_ms': 20,
 }
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -55,11 +55,14 @@
 class RetryPolicy:
     """Limits of resending.
 
-    :param budget_percent: retries allowed as a share of first attempts.
+    :param budget_percent: resends of work that may have run, as a share of
+        first attempts.
+    :param redirect_percent: the same for work that was refused unrun.
     :param max_attempts: attempts for one request, the first included.
     """
 
     budget_percent: int
+    redirect_percent: int
     max_attempts: int
     backoff_ms: int
 
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -62,6 +62,7 @@
 _RETRY: Final = _closed(
     {
         'budget_percent': _PERCENT,
+        'redirect_percent': _PERCENT,
         'max_attempts': _whole(1, 10),
         'backoff_ms': _whole(0, _DAY_MS),
     }
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -128,7 +128,12 @@
             if isinstance(answer, UpstreamAnswer):
                 answer.body.close()
             policy = call.router.service.retry
-            delay_ms = backoff_ms(policy, attempt_number, self._routing.rng)
+            delay_ms = backoff_ms(
+                policy,
+                attempt_number,
+                _end_of(answer).outcome,
+                self._routing.rng,
+            )
             gevent.sleep(seconds(delay_ms))
             attempt_number += 1
 
@@ -261,7 +266,7 @@
         idempotent = call.operation.idempotent
         if not is_resend_safe(_end_of(answer), idempotent=idempotent):
             return False
-        return call.router.budget.try_spend()
+        return call.router.budget.try_spend(_end_of(answer).outcome)
 
 
 def _end_of(answer: Answer) -> AttemptEnd:
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -11,7 +11,7 @@
 
 from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
-from ...policy.ending import Ending
+from ...policy.ending import Ending, ending_at_deadline
 from ...reasons import Reason
 from ...wire.messages import Body, Credit, Head, Message
 from ..credit import CHUNK_BYTES
@@ -30,6 +30,7 @@
 _MS_PER_S: Final = 1000
 _SILENCE_FACTOR: Final = 6
 _MIN_SILENCE_MS: Final = 250
+_LATE_MS: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +108,7 @@
         try:
             return self._attempt()
         except _DeadlineError:
-            return self._refused(Ending.FAILED, Reason.DEADLINE)
+            return self._refused(self._deadline_ending(), Reason.DEADLINE)
         finally:
             timeout.close()
 
@@ -152,8 +153,17 @@
             if not response.should_close():
                 stack.pop_all()
                 self._target.pool.release(connection)
-        is_ok = response.status_code < _SERVER_ERROR
-        return self._ended(Ending.SUCCEEDED if is_ok else Ending.FAILED, final)
+        return self._ended(self._ending_of(response), final)
+
+    def _ending_of(self, response: _Response) -> Ending:
+        if response.status_code < _SERVER_ERROR:
+            return Ending.SUCCEEDED
+        is_late = self._job.work.deadline_at_ms - monotonic_ms() < _LATE_MS
+        return self._deadline_ending() if is_late else Ending.FAILED
+
+    def _deadline_ending(self) -> Ending:
+        given_ms = self._job.work.deadline_at_ms - self._started_ms
+        return ending_at_deadline(given_ms, self._target.expected_ms)
 
     def _send(self, connection: Connection) -> None:
         submit = self._job.submit
--- a/src/jackdawhead/policy/admission.py
+++ b/src/jackdawhead/policy/admission.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from ..config.model import WorkClass
 from ..registry import Registry
+from .active_set import ActiveSet
 from .class_queue import ClassQueue
 from .run_times import RunTimes
 from .work import Admission, Verdict, Work
@@ -18,6 +20,9 @@
 
 _PERCENT: Final = 100
 _MIN_RETRY_AFTER_MS: Final = 50
+_WAIT_FACTOR: Final = 4
+_ACTIVE_MS: Final = 1000
+_HOPELESS_SHARE: Final = 0.8
 _START: Final = Admission(Verdict.START)
 _WAIT: Final = Admission(Verdict.WAIT)
 
@@ -33,6 +38,7 @@
         self._service = service
         self._rng = rng
         self._running: dict[int, Work] = {}
+        self._started_ms: dict[int, float] = {}
         self._running_long = 0
         self.run_times = RunTimes(service.operations)
 
@@ -41,6 +47,11 @@
         """Number of slots in use."""
         return len(self._running)
 
+    @property
+    def free(self) -> int:
+        """Number of slots that are free."""
+        return self._service.slots_per_upstream - len(self._running)
+
     @property
     @abstractmethod
     def waiting(self) -> int:
@@ -94,6 +105,7 @@
         """
         if self._running.pop(work.work_id, None) is None:
             return
+        self._started_ms.pop(work.work_id)
         if work.work_class is WorkClass.LONG:
             self._running_long -= 1
         if run_ms is not None:
@@ -111,13 +123,26 @@
             default=1,
         )
 
-    def _start(self, work: Work) -> None:
+    def mean_age_ms(self, now_ms: float) -> float:
+        """Return how long running short work has run so far, on average.
+
+        :param now_ms: monotonic time.
+        """
+        ages = [
+            now_ms - self._started_ms[work.work_id]
+            for work in self._running.values()
+            if work.work_class is WorkClass.SHORT
+        ]
+        return sum(ages) / len(ages) if ages else 0
+
+    def _start(self, work: Work, now_ms: float) -> None:
         self._running[work.work_id] = work
+        self._started_ms[work.work_id] = now_ms
         if work.work_class is WorkClass.LONG:
             self._running_long += 1
 
     def _has_free_slot(self) -> bool:
-        return len(self._running) < self._service.slots_per_upstream
+        return self.free > 0
 
 
 ADMISSIONS: Final[Registry[AdmissionRule]] = Registry('admission rule')
@@ -127,8 +152,10 @@
 class DeadlineAdmission(AdmissionRule):
     """Bounds the queue by time, and keeps slots free of long work.
 
-    Work whose expected wait exceeds the bound or its deadline is refused at
-    once. Short work overtakes long work, until the long work has aged.
+    Work whose expected wait exceeds its deadline is refused at once, and so
+    is work that would wait longer than the bound and a few of its run times.
+    Short work overtakes long work, and long work leaves a slot free, until
+    it has aged.
     """
 
     def __init__(self, service: Service, rng: Random) -> None:
@@ -138,84 +165,120 @@
         self._long_slots = max(1, min(int(slots * share), slots - 1))
         self._short = ClassQueue()
         self._long = ClassQueue()
+        self._dropped: list[Work] = []
+        self._active = ActiveSet(_ACTIVE_MS)
 
     @property
     def waiting(self) -> int:
-        return len(self._short) + len(self._long)
+        return len(self._short) + len(self._long) + len(self._dropped)
 
     def offer(self, work: Work, now_ms: float) -> Admission:
+        self._active.note(work.organisation, now_ms)
         queue = self._queue_of(work)
         if not queue and self._may_start(work):
-            self._start(work)
+            self._start(work, now_ms)
             return _START
         wait_ms = self._wait_of(work, queue)
         run_ms = self.run_times.expected_ms(work.operation)
         spare_ms = work.deadline_at_ms - now_ms - run_ms
-        if wait_ms > min(spare_ms, self._service.queue.max_wait_ms):
+        bound_ms = max(self._service.queue.max_wait_ms, _WAIT_FACTOR * run_ms)
+        if wait_ms > min(spare_ms, bound_ms):
             return Admission(Verdict.REFUSE, self._retry_after_ms(wait_ms))
         queue.append(work)
         return _WAIT
 
     def start_next(self, now_ms: float) -> Work | None:
-        if not self._has_free_slot():
-            return None
-        queue = self._next_queue(now_ms)
-        if queue is None:
-            return None
-        work = queue.pop()
-        self._start(work)
-        return work
+        while self._has_free_slot():
+            queue = self._next_queue(now_ms)
+            if queue is None:
+                return None
+            work = queue.pop()
+            if not self._is_hopeless(work, now_ms=now_ms):
+                self._start(work, now_ms)
+                return work
+            self._dropped.append(work)
+        return None
 
     def withdraw(self, work: Work) -> bool:
         return self._queue_of(work).remove(work)
 
     def withdraw_all(self) -> tuple[Work, ...]:
-        return self._short.drain() + self._long.drain()
+        dropped = tuple(self._dropped)
+        self._dropped.clear()
+        return dropped + self._short.drain() + self._long.drain()
 
     def expire(self, now_ms: float) -> tuple[Work, ...]:
-        return self._short.expire(now_ms) + self._long.expire(now_ms)
+        hopeless = partial(self._is_hopeless, now_ms=now_ms)
+        dropped = tuple(self._dropped)
+        self._dropped.clear()
+        found = self._short.remove_if(hopeless) + self._long.remove_if(hopeless)
+        return dropped + found
 
     def expected_wait_ms(self, now_ms: float) -> float:
         if self._has_free_slot():
             return 0
-        short_ms = self._typical_short_ms()
+        short_ms = self._typical_short_ms(now_ms)
         return (len(self._short) + 1) * short_ms / self._short_slots()
 
+    def _is_hopeless(self, work: Work, *, now_ms: float) -> bool:
+        """Return whether work can no longer be done in time."""
+        run_ms = self.run_times.expected_ms(work.operation)
+        return work.deadline_at_ms - now_ms < _HOPELESS_SHARE * run_ms
+
     def _queue_of(self, work: Work) -> ClassQueue:
         return self._long if work.work_class is WorkClass.LONG else self._short
 
     def _may_start(self, work: Work) -> bool:
-        if not self._has_free_slot():
-            return False
         if work.work_class is WorkClass.SHORT:
-            return True
-        return self._running_long < self._long_slots
+            return self.free > 0
+        return self._may_start_long(is_aged=False)
+
+    def _may_start_long(self, *, is_aged: bool) -> bool:
+        """Return whether long work may start.
+
+        Unless it has aged it leaves a slot free, so that the next short
+        work does not find all of them taken.
+        """
+        if self._running_long >= self._long_slots:
+            return False
+        spare = 0 if is_aged or self._service.slots_per_upstream == 1 else 1
+        return self.free > spare
 
     def _next_queue(self, now_ms: float) -> ClassQueue | None:
-        long_may_start = self._long and self._running_long < self._long_slots
-        if not long_may_start:
-            return self._short or None
-        if not self._short:
-            return self._long
         oldest = self._long.oldest()
-        aged_at_ms = now_ms - self._service.queue.aging_ms
-        if oldest is not None and oldest.arrived_at_ms <= aged_at_ms:
+        if oldest is None:
+            return self._short or None
+        waited_ms = now_ms - oldest.arrived_at_ms
+        is_aged = waited_ms >= self._service.queue.aging_ms
+        may_start = self._may_start_long(is_aged=is_aged)
+        if may_start and (is_aged or not self._short):
             return self._long
-        return self._short
+        return self._short or None
 
     def _wait_of(self, work: Work, queue: ClassQueue) -> float:
+        """Return the wait of new work when all active organisations queue.
+
+        Those that are active but have nothing waiting now may still take
+        their turns before it.
+        """
         own = queue.depth_of(work.organisation) + 1
-        rivals = queue.organisations + (own == 1)
-        ahead = min(len(queue) + 1, own * rivals)
+        rivals = self._active.count(work.arrived_at_ms)
+        ahead = own * max(1, rivals)
         run_ms = self.run_times.expected_ms(work.operation)
         if work.work_class is WorkClass.LONG:
             return ahead * run_ms / self._long_slots
+        run_ms = max(run_ms, self.mean_age_ms(work.arrived_at_ms))
         return ahead * run_ms / self._short_slots()
 
     def _short_slots(self) -> int:
         return max(1, self._service.slots_per_upstream - self._running_long)
 
-    def _typical_short_ms(self) -> float:
+    def _typical_short_ms(self, now_ms: float) -> float:
+        """Return the run time of short work, as far as it can be known now.
+
+        Work that has run for longer than it should shows that the average
+        is out of date, before it ends.
+        """
         shorts = [
             self.run_times.expected_ms(work.operation)
             for work in self._running.values()
@@ -223,7 +286,7 @@
         ]
         if not shorts:
             return self.short_run_ms()
-        return sum(shorts) / len(shorts)
+        return max(sum(shorts) / len(shorts), self.mean_age_ms(now_ms))
 
     def _retry_after_ms(self, wait_ms: float) -> int:
         base_ms = max(_MIN_RETRY_AFTER_MS, wait_ms)
@@ -244,7 +307,7 @@
 
     def offer(self, work: Work, now_ms: float) -> Admission:
         if self._has_free_slot() and not self._queue:
-            self._start(work)
+            self._start(work, now_ms)
             return _START
         self._queue[work.work_id] = work
         return _WAIT
@@ -253,7 +316,7 @@
         if not self._queue or not self._has_free_slot():
             return None
         work = self._queue.pop(next(iter(self._queue)))
-        self._start(work)
+        self._start(work, now_ms)
         return work
 
     def withdraw(self, work: Work) -> bool:
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from ..registry import Registry
@@ -14,6 +15,8 @@
 _ZONE_COST_MS: Final = 5.0
 _SAMPLE_SIZE: Final = 3
 _PAIR: Final = 2
+_BLUR: Final = 0.6
+_HALF: Final = 0.5
 
 
 class Balancer(ABC):
@@ -54,7 +57,7 @@
         rng: Random,
     ) -> UpstreamLoad | None:
         local = self._best(pool.local, query, rng)
-        if local is not None and not local.expected_wait_ms(query.now_ms):
+        if local is not None and local.is_idle():
             return local
         remote = self._best(pool.remote, query, rng)
         if remote is None or local is None:
@@ -70,7 +73,17 @@
         rng: Random,
     ) -> UpstreamLoad | None:
         drawn = sample(members, _SAMPLE_SIZE, query.tried, rng)
-        return least(drawn, lambda each: each.completion_ms(query.now_ms))
+        return least(drawn, partial(_blurred_ms, query.now_ms, rng))
+
+
+def _blurred_ms(now_ms: float, rng: Random, load: UpstreamLoad) -> float:
+    """Return the expected time, blurred by a share of the run time.
+
+    Without the blur, averages that differ by chance would leave the one of
+    the larger average without work, and so without evidence.
+    """
+    blur = _BLUR * (rng.random() - _HALF)
+    return load.completion_ms(now_ms) + blur * load.report.run_ms
 
 
 @BALANCERS.register('two-choices')
--- a/src/jackdawhead/policy/class_queue.py
+++ b/src/jackdawhead/policy/class_queue.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .work import Work
 
 
@@ -80,20 +82,23 @@
         self._count = 0
         return waiting
 
-    def expire(self, now_ms: float) -> tuple[Work, ...]:
-        """Remove and return the work whose deadline has passed.
+    def remove_if(
+        self,
+        condition: Callable[[Work], bool],
+    ) -> tuple[Work, ...]:
+        """Remove and return the work that meets a condition.
 
-        :param now_ms: monotonic time.
+        :param condition: takes one piece of work.
         """
-        expired = tuple(
+        found = tuple(
             work
             for queue in self._by_organisation.values()
             for work in queue
-            if work.deadline_at_ms <= now_ms
+            if condition(work)
         )
-        for work in expired:
+        for work in found:
             self.remove(work)
-        return expired
+        return found
 
 
 __all__ = ('ClassQueue',)
--- a/src/jackdawhead/policy/ending.py
+++ b/src/jackdawhead/policy/ending.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Final
+
+_FAIR_FACTOR: Final = 4
 
 
 class Ending(StrEnum):
-    """End of a run, as evidence about the upstream."""
+    """End of a run, as evidence about the upstream.
+
+    ``EXPIRED`` is a run that its deadline cut although it had not been
+    given the time that such work usually takes, so it says nothing.
+    """
 
     SUCCEEDED = 'succeeded'
     FAILED = 'failed'
@@ -15,6 +22,17 @@
     DRAINING = 'draining'
     UNREACHABLE = 'unreachable'
     CANCELLED = 'cancelled'
+    EXPIRED = 'expired'
+
+
+def ending_at_deadline(given_ms: float, expected_ms: float) -> Ending:
+    """Return how a run ended that was cut by its deadline.
+
+    :param given_ms: time that was left when it started.
+    :param expected_ms: time that such work usually takes.
+    """
+    is_fair = given_ms >= _FAIR_FACTOR * expected_ms
+    return Ending.FAILED if is_fair else Ending.EXPIRED
 
 
-__all__ = ('Ending',)
+__all__ = ('Ending', 'ending_at_deadline')
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -20,11 +20,13 @@
 
     :param wait_ms: expected wait of short work that arrives now.
     :param run_ms: average run time of short work.
+    :param free: slots that are free.
     """
 
     wait_ms: float
     run_ms: float
     slots: int
+    free: int
 
 
 @dataclass(slots=True)
@@ -60,14 +62,27 @@
         each_ms = report.run_ms / report.slots
         if now_ms - self.reported_at_ms > _REPORT_LIFE_MS:
             return max(0, self.in_flight + 1 - report.slots) * each_ms
+        surplus = self.sent_since_report + 1 - report.free
+        if report.free:
+            return max(0, surplus) * each_ms
         return report.wait_ms + self.sent_since_report * each_ms
 
+    def is_idle(self) -> bool:
+        """Return whether two slots are free or more, as far as is known."""
+        return self.report.free - self.sent_since_report > 1
+
     def completion_ms(self, now_ms: float) -> float:
         """Return the expected wait and run time of short work sent now.
 
+        The fewer slots are free, the likelier it is that another node takes
+        them meanwhile; that risk is counted as a share of a run.
+
         :param now_ms: monotonic time.
         """
-        return self.expected_wait_ms(now_ms) + self.report.run_ms
+        report = self.report
+        left = max(0, report.free - self.sent_since_report)
+        risk_ms = report.run_ms / (1 + left) ** 2
+        return self.expected_wait_ms(now_ms) + report.run_ms + risk_ms
 
     def note_sent(self) -> None:
         """Count a request sent to the upstream."""
--- a/src/jackdawhead/policy/peer_detector.py
+++ b/src/jackdawhead/policy/peer_detector.py
@@ -14,7 +14,7 @@
     Health,
     HealthChange,
 )
-from .ejection import Ejection
+from .ejection import Ejection, EjectionHistory
 from .evidence import EvidenceRing, Sample, Summary
 from .floor import ejection_limit
 from .suspicion import Norm, Suspicion, exceeds, norm_of, suspect
@@ -56,6 +56,7 @@
         }
         self._trials: dict[_Key, EvidenceRing] = {}
         self._ejections: dict[_Key, Ejection] = {}
+        self._histories: dict[str, EjectionHistory] = {}
         self._norms: dict[str, Norm] = {}
         self._changes: list[HealthChange] = []
 
@@ -68,6 +69,8 @@
             if key[0] not in upstreams:
                 self._ejections.pop(key)
                 self._trials.pop(key, None)
+        for gone in self._histories.keys() - upstreams:
+            self._histories.pop(gone)
 
     def report(
         self,
@@ -107,6 +110,7 @@
             name: norm_of(list(found.values()), self._policy.min_samples)
             for name, found in summaries.items()
         }
+        self._end_common_cause(now_ms)
         self._begin_trials(now_ms)
         self._judge_trials(now_ms)
         self._eject(self._suspects(summaries), now_ms)
@@ -124,6 +128,26 @@
             for operation, reports in self._reports.items()
         }
 
+    def _end_common_cause(self, now_ms: float) -> None:
+        """Let all serve while the whole service fails an operation.
+
+        What the peers share is no fault of one upstream, though some were
+        seen to fail a moment before the others.
+        """
+        failing = {
+            operation
+            for operation, norm in self._norms.items()
+            if norm.error_share * _PERCENT >= self._policy.error_percent
+        }
+        if not failing:
+            return
+        for key, ejection in self._ejections.items():
+            is_concerned = key[1] in failing or key[1] == ALL_OPERATIONS
+            if is_concerned and ejection.health is not Health.WELL:
+                ejection.restore(now_ms)
+                self._trials.pop(key, None)
+                self._note(key, Health.WELL, 'the whole service fails')
+
     def _begin_trials(self, now_ms: float) -> None:
         for key, ejection in self._ejections.items():
             is_due = ejection.until_ms <= now_ms
@@ -231,11 +255,24 @@
             if upstream not in off and len(off) >= limit:
                 continue
             off.add(upstream)
-            ejection = self._ejections.setdefault(key, Ejection(self._policy))
+            ejection = self._ejection_of(key)
             ejection.eject(now_ms, suspicion.severity, suspicion.cause)
             self._forget_reports(key)
             self._note(key, Health.EJECTED, suspicion.cause)
 
+    def _ejection_of(self, key: _Key) -> Ejection:
+        """Return the state of a key; that of a whole upstream replaces all."""
+        upstream, operation = key
+        if operation == ALL_OPERATIONS:
+            for other in tuple(self._ejections):
+                if other[0] == upstream and other != key:
+                    self._ejections.pop(other)
+                    self._trials.pop(other, None)
+        if key not in self._ejections:
+            history = self._histories.setdefault(upstream, EjectionHistory())
+            self._ejections[key] = Ejection(self._policy, history)
+        return self._ejections[key]
+
     def _keep_floor(self, now_ms: float) -> None:
         limit = ejection_limit(
             len(self._members),
--- a/src/jackdawhead/policy/run_times.py
+++ b/src/jackdawhead/policy/run_times.py
@@ -13,6 +13,9 @@
 class RunTimes:
     """Moving averages of run times, by operation.
 
+    The first run times count fully, so that the configured ones are left
+    behind at once.
+
     :param operations: the service's operations, whose expected times are
         used until real work has been seen.
     """
@@ -20,6 +23,7 @@
     def __init__(self, operations: dict[str, Operation]) -> None:
         self._operations = operations
         self._average_ms: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
 
     def expected_ms(self, operation: str) -> float:
         """Return the expected run time of an operation.
@@ -36,8 +40,11 @@
 
         :param run_ms: from the start of the run to its end.
         """
+        count = self._counts.get(operation, 0) + 1
+        self._counts[operation] = count
         before = self.expected_ms(operation)
-        self._average_ms[operation] = before + _WEIGHT * (run_ms - before)
+        weight = max(_WEIGHT, 1 / count)
+        self._average_ms[operation] = before + weight * (run_ms - before)
 
 
 __all__ = ('RunTimes',)
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -130,7 +130,9 @@
         if load is None:
             return
         slots = self.service.slots_per_upstream
-        report = LoadReport(standing.wait_ms, standing.run_ms, slots)
+        report = LoadReport(
+            standing.wait_ms, standing.run_ms, slots, standing.free
+        )
         load.note_report(report, now_ms)
         if standing.avoid_ms:
             load.avoid_until_ms = now_ms + standing.avoid_ms
@@ -206,10 +208,18 @@
         return changes
 
     def _new_load(self, member: Member) -> UpstreamLoad:
-        expected_ms = min(
-            each.expected_ms for each in self.service.operations.values()
+        """Return the load of an upstream of which nothing is known.
+
+        It counts as one slot that is no faster than the slowest upstream
+        known, so that its share grows with its own reports.
+        """
+        run_ms = max(
+            (load.report.run_ms for load in self._loads.values()),
+            default=min(
+                each.expected_ms for each in self.service.operations.values()
+            ),
         )
-        report = LoadReport(0, expected_ms, self.service.slots_per_upstream)
+        report = LoadReport(0, run_ms, 1, 1)
         return UpstreamLoad(member.name, member.zone, member.home, report)
 
     def _members_changed(self) -> None:
--- a/src/jackdawhead/policy/suspicion.py
+++ b/src/jackdawhead/policy/suspicion.py
@@ -12,7 +12,7 @@
 
 _PERCENT: Final = 100
 _MIN_EXCESS_MS: Final = 10.0
-_ALARM_LIMIT: Final = 11.0
+_ALARM_LIMIT: Final = 9.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -120,6 +120,7 @@
             upstream=self.name,
             operation=operation,
             wait_ms=int(self.admission.expected_wait_ms(now_ms)),
+            free=self.admission.free,
             run_ms=int(self.admission.short_run_ms()),
             count=summary.count,
             failures=round(summary.error_share * summary.count),
--- a/src/jackdawhead/replay/behaviour.py
+++ b/src/jackdawhead/replay/behaviour.py
@@ -15,9 +15,15 @@
 
     from ..trace.reader import Trace
 
-_NEAR: Final = 8
-_NEAR_MS: Final = 1000
+_NEAR: Final = 3
+_NEAR_MS: Final = 500
 _AWAY_MS: Final = 2000
+_SAYS_NOTHING: Final = frozenset(
+    (
+        Ending.CANCELLED.value,
+        Ending.EXPIRED.value,
+    )
+)
 _SURVIVED: Final = frozenset(
     (
         Ending.SUCCEEDED.value,
@@ -108,7 +114,7 @@
     An upstream that is away after a crash would not be away in a replay
     that avoids the crash.
     """
-    if record.ending == Ending.CANCELLED.value:
+    if record.ending in _SAYS_NOTHING:
         return True
     if crashed_at_ms is None or record.ending != Ending.UNREACHABLE.value:
         return False
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -223,12 +223,14 @@
             and is_resend_safe(
                 _end_of(answer), idempotent=request.operation.idempotent
             )
-            and request.router.budget.try_spend()
+            and request.router.budget.try_spend(answer.outcome)
         )
         if not may_resend:
             self._finish(request, answer)
             return
-        delay_ms = backoff_ms(policy, request.attempts, self._shared.rng)
+        delay_ms = backoff_ms(
+            policy, request.attempts, answer.outcome, self._shared.rng
+        )
         self._shared.timeline.after(delay_ms, lambda: self._attempt(request))
 
     def _finish(self, request: _Request, answer: HomeAnswer) -> None:
@@ -267,7 +269,7 @@
         members = max(1, len(router.members))
         share = router.count_of(Health.WELL) / members
         self._shared.result.shares.append(
-            HealthyShare(now_ms, router.service.name, share)
+            HealthyShare(now_ms, self.node, router.service.name, share)
         )
 
 
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..outcome import Outcome
-from ..policy.ending import Ending
+from ..policy.ending import Ending, ending_at_deadline
 from ..policy.upstream_state import RunEnd, UpstreamState
 from ..policy.work import Verdict, Work
 from ..reasons import Reason
@@ -151,7 +151,7 @@
         )
         left_ms = max(0, job.work.deadline_at_ms - timeline.now_ms)
         if run.run_ms > left_ms:
-            run = Run(Ending.FAILED, left_ms)
+            run = Run(self._deadline_ending(job.work, left_ms), left_ms)
         timeline.after(run.run_ms, lambda: self._end(running, run))
 
     def _run_of(self, job: HomeJob) -> Run:
@@ -166,6 +166,10 @@
             self._shared.rng,
         )
 
+    def _deadline_ending(self, work: Work, left_ms: float) -> Ending:
+        expected_ms = self.state.admission.run_times.expected_ms(work.operation)
+        return ending_at_deadline(left_ms, expected_ms)
+
     def _end(self, running: _Running, run: Run) -> None:
         if running.is_over:
             return
@@ -212,7 +216,7 @@
     match run.ending:
         case Ending.SUCCEEDED:
             return HomeAnswer(Outcome.RAN, None, True, run.run_ms)
-        case Ending.FAILED if is_late:
+        case Ending.FAILED | Ending.EXPIRED if is_late:
             return HomeAnswer(Outcome.UNKNOWN, Reason.DEADLINE)
         case Ending.FAILED:
             return HomeAnswer(Outcome.RAN, None, False, run.run_ms)
--- a/src/jackdawhead/replay/measures.py
+++ b/src/jackdawhead/replay/measures.py
@@ -183,6 +183,19 @@
     )
 
 
+@_measure('healthy_share')
+def healthy_share(result: ReplayResult, query: Query) -> float:
+    """Return the share of upstreams that were well at ``to_ms``.
+
+    It is the least that any entry saw.
+    """
+    latest: dict[str, float] = {}
+    for each in result.shares:
+        if query.service in {'', each.service} and each.at_ms < query.to_ms:
+            latest[each.node] = each.share
+    return min(latest.values(), default=1)
+
+
 @_measure('long_share')
 def long_share(result: ReplayResult, query: Query) -> float:
     """Return the share of long work that was answered well."""
--- a/src/jackdawhead/replay/result.py
+++ b/src/jackdawhead/replay/result.py
@@ -61,9 +61,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthyShare:
-    """Share of a service's upstreams that are well, after a change."""
+    """Share of a service's upstreams that an entry holds to be well."""
 
     at_ms: float
+    node: str
     service: str
     share: float
 
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -208,6 +208,7 @@
     """Load and evidence of an upstream; sent ahead of each answer.
 
     :param wait_ms: expected wait of short work that arrives now.
+    :param free: slots that are free.
     :param run_ms: average run time of its short work.
     :param count: outcomes that the evidence rests on.
     :param failures: how many of them are failures.
@@ -219,6 +220,7 @@
     upstream: str
     operation: str
     wait_ms: int
+    free: int
     run_ms: int
     count: int
     failures: int
