--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -29,7 +29,7 @@
 }
 _RETRY_DEFAULTS: Final = {
     'budget_percent': 8,
-    'redirect_percent': 20,
+    'redirect_percent': 50,
     'max_attempts': 3,
     'backoff_ms': 20,
 }
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -11,7 +11,7 @@
 from ..audit import AuditKind
 from ..clock import seconds
 from ..config.sources import SourceFile
-from ..policy.readers import is_reader
+from ..policy.readers import fallback_ms, is_reader
 
 if TYPE_CHECKING:
     from random import Random
@@ -22,7 +22,6 @@
 CONFIG_KEY: Final = 'config'
 VMS_KEY: Final = 'vms'
 _WATCH_MS: Final = 10_000
-_FALLBACK_MS: Final = 20_000
 _FIRST_BACKOFF_MS: Final = 200
 _MAX_BACKOFF_MS: Final = 5000
 
@@ -75,7 +74,7 @@
 
     def _run_once(self) -> None:
         if not self._is_reader():
-            self._sleep(_FALLBACK_MS)
+            self._sleep(fallback_ms(self._parts.board.vm_list.read()))
             self.read_once()
         elif not self.read_once(_WATCH_MS):
             self._sleep(self._backoff_ms)
--- a/src/jackdawhead/policy/readers.py
+++ b/src/jackdawhead/policy/readers.py
@@ -10,6 +10,8 @@
     from ..blackboard import VmList
 
 _READERS_PER_ZONE: Final = 2
+_LEAST_FALLBACK_MS: Final = 20_000
+_FALLBACK_PER_NODE_MS: Final = 1000
 
 
 def is_reader(own: str, zone: str, vm_list: VmList) -> bool:
@@ -33,8 +35,17 @@
     return heavier < _READERS_PER_ZONE
 
 
+def fallback_ms(vm_list: VmList) -> int:
+    """Return how long a node that is no reader waits between its calls.
+
+    The wait grows with the fleet, so that all these calls together do not.
+    """
+    nodes = sum(1 for vm in vm_list.vms.values() if vm.stream_port)
+    return max(_LEAST_FALLBACK_MS, nodes * _FALLBACK_PER_NODE_MS)
+
+
 def _weight(node: str) -> int:
     return xxhash.xxh3_64_intdigest(f'reader|{node}'.encode())
 
 
-__all__ = ('is_reader',)
+__all__ = ('fallback_ms', 'is_reader')
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -30,6 +30,7 @@
 _POLL_S: Final = 0.05
 _CALL_S: Final = 30.0
 _IP: Final = '127.0.0.1'
+_given_ports: Final[set[int]] = set()
 _ROOT: Final = Path(__file__).resolve().parent.parent
 
 
@@ -301,17 +302,23 @@
 
 
 def free_ports(count: int) -> tuple[int, ...]:
-    """Return ports that nobody listens on, outside the ephemeral range."""
+    """Return ports that nobody listens on, outside the ephemeral range.
+
+    None is given twice, since a process takes some time to listen.
+    """
     rng = SystemRandom()
-    found: set[int] = set()
+    found: list[int] = []
     while len(found) < count:
         port = rng.randint(*_PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((_IP, port))
             except OSError:
                 continue
-        found.add(port)
+        _given_ports.add(port)
+        found.append(port)
     return tuple(found)
 
 
