--- a/src/jackdawhead/node/entry/caller_watch.py
+++ b/src/jackdawhead/node/entry/caller_watch.py
@@ -35,7 +35,7 @@
 
     def check() -> None:
         watcher.stop()
-        if _has_hung_up(sock):
+        if has_hung_up(sock):
             greenlet.kill(CallerGoneError(), block=False)
 
     watcher.start(check)
@@ -46,7 +46,11 @@
         watcher.close()
 
 
-def _has_hung_up(sock: Socket) -> bool:
+def has_hung_up(sock: Socket) -> bool:
+    """Return whether the other side has closed a connection.
+
+    :param sock: the connection; nothing is taken out of it.
+    """
     timeout = sock.gettimeout()
     sock.settimeout(0)
     try:
@@ -59,4 +63,4 @@
         sock.settimeout(timeout)
 
 
-__all__ = ('CallerGoneError', 'watch_caller')
+__all__ = ('CallerGoneError', 'has_hung_up', 'watch_caller')
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -15,10 +15,11 @@
 from ...policy.resend import AttemptEnd, is_resend_safe
 from ...policy.retries import backoff_ms
 from ...reasons import Reason
-from ...wire.messages import Body, Head, Refusal, Submit
-from ..credit import CHUNK_BYTES
+from ...wire.messages import Head, Refusal, Submit
 from .answer_body import AnswerBody, CutAnswerError
 from .attempts import Attempt, Attempts
+from .body_pump import pump_body
+from .live_path import await_on_live_path
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
 
 if TYPE_CHECKING:
@@ -29,10 +30,8 @@
     from .routing import RoutingController
 
 _GRACE_MS: Final = 50
-_MIN_PATIENCE_MS: Final = 500
-_PATIENCE_FACTOR: Final = 8
-_SIGN_MS: Final = 250
-_SIGN_POLL_MS: Final = 10
+_SILENT: Final = Reason.PEER_SILENT.value
+_SAID_HERE: Final = frozenset((Reason.PEER_SILENT, Reason.BODY_CUT))
 _COME_BACK_MS: Final = 500
 _SERVER_ERROR: Final = 500
 _FAR_FUTURE_MS: Final = 3_600_000
@@ -219,15 +218,7 @@
         if isinstance(first, Head):
             return self._answer(call, attempt, first)
         _kill(pump)
-        if first is None:
-            self._attempts.cancel(attempt)
-            return Refused(Outcome.UNKNOWN, Reason.DEADLINE)
-        self._attempts.cancel(attempt)
-        return Refused(
-            Outcome(first.outcome),
-            Reason(first.reason),
-            first.retry_after_ms,
-        )
+        return self._refused(attempt, first)
 
     def _await_first(
         self,
@@ -235,18 +226,24 @@
         load: UpstreamLoad,
         attempt: Attempt,
     ) -> Head | Refusal | None:
-        """Wait for an answer; give up a silent path before the deadline."""
-        if call.operation.idempotent and call.request.last:
-            patience_ms = max(
-                _MIN_PATIENCE_MS, _PATIENCE_FACTOR * load.report.run_ms
-            )
-            first = attempt.first(min(patience_ms, call.left_ms()))
-            if first is not None:
-                return first
-            if call.left_ms() > 0 and not _is_heard(attempt):
-                self._routing.avoid(load.home)
-                return _peer_silent(attempt)
-        return attempt.first(call.left_ms() + _GRACE_MS)
+        left_ms = call.left_ms()
+        if not call.operation.idempotent or not call.request.last:
+            return attempt.first(left_ms + _GRACE_MS)
+        first = await_on_live_path(attempt, load.report.run_ms, left_ms)
+        if isinstance(first, Refusal) and first.reason == _SILENT:
+            self._routing.avoid(load.home)
+        return first
+
+    def _refused(self, attempt: Attempt, first: Refusal | None) -> Refused:
+        if first is None:
+            self._attempts.cancel(attempt)
+            return Refused(Outcome.UNKNOWN, Reason.DEADLINE)
+        reason = Reason(first.reason)
+        if reason in _SAID_HERE:
+            self._attempts.cancel(attempt)
+        else:
+            self._attempts.end(attempt)
+        return Refused(Outcome(first.outcome), reason, first.retry_after_ms)
 
     def _submit(
         self,
@@ -277,7 +274,7 @@
         )
         if request.last:
             return None
-        return gevent.spawn(_pump_body, request, attempt)
+        return gevent.spawn(pump_body, request, attempt)
 
     def _answer(self, call: _Call, attempt: Attempt, head: Head) -> Answer:
         body = AnswerBody(
@@ -325,24 +322,6 @@
         return call.router.budget.may_resend(end, attempt)
 
 
-def _is_heard(attempt: Attempt) -> bool:
-    """Ask the home for a sign of life and wait for it for a moment."""
-    channel = attempt.channel
-    asked_ms = monotonic_ms()
-    channel.ask_sign()
-    while channel.heard_at_ms < asked_ms:
-        if monotonic_ms() - asked_ms > _SIGN_MS:
-            return False
-        gevent.sleep(seconds(_SIGN_POLL_MS))
-    return True
-
-
-def _peer_silent(attempt: Attempt) -> Refusal:
-    return Refusal(
-        attempt.request_id, Outcome.UNKNOWN.value, Reason.PEER_SILENT.value, 0
-    )
-
-
 def _end_of(answer: Answer) -> AttemptEnd:
     if isinstance(answer, Refused):
         return AttemptEnd(answer.outcome, answer.reason)
@@ -358,28 +337,6 @@
     return answer.reason is Reason.PEER_UNREACHABLE
 
 
-def _pump_body(request: CallerRequest, attempt: Attempt) -> None:
-    last = False
-    while not last:
-        try:
-            chunk = request.read_body(CHUNK_BYTES)
-        except OSError:
-            attempt.deliver(_body_cut(attempt))
-            return
-        last = not chunk
-        attempt.body_credit.take(len(chunk))
-        attempt.channel.send(Body(attempt.request_id, chunk, last))
-
-
-def _body_cut(attempt: Attempt) -> Refusal:
-    return Refusal(
-        attempt.request_id,
-        Outcome.UNKNOWN.value,
-        Reason.BODY_CUT.value,
-        0,
-    )
-
-
 def _kill(greenlet: gevent.Greenlet | None) -> None:
     if greenlet is not None:
         greenlet.kill(block=False)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -20,6 +20,8 @@
 from jackdawhead.config.settings import Address
 from jackdawhead.node.http_server import QuickServer
 
+from .wsgi import send_json
+
 _IDLE_S: Final = 600
 _MS_PER_S: Final = 1000
 
@@ -50,10 +52,10 @@
             return self._control(path, environ, start)
         key = path.rpartition('/')[2]
         if key not in self._published:
-            return _json(start, '404 Not Found', {})
+            return send_json(start, '404 Not Found', {})
         self._reads[key] += 1
         if self._mode == 'down':
-            return _json(start, '503 Down', {})
+            return send_json(start, '503 Down', {})
         return self._read(key, parse_qs(environ['QUERY_STRING']), start)
 
     def _read(
@@ -70,7 +72,7 @@
             is_news = entry.version > after or self._mode == 'stale'
             if entry.version and is_news:
                 plain = {'version': entry.version, 'value': entry.value}
-                return _json(start, '200 OK', plain)
+                return send_json(start, '200 OK', plain)
             left_s = end - time.monotonic()
             if left_s <= 0:
                 start('204 No Content', [])
@@ -86,12 +88,12 @@
     ) -> Iterable[bytes]:
         action = path.rpartition('/')[2]
         if action == 'reads':
-            return _json(start, '200 OK', dict(self._reads))
+            return send_json(start, '200 OK', dict(self._reads))
         fields = json.loads(environ['wsgi.input'].read() or b'{}')
         if action == 'mode':
             self._set_mode(fields['mode'])
             self._lag_ms = fields.get('lag_ms', self._lag_ms)
-            return _json(start, '200 OK', {'mode': self._mode})
+            return send_json(start, '200 OK', {'mode': self._mode})
         return self._publish(fields, start)
 
     def _set_mode(self, mode: str) -> None:
@@ -110,14 +112,14 @@
         entry = self._published[fields['key']]
         expected = fields.get('expected_version', entry.version)
         if expected != entry.version:
-            return _json(start, '409 Conflict', {'version': entry.version})
+            return send_json(start, '409 Conflict', {'version': entry.version})
         delay_s = self._lag_ms / _MS_PER_S if fields['key'] == 'vms' else 0
         version = fields.get('version', entry.version + 1)
         if delay_s:
             gevent.spawn_later(delay_s, _set, entry, version, fields['value'])
         else:
             _set(entry, version, fields['value'])
-        return _json(start, '200 OK', {'version': version})
+        return send_json(start, '200 OK', {'version': version})
 
 
 def _set(entry: _Value, version: int, value: Any) -> None:
@@ -126,18 +128,6 @@
     entry.changed.set()
 
 
-def _json(start: Any, status: str, plain: Any) -> Iterable[bytes]:
-    body = json.dumps(plain).encode()
-    start(
-        status,
-        [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-        ],
-    )
-    return [body]
-
-
 def main() -> None:
     """Run the platform until it is ended."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,14 +19,15 @@
 from urllib.parse import parse_qs
 
 import gevent
-from gevent import socket
 from gevent.lock import Semaphore
 
 from jackdawhead.config.settings import Address
 from jackdawhead.memory import settle_memory
+from jackdawhead.node.entry.caller_watch import has_hung_up
 from jackdawhead.node.http_server import SOCKET_KEY, QuickServer
 
 from .behaviour import Behaviour
+from .wsgi import send_json
 
 _IDLE_S: Final = 600
 _SHED_FACTOR: Final = 4
@@ -95,12 +96,12 @@
         if path.startswith('/_control'):
             return self._control(environ, start)
         if path == '/health':
-            return _json(start, '200 OK', {'healthy': True})
+            return send_json(start, '200 OK', {'healthy': True})
         return self._work(environ, start)
 
     def _control(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         if environ['PATH_INFO'].endswith('/executed'):
-            return _json(
+            return send_json(
                 start, '200 OK', [asdict(each) for each in self.executed]
             )
         body = environ['wsgi.input'].read()
@@ -108,7 +109,7 @@
         self.behaviour.update(json.loads(body or b'{}'))
         if self.behaviour.silent and not was_silent:
             self._worked = set(self._sockets)
-        return _json(start, '200 OK', asdict(self.behaviour))
+        return send_json(start, '200 OK', asdict(self.behaviour))
 
     def _work(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         sock = environ[SOCKET_KEY]
@@ -142,10 +143,10 @@
         headers = [('X-Outcome', 'not-run'), ('Retry-After', '1')]
         if self.behaviour.draining:
             headers.append(('X-Draining', '1'))
-            return _json(start, '503 Draining', {}, headers)
+            return send_json(start, '503 Draining', {}, headers)
         is_full = self._active >= _SHED_FACTOR * self._slot_count
         if self.behaviour.shed or is_full:
-            return _json(start, '503 Shedding', {}, headers)
+            return send_json(start, '503 Shedding', {}, headers)
         return None
 
     def _run(
@@ -170,10 +171,10 @@
             return []
         if not is_whole or run_ms > deadline_ms:
             record.state = 'cancelled'
-            return _json(start, '504 Deadline', {})
+            return send_json(start, '504 Deadline', {})
         if self.behaviour.fails(record.path, self._rng):
             record.state = 'failed'
-            return _json(start, '500 Failed', {'upstream': self.name})
+            return send_json(start, '500 Failed', {'upstream': self.name})
         record.state = 'done'
         size = int(query.get('bytes', [self.behaviour.answer_bytes])[0])
         return self._answer(environ, start, record, body, size)
@@ -194,7 +195,7 @@
             'deadline_ms': environ.get('HTTP_X_DEADLINE_MS', ''),
         }
         if not size:
-            return _json(start, '200 OK', plain)
+            return send_json(start, '200 OK', plain)
         start('200 OK', [('Content-Length', str(size))])
         return _filling(size)
 
@@ -225,23 +226,10 @@
         if left_s <= 0:
             return True
         gevent.sleep(min(left_s, _POLL_S))
-        if left_s > _POLL_S and _is_closed(sock):
+        if left_s > _POLL_S and has_hung_up(sock):
             return False
 
 
-def _is_closed(sock: Any) -> bool:
-    timeout = sock.gettimeout()
-    sock.settimeout(0)
-    try:
-        return not sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        sock.settimeout(timeout)
-
-
 def _reset(sock: Any) -> None:
     try:
         sock.setsockopt(
@@ -262,24 +250,6 @@
         size -= _CHUNK_BYTES
 
 
-def _json(
-    start: Any,
-    status: str,
-    plain: Any,
-    headers: Iterable[tuple[str, str]] = (),
-) -> Iterable[bytes]:
-    body = json.dumps(plain).encode()
-    start(
-        status,
-        [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-            *headers,
-        ],
-    )
-    return [body]
-
-
 def main() -> None:
     """Run the upstreams named on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
