Second copies of slow idempotent work, within the retry budget

Cause: 2 % of runs take eight times as long, and a caller waited for them.

Change: after four run times and the expected wait a second copy goes to another upstream; the first good answer wins, the other copy is cancelled up to its upstream.

A cancelled run now counts as a run time of at least its length, unless it was on a pooled connection that may be silent. The feature for silent connections found that second copies close them before they are condemned; it now has a scenario for each case.

--- a/features/path/silent.feature
+++ b/features/path/silent.feature
@@ -6,5 +6,21 @@
     And upstream 2 stops answering on its open connections
     And callers send 100 lookups to all nodes
     Then every lookup has the whole answer to its own request
-    And node 2 records "connection-condemned" in its audit trail
     And no node ejects an upstream
+
+  Scenario: A silent connection is condemned when its upstream is the only one
+    Given a fleet of 1 nodes before "registry-desk"
+    When callers send 60 lookups to all nodes
+    And upstream 1 stops answering on its open connections
+    And callers send 60 lookups to all nodes
+    Then every lookup has the whole answer to its own request
+    And node 1 records "connection-condemned" in its audit trail
+    And no node ejects an upstream
+
+  Scenario: The slow copy of a request is overtaken and cancelled
+    Given a fleet of 3 nodes before "registry-desk"
+    When callers send 30 lookups to all nodes
+    And upstream 1 changes to "slow_factor" of "60"
+    And callers send 60 lookups to all nodes
+    Then every lookup has the whole answer to its own request
+    And upstream 1 records "cancelled" work
--- a/features/replay/decisions.feature
+++ b/features/replay/decisions.feature
@@ -88,6 +88,18 @@
       | amakusa  | random      |
       | amakusa  | two-choices |
 
+  Scenario Outline: <site>: a second copy overtakes a straggler
+    When the trace "straggler" of "<site>" is replayed without resends
+    And the p99 time of short work is noted
+    And the trace "straggler" of "<site>" is replayed with the rules of the site
+    Then the p99 time of short work is below the noted one
+    And attempts are at most 1.1 times the requests
+
+    Examples: both sites
+      | site     |
+      | helvetia |
+      | amakusa  |
+
   Scenario: Equal traces and seeds give equal bytes
     When the command line replays "gray-error" of "helvetia" twice with seed 7
     Then both outputs are equal and not empty
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -215,6 +215,31 @@
         context.fleet.control(upstream, **{name: json.loads(text)})
 
 
+@when('upstream {position:d} changes to "{name}" of "{text}"')
+def change_upstream(
+    context: Context,
+    position: int,
+    name: str,
+    text: str,
+) -> None:
+    """Change how one upstream behaves."""
+    upstream = list(context.fleet.upstreams)[position - 1]
+    context.fleet.control(upstream, **{name: json.loads(text)})
+
+
+@then('upstream {position:d} records "{state}" work')
+def check_state(context: Context, position: int, state: str) -> None:
+    """Wait for work in a state."""
+    upstream = list(context.fleet.upstreams)[position - 1]
+    wait_until(
+        lambda: any(
+            each['upstream'] == upstream and each['state'] == state
+            for each in context.fleet.executed()
+        ),
+        f'{state} at {upstream}',
+    )
+
+
 @when('upstream {position:d} stops answering on its open connections')
 def silence_upstream(context: Context, position: int) -> None:
     """Let what stands between forget the open connections."""
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -201,6 +202,44 @@
     assert any(found < noted for found, noted in pairs), pairs
 
 
+@when('the trace "{name}" of "{site}" is replayed without resends')
+def replay_without_resends(context: Context, name: str, site: str) -> None:
+    """Replay with an empty budget, which leaves second copies out too."""
+    config = load_config(site)
+    services = {
+        each.name: replace(each, retry=replace(each.retry, budget_percent=0))
+        for each in config.services.values()
+    }
+    without = replace(config, services=services)
+    context.result = Replay(without, load_trace(site, name), _SEED).run()
+
+
+def short_p99(result: ReplayResult) -> float:
+    """Return the p99 time of short work."""
+    query = Query(work_class='short', percentile=99)
+    return MEASURES['latency_ms'](result, query)
+
+
+@when('the p99 time of short work is noted')
+def note_short(context: Context) -> None:
+    """Keep the time."""
+    context.noted_ms = short_p99(context.result)
+
+
+@then('the p99 time of short work is below the noted one')
+def check_short(context: Context) -> None:
+    """Compare with the time that was kept."""
+    found_ms = short_p99(context.result)
+    assert found_ms < context.noted_ms, (found_ms, context.noted_ms)
+
+
+@then('attempts are at most {factor:f} times the requests')
+def check_attempts(context: Context, factor: float) -> None:
+    """Compare the number of attempts with the budget's promise."""
+    found = MEASURES['attempts_per_request'](context.result, Query())
+    assert found <= factor, found
+
+
 @when('the command line replays "{name}" of "{site}" twice with seed {seed:d}')
 def replay_twice(context: Context, name: str, site: str, seed: int) -> None:
     """Replay by the command line."""
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -7,7 +7,7 @@
 
 from gevent.queue import Empty, SimpleQueue
 
-from ...clock import seconds
+from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
 from ...reasons import Reason
 from ...wire.messages import (
@@ -39,13 +39,20 @@
 
     :param request_id: minted for this attempt, never used again.
     :param channel: way to the home.
+    :param twin: another attempt of the same request, whose answers come in
+        at the same place.
     """
 
-    def __init__(self, request_id: int, channel: Channel) -> None:
+    def __init__(
+        self,
+        request_id: int,
+        channel: Channel,
+        twin: Attempt | None = None,
+    ) -> None:
         self.request_id = request_id
         self.channel = channel
         self.body_credit = CreditGate()
-        self._inbox: SimpleQueue = SimpleQueue()
+        self._inbox: SimpleQueue = twin._inbox if twin else SimpleQueue()
 
     def deliver(self, message: Message) -> None:
         """Take in a message of the home.
@@ -58,7 +65,18 @@
             self._inbox.put(message)
 
     def first(self, timeout_ms: float) -> Head | Refusal | None:
-        """Return the head or the refusal, or nothing when time is up.
+        """Return the next message of this attempt, or nothing in time.
+
+        :param timeout_ms: longest wait.
+        """
+        ends_ms = monotonic_ms() + timeout_ms
+        message = self.any_first(timeout_ms)
+        while message is not None and message.request_id != self.request_id:
+            message = self.any_first(ends_ms - monotonic_ms())
+        return message
+
+    def any_first(self, timeout_ms: float) -> Head | Refusal | None:
+        """Return the next message of this attempt or its twin.
 
         :param timeout_ms: longest wait.
         """
@@ -83,12 +101,17 @@
         """Return the number of attempts that are not over."""
         return len(self._waiting)
 
-    def begin(self, channel: Channel) -> Attempt:
+    def begin(
+        self,
+        channel: Channel,
+        twin: Attempt | None = None,
+    ) -> Attempt:
         """Return a new attempt with an id of its own.
 
         :param channel: way to the home.
+        :param twin: another attempt of the same request.
         """
-        attempt = Attempt(next(self._ids), channel)
+        attempt = Attempt(next(self._ids), channel, twin)
         self._waiting[attempt.request_id] = attempt
         return attempt
 
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -10,6 +10,7 @@
 from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
 from ...policy.evidence import Sample
+from ...policy.hedging import hedge_after_ms
 from ...policy.loads import RoutingQuery, UpstreamLoad
 from ...policy.poison import fingerprint_of
 from ...policy.resend import AttemptEnd, is_resend_safe
@@ -20,6 +21,7 @@
 from .attempts import Attempt, Attempts
 from .body_pump import pump_body
 from .live_path import await_on_live_path
+from .race import Copy, Heard, race
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
 
 if TYPE_CHECKING:
@@ -42,6 +44,7 @@
     """A request with what was decided about it.
 
     :param deadline_at_ms: monotonic time.
+    :param tried: upstreams it was sent to.
     """
 
     request: CallerRequest
@@ -49,6 +52,7 @@
     operation: Operation
     fingerprint: int
     deadline_at_ms: float
+    tried: set[str] = field(default_factory=set)
 
     def left_ms(self) -> float:
         """Return the time left."""
@@ -122,10 +126,9 @@
 
     def _send(self, call: _Call) -> Answer:
         call.router.budget.note_first_attempt()
-        tried: set[str] = set()
         attempt_number = 1
         while True:
-            answer = self._attempt(call, tried, attempt_number)
+            answer = self._attempt(call, attempt_number)
             if not self._may_resend(call, answer, attempt_number):
                 return answer
             if isinstance(answer, UpstreamAnswer):
@@ -140,12 +143,7 @@
             gevent.sleep(seconds(delay_ms))
             attempt_number += 1
 
-    def _attempt(
-        self,
-        call: _Call,
-        tried: set[str],
-        attempt_number: int,
-    ) -> Answer:
+    def _attempt(self, call: _Call, attempt_number: int) -> Answer:
         now_ms = monotonic_ms()
         quarantined_ms = call.router.poison.quarantined_ms(
             call.fingerprint,
@@ -157,7 +155,7 @@
                 Reason.QUARANTINED,
                 quarantined_ms,
             )
-        query = RoutingQuery(now_ms, frozenset(tried))
+        query = RoutingQuery(now_ms, frozenset(call.tried))
         load = call.router.choose(call.operation.name, query)
         if load is None:
             return Refused(
@@ -165,8 +163,8 @@
                 Reason.NO_UPSTREAM,
                 call.router.service.retry.backoff_ms,
             )
-        tried.add(load.upstream)
-        has_others = len(tried) < len(call.router.members)
+        call.tried.add(load.upstream)
+        has_others = len(call.tried) < len(call.router.members)
         return self._attempt_at(
             call, load, attempt_number, has_others=has_others
         )
@@ -208,31 +206,69 @@
         attempt = self._attempts.begin(channel)
         started_ms = monotonic_ms()
         pump = self._submit(call, load, attempt, may_wait=may_wait)
+        copy = Copy(attempt, load)
         try:
-            first = self._await_first(call, load, attempt)
+            heard = self._await_first(call, copy)
         except BaseException:
             self._attempts.cancel(attempt)
             _kill(pump)
             raise
-        self._learn(call, load, first, monotonic_ms() - started_ms)
-        if isinstance(first, Head):
-            return self._answer(call, attempt, first)
+        self._learn(call, heard, monotonic_ms() - started_ms)
+        if isinstance(heard.first, Head):
+            return self._answer(call, heard.copy.attempt, heard.first)
         _kill(pump)
-        return self._refused(attempt, first)
+        return self._refused(heard.copy.attempt, heard.first)
 
-    def _await_first(
-        self,
-        call: _Call,
-        load: UpstreamLoad,
-        attempt: Attempt,
-    ) -> Head | Refusal | None:
-        left_ms = call.left_ms()
+    def _await_first(self, call: _Call, copy: Copy) -> Heard:
+        attempt = copy.attempt
         if not call.operation.idempotent or not call.request.last:
-            return attempt.first(left_ms + _GRACE_MS)
-        first = await_on_live_path(attempt, load.report.run_ms, left_ms)
+            return Heard(copy, attempt.first(call.left_ms() + _GRACE_MS))
+        hedge_ms = hedge_after_ms(call.operation, copy.load, monotonic_ms())
+        if hedge_ms is not None:
+            first = attempt.first(min(hedge_ms, call.left_ms()))
+            if first is not None:
+                return Heard(copy, first)
+            heard = self._hedge(call, copy)
+            if heard is not None:
+                return heard
+        return self._await_live(call, copy)
+
+    def _await_live(self, call: _Call, copy: Copy) -> Heard:
+        first = await_on_live_path(
+            copy.attempt, copy.load.report.run_ms, call.left_ms()
+        )
         if isinstance(first, Refusal) and first.reason == _SILENT:
-            self._routing.avoid(load.home)
-        return first
+            self._routing.avoid(copy.load.home)
+        return Heard(copy, first)
+
+    def _hedge(self, call: _Call, copy: Copy) -> Heard | None:
+        """Send a second copy and return the better answer, if one may."""
+        load = self._hedge_target(call)
+        channel = self._channels.to(load.home) if load else None
+        if load is None or channel is None:
+            return None
+        call.tried.add(load.upstream)
+        twin = self._attempts.begin(channel, copy.attempt)
+        load.note_sent()
+        try:
+            self._submit(call, load, twin, may_wait=True)
+            return race(
+                self._attempts, (copy, Copy(twin, load)), call.left_ms()
+            )
+        except BaseException:
+            self._attempts.cancel(twin)
+            raise
+        finally:
+            load.note_done()
+
+    def _hedge_target(self, call: _Call) -> UpstreamLoad | None:
+        has_others = len(call.tried) < len(call.router.members)
+        if not has_others or call.left_ms() <= 0:
+            return None
+        if not call.router.budget.may_hedge():
+            return None
+        query = RoutingQuery(monotonic_ms(), frozenset(call.tried))
+        return call.router.choose(call.operation.name, query)
 
     def _refused(self, attempt: Attempt, first: Refusal | None) -> Refused:
         if first is None:
@@ -289,13 +325,9 @@
             return Refused(Outcome.UNKNOWN, Reason.ANSWER_CUT)
         return UpstreamAnswer(head.status, head.headers, head.body_bytes, body)
 
-    def _learn(
-        self,
-        call: _Call,
-        load: UpstreamLoad,
-        first: Head | Refusal | None,
-        took_ms: float,
-    ) -> None:
+    def _learn(self, call: _Call, heard: Heard, took_ms: float) -> None:
+        first = heard.first
+        load = heard.copy.load
         is_ok = isinstance(first, Head) and first.status < _SERVER_ERROR
         if is_ok:
             call.router.poison.note_success(call.fingerprint)
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -169,6 +169,7 @@
             self._start_waiting()
             return
         job.running = True
+        job.started_ms = monotonic_ms()
         ended: Ended | None = None
         try:
             ended = Execution(job, self._target(job)).run()
@@ -188,7 +189,9 @@
     def _finish(self, job: Job, ended: Ended | None) -> None:
         """Free the slot, then deliver the end with the latest evidence."""
         if ended is None:
-            self._state.finish(job.work, None, monotonic_ms())
+            now_ms = monotonic_ms()
+            ran_ms = now_ms - job.started_ms if job.has_sign else 0
+            self._state.cancel_running(job.work, ran_ms, now_ms)
             job.deliver(job.refusal(Outcome.UNKNOWN, Reason.CANCELLED))
         else:
             self._learn(job, ended)
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -91,6 +91,10 @@
             return False
         return self._try_spend(end.outcome)
 
+    def may_hedge(self) -> bool:
+        """Take a token for a second copy; return whether there was one."""
+        return self._try_spend(Outcome.UNKNOWN)
+
     def _try_spend(self, outcome: Outcome) -> bool:
         if outcome is Outcome.NOT_RUN:
             is_allowed = self._redirects >= 1
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -22,6 +22,7 @@
 _FIRST_AVOID_MS: Final = 100
 _MAX_AVOID_MS: Final = 3200
 _DRAIN_FORGOTTEN_MS: Final = 5000
+_SLOW_FACTOR: Final = 2
 
 RecordChange = Callable[[AuditKind, str, str], None]
 
@@ -109,6 +110,25 @@
         self.admission.finish(work, end.run_ms if end and is_success else None)
         return False if end is None else self._learn(end, now_ms)
 
+    def cancel_running(self, work: Work, ran_ms: float, now_ms: float) -> None:
+        """Free the slot of a run that was broken off.
+
+        A run that had already taken longer than the median is taken in as
+        a run time of at least that length; a shorter one says nothing.
+
+        :param ran_ms: time it had run, 0 if that may not be the upstream's
+            doing, for example on a connection that may be silent.
+        :param now_ms: monotonic time.
+        """
+        usual_ms = self._book.summary(work.operation, now_ms).run_ms
+        if not usual_ms:
+            run_times = self.admission.run_times
+            usual_ms = _SLOW_FACTOR * run_times.expected_ms(work.operation)
+        is_slow = ran_ms >= usual_ms
+        self.admission.finish(work, ran_ms if is_slow else None)
+        if is_slow:
+            self._book.add(work.operation, Sample(now_ms, True, ran_ms))
+
     def standing(self, operation: str, now_ms: float) -> Standing:
         """Return load and evidence, as told to entries.
 
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -9,6 +9,7 @@
 from ..outcome import Outcome
 from ..policy.detection import Health
 from ..policy.evidence import Sample
+from ..policy.hedging import hedge_after_ms
 from ..policy.loads import RoutingQuery, UpstreamLoad
 from ..policy.resend import AttemptEnd, is_resend_safe
 from ..policy.retries import backoff_ms
@@ -31,12 +32,26 @@
 _work_ids: Final = count(1)
 
 
+@dataclass(slots=True, eq=False)
+class _Copy:
+    """One sending of a request.
+
+    :param load: upstream it was sent to.
+    """
+
+    load: UpstreamLoad
+    sent_ms: float
+    job: HomeJob | None = None
+
+
 @dataclass(slots=True)
 class _Request:
     """A caller's request on its way.
 
     :param tried: upstreams it was sent to.
+    :param hedges: second copies that were sent.
     :param is_reserved: whether a busy home shall refuse it.
+    :param copies: sendings that are not answered yet.
     """
 
     arrival: ArrivalRecord
@@ -45,7 +60,9 @@
     arrived_ms: float
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
+    hedges: int = 0
     is_reserved: bool = False
+    copies: list[_Copy] = field(default_factory=list)
 
     @property
     def deadline_at_ms(self) -> float:
@@ -165,40 +182,100 @@
             end = HomeAnswer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
             self._end_attempt(request, end)
             return
-        load.note_sent()
         request.is_reserved = request.router.budget.reserve_redirect(
             request.attempts,
             request.operation.work_class,
             has_others=len(request.tried) < len(request.router.members),
         )
-        sent_ms = timeline.now_ms
+        copy = self._send_copy(request, load)
+        hedge_ms = hedge_after_ms(request.operation, load, timeline.now_ms)
+        if hedge_ms is not None:
+            timeline.after(hedge_ms, lambda: self._hedge(request, copy))
+
+    def _send_copy(self, request: _Request, load: UpstreamLoad) -> _Copy:
+        timeline = self._shared.timeline
+        load.note_sent()
+        copy = _Copy(load, timeline.now_ms)
+        request.copies.append(copy)
         upstream = self._upstreams[load.upstream]
         hop_ms = self._hop_ms(load.upstream)
         job = HomeJob(
-            self._work_of(request, sent_ms + hop_ms),
+            self._work_of(request, copy.sent_ms + hop_ms),
             request.arrival.fingerprint,
-            request.attempts > 1,
+            request.attempts > 1 or len(request.copies) > 1,
             lambda answer: timeline.after(
-                hop_ms,
-                lambda: self._receive(request, load, answer, sent_ms),
+                hop_ms, lambda: self._receive(request, copy, answer)
             ),
         )
-        timeline.after(hop_ms, lambda: upstream.submit(job))
+        copy.job = job
+        timeline.after(hop_ms, lambda: self._arrive_at(upstream, copy))
+        return copy
+
+    def _arrive_at(self, upstream: ReplayUpstream, copy: _Copy) -> None:
+        if copy.job is not None:
+            upstream.submit(copy.job)
+
+    def _hedge(self, request: _Request, copy: _Copy) -> None:
+        """Send a second copy if the first is still not answered."""
+        now_ms = self._shared.timeline.now_ms
+        router = request.router
+        has_others = len(request.tried) < len(router.members)
+        if request.copies != [copy] or not has_others:
+            return
+        if now_ms >= request.deadline_at_ms or not router.budget.may_hedge():
+            return
+        query = RoutingQuery(now_ms, frozenset(request.tried))
+        load = router.choose(request.operation.name, query)
+        if load is None or load.home in self._cut_homes:
+            return
+        request.tried.add(load.upstream)
+        request.hedges += 1
+        request.is_reserved = False
+        self._send_copy(request, load)
 
     def _receive(
         self,
         request: _Request,
-        load: UpstreamLoad,
+        copy: _Copy,
         answer: HomeAnswer,
-        sent_ms: float,
     ) -> None:
         now_ms = self._shared.timeline.now_ms
+        load = copy.load
+        self._note_standing(request, load)
+        if copy not in request.copies:
+            return
         load.note_done()
-        name = request.operation.name
+        request.copies.remove(copy)
+        self._learn(request, load, answer, now_ms - copy.sent_ms)
+        if answer.is_good:
+            self._withdraw_copies(request)
+        if not request.copies:
+            self._end_attempt(request, answer)
+
+    def _withdraw_copies(self, request: _Request) -> None:
+        """Cancel the other copy of a request that is answered."""
+        for copy in request.copies:
+            copy.load.note_done()
+            job = copy.job
+            copy.job = None
+            if job is not None:
+                self._upstreams[copy.load.upstream].cancel(job)
+                self._plan_standing(request, copy.load)
+        request.copies.clear()
+
+    def _plan_standing(self, request: _Request, load: UpstreamLoad) -> None:
+        """A home tells its standing after a cancellation, too."""
+        timeline = self._shared.timeline
+        timeline.after(
+            2 * self._hop_ms(load.upstream),
+            lambda: self._note_standing(request, load),
+        )
+
+    def _note_standing(self, request: _Request, load: UpstreamLoad) -> None:
+        now_ms = self._shared.timeline.now_ms
         state = self._upstreams[load.upstream].state
-        request.router.note_standing(state.standing(name, now_ms), now_ms)
-        self._learn(request, load, answer, now_ms - sent_ms)
-        self._end_attempt(request, answer)
+        standing = state.standing(request.operation.name, now_ms)
+        request.router.note_standing(standing, now_ms)
 
     def _learn(
         self,
@@ -251,7 +328,7 @@
                 request.arrived_ms,
                 now_ms,
                 max(0, spent_ms - answer.run_ms),
-                request.attempts,
+                request.attempts + request.hedges,
                 answer.outcome,
                 answer.reason,
                 answer.is_good,
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -72,6 +72,7 @@
     """A run in progress; crashes end all of an upstream."""
 
     job: HomeJob
+    started_ms: float
     is_over: bool = field(default=False)
 
 
@@ -129,6 +130,23 @@
                 )
             )
 
+    def cancel(self, job: HomeJob) -> None:
+        """Withdraw a request, or break off its run.
+
+        :param job: the request; it gets no answer.
+        """
+        if self._waiting.pop(job.work.work_id, None) is not None:
+            self.state.admission.withdraw(job.work)
+            return
+        running = self._running.pop(job.work.work_id, None)
+        if running is None:
+            return
+        running.is_over = True
+        now_ms = self._shared.timeline.now_ms
+        ran_ms = now_ms - running.started_ms
+        self.state.cancel_running(job.work, ran_ms, now_ms)
+        self._start_waiting()
+
     def leave(self) -> None:
         """Take no new work, and give back what waits."""
         self.state.mark_listed_leaving(True)
@@ -139,7 +157,7 @@
     def _start(self, job: HomeJob) -> None:
         timeline = self._shared.timeline
         run = self._run_of(job)
-        running = _Running(job)
+        running = _Running(job, timeline.now_ms)
         self._running[job.work.work_id] = running
         self._shared.result.started.append(
             Started(
--- a/src/jackdawhead/replay/measures.py
+++ b/src/jackdawhead/replay/measures.py
@@ -91,6 +91,14 @@
     return _percentile([each.wait_ms for each in good], query.percentile)
 
 
+@_measure('latency_ms')
+def latency_ms(result: ReplayResult, query: Query) -> float:
+    """Return a percentile of the whole time of good answers."""
+    good = [each for each in _finished(result, query) if each.is_good]
+    spent = [each.ended_ms - each.arrived_ms for each in good]
+    return _percentile(spent, query.percentile)
+
+
 @_measure('refused_share')
 def refused_share(result: ReplayResult, query: Query) -> float:
     """Return the share of requests that were told as not run."""
