Name things by the field's terms

Cause: read as a newcomer, desk, tap, book, standing, sign and alarm were words of our own.

Behaviour stays as it was.

--- a/src/jackdawhead/node/acceptor.py
+++ b/src/jackdawhead/node/acceptor.py
@@ -17,7 +17,7 @@
     from gevent.socket import socket as Socket
 
     from ..wire.messages import Message
-    from .news import NewsDesk
+    from .gossip_controller import GossipController
     from .parts import NodeParts
     from .tickets.session import TicketSessions
 
@@ -26,18 +26,18 @@
     """Listens for other nodes.
 
     :param parts: controllers of this node.
-    :param news: where news goes.
+    :param gossip: where news goes.
     :param on_join: called with the VM of each node that has linked itself.
     """
 
     def __init__(
         self,
         parts: NodeParts,
-        news: NewsDesk,
+        gossip: GossipController,
         on_join: Callable[[str], None],
     ) -> None:
         self._parts = parts
-        self._news = news
+        self._gossip = gossip
         self._on_join = on_join
         self.tickets: TicketSessions | None = None
         self._sessions: dict[Link, HomeSession] = {}
@@ -69,7 +69,7 @@
         )
         link.challenge()
         if link.ready.get():
-            self._news.greet(link)
+            self._gossip.greet(link)
             self._on_join(link.vm)
         else:
             self._parts.audit.record(
@@ -79,7 +79,7 @@
         link.ended.wait()
 
     def _receive(self, link: Link, message: Message) -> None:
-        if self._news.take(link, message):
+        if self._gossip.take(link, message):
             return
         if isinstance(message, TicketSubmit):
             if self.tickets is not None:
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -81,7 +81,7 @@
     def on_get(self, request: Request, response: Response) -> None:
         duration_s = request.get_param_as_float('seconds') or _TRACE_S
         response.content_type = 'application/x-ndjson'
-        response.stream = self._node.parts.tap.read(
+        response.stream = self._node.parts.recorder.read(
             min(duration_s, _MAX_TRACE_S)
         )
 
--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -13,8 +13,8 @@
 from .identity import new_identity
 from .membership import MembershipController
 from .parts import NodeParts
-from .tickets.desk import TicketDesk
-from .trace_tap import TraceTap
+from .tickets.store import TicketStore
+from .trace_recorder import TraceRecorder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,20 +39,20 @@
     """
     board = Blackboard()
     audit = AuditTrail()
-    tap = TraceTap(settings, board)
+    recorder = TraceRecorder(settings, board)
     identity = new_identity(settings.vm, settings.stream_keys)
     return NodeParts(
         settings=settings,
         identity=identity,
         board=board,
         audit=audit,
-        tap=tap,
+        recorder=recorder,
         attempts=Attempts(),
-        home=HomeController(settings.vm, board, audit, rng, tap, on_drain),
+        home=HomeController(settings.vm, board, audit, rng, recorder, on_drain),
         routing=RoutingController(settings.zone, board, audit, rng, on_crash),
         config=ConfigController(board, audit),
         membership=MembershipController(board, audit),
-        tickets=TicketDesk(identity),
+        tickets=TicketStore(identity),
     )
 
 
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -10,7 +10,7 @@
 from .acceptor import Acceptor
 from .dialler import Dialler
 from .local_channel import LocalChannel
-from .news import NewsDesk
+from .gossip_controller import GossipController
 
 if TYPE_CHECKING:
     from contextlib import ExitStack
@@ -31,10 +31,10 @@
     """
 
     def __init__(self, parts: NodeParts) -> None:
-        self.news = NewsDesk(parts, self.links)
+        self.gossip = GossipController(parts, self.links)
         self._local = LocalChannel(parts)
-        self._dialler = Dialler(parts, self.news)
-        self._acceptor = Acceptor(parts, self.news, self._dialler.forgive)
+        self._dialler = Dialler(parts, self.gossip)
+        self._acceptor = Acceptor(parts, self.gossip, self._dialler.forgive)
 
     def start(self, stack: ExitStack) -> None:
         """Listen for other nodes.
@@ -85,7 +85,7 @@
     def beat(self) -> None:
         """Send a heartbeat on each link, or close it if it is silent."""
         now_ms = monotonic_ms()
-        heartbeat = self.news.heartbeat()
+        heartbeat = self.gossip.heartbeat()
         for link in self.links():
             if link.is_silent(now_ms):
                 link.close('no heartbeat')
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from ..wire.messages import Message
-    from .news import NewsDesk
+    from .gossip_controller import GossipController
     from .parts import NodeParts
 
 _CONNECT_MS: Final = 800
@@ -42,12 +42,12 @@
     """Keeps one link to each node that is needed.
 
     :param parts: controllers of this node.
-    :param news: where news goes.
+    :param gossip: where news goes.
     """
 
-    def __init__(self, parts: NodeParts, news: NewsDesk) -> None:
+    def __init__(self, parts: NodeParts, gossip: GossipController) -> None:
         self._parts = parts
-        self._news = news
+        self._gossip = gossip
         self._links: dict[str, DialledLink] = {}
         self._dialling: dict[str, gevent.Greenlet] = {}
         self._redials: dict[str, _Redial] = {}
@@ -154,20 +154,20 @@
         if link is None or not link.ready.get():
             return False
         self._links[link.vm] = link
-        self._parts.tap.note_path(link.vm, True)
-        self._news.greet(link)
+        self._parts.recorder.note_path(link.vm, True)
+        self._gossip.greet(link)
         return True
 
     def _receive(self, link: Link, message: Message) -> None:
         if not receive_answer(self._parts, link, message):
-            self._news.take(link, message)
+            self._gossip.take(link, message)
 
     def _lose(self, link: Link, reason: str) -> None:
         if not link.vm:
             return
         if self._links.get(link.vm) is link:
             self._links.pop(link.vm)
-        self._parts.tap.note_path(link.vm, False)
+        self._parts.recorder.note_path(link.vm, False)
         self._parts.attempts.fail_all(link)
         self._parts.routing.avoid(link.vm)
         self._parts.audit.record(AuditKind.PEER_LOST, link.vm, reason)
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -27,7 +27,7 @@
     vm: str
     heard_at_ms: float
 
-    def ask_sign(self) -> None:
+    def ping(self) -> None:
         """Ask the home for a sign of life, which moves ``heard_at_ms``."""
 
     def send(self, message: Message) -> None:
--- a/src/jackdawhead/node/entry/whole_body.py
+++ b/src/jackdawhead/node/entry/buffered_body.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 
-class WholeBody:
+class BufferedBody:
     """A body that can be sent any number of times.
 
     :param content: all of it.
@@ -22,4 +22,4 @@
         """Do nothing: there is nothing to withdraw."""
 
 
-__all__ = ('WholeBody',)
+__all__ = ('BufferedBody',)
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -28,7 +28,7 @@
     from ...config.model import Operation
     from ...policy.service_router import ServiceRouter
     from ..channels import Channels
-    from ..trace_tap import TraceTap
+    from ..trace_recorder import TraceRecorder
     from .routing import RoutingController
 
 _GRACE_MS: Final = 50
@@ -65,7 +65,7 @@
     :param routing: routes and the state of the services.
     :param channels: ways to the homes.
     :param attempts: where answers are awaited.
-    :param tap: records arrivals for replay.
+    :param recorder: records arrivals for replay.
     """
 
     def __init__(
@@ -73,9 +73,9 @@
         routing: RoutingController,
         channels: Channels,
         attempts: Attempts,
-        tap: TraceTap,
+        recorder: TraceRecorder,
     ) -> None:
-        self._tap = tap
+        self._recorder = recorder
         self._routing = routing
         self._channels = channels
         self._attempts = attempts
@@ -110,7 +110,7 @@
             request.target,
             request.chunk,
         )
-        self._tap.note_arrival(
+        self._recorder.note_arrival(
             route.service,
             route.operation,
             request.organisation,
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -14,7 +14,7 @@
 from ...reasons import Reason
 from ..home.request_head import HOP_BY_HOP
 from ..http_server import SOCKET_KEY
-from ..tickets.desk import LIFE_MS
+from ..tickets.store import LIFE_MS
 from .caller_watch import watch_caller
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
 
--- a/src/jackdawhead/node/entry/live_path.py
+++ b/src/jackdawhead/node/entry/live_path.py
@@ -16,8 +16,8 @@
 
 _MIN_PATIENCE_MS: Final = 500
 _PATIENCE_FACTOR: Final = 8
-_SIGN_MS: Final = 250
-_SIGN_POLL_MS: Final = 10
+_PONG_MS: Final = 250
+_PONG_POLL_MS: Final = 10
 _GRACE_MS: Final = 50
 
 
@@ -40,19 +40,19 @@
     first = attempt.first(min(patience_ms, left_ms))
     if first is not None:
         return first
-    if monotonic_ms() < ends_ms and not _gives_sign(attempt):
+    if monotonic_ms() < ends_ms and not _answers_ping(attempt):
         return _silent(attempt)
     return attempt.first(ends_ms - monotonic_ms() + _GRACE_MS)
 
 
-def _gives_sign(attempt: Attempt) -> bool:
+def _answers_ping(attempt: Attempt) -> bool:
     channel = attempt.channel
     asked_ms = monotonic_ms()
-    channel.ask_sign()
+    channel.ping()
     while channel.heard_at_ms < asked_ms:
-        if monotonic_ms() - asked_ms > _SIGN_MS:
+        if monotonic_ms() - asked_ms > _PONG_MS:
             return False
-        gevent.sleep(seconds(_SIGN_POLL_MS))
+        gevent.sleep(seconds(_PONG_POLL_MS))
     return True
 
 
--- a/src/jackdawhead/node/entry/requests.py
+++ b/src/jackdawhead/node/entry/requests.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from ...wire.messages import HeaderPairs
     from .answer_body import AnswerBody
-    from .whole_body import WholeBody
+    from .buffered_body import BufferedBody
 
 ReadBody = Callable[[int], bytes]
 
@@ -53,7 +53,7 @@
     status: int
     headers: HeaderPairs
     body_bytes: int
-    body: AnswerBody | WholeBody
+    body: AnswerBody | BufferedBody
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -20,7 +20,7 @@
     from ...audit import AuditTrail
     from ...blackboard import Blackboard, VmList
     from ...config.model import Service
-    from ...wire.messages import PoisonNews, Standing
+    from ...wire.messages import PoisonNews, UpstreamStatus
 
 _TICK_MS: Final = 200
 _TICK_PER_UPSTREAM_MS: Final = 0.75
@@ -99,14 +99,14 @@
                     'the time of the quarantine is over',
                 )
 
-    def note_standing(self, standing: Standing) -> None:
+    def note_status(self, status: UpstreamStatus) -> None:
         """Take in what a home says of an upstream.
 
-        :param standing: load and evidence.
+        :param status: load and evidence.
         """
-        router = self._routers.get(standing.upstream.rpartition('/')[2])
+        router = self._routers.get(status.upstream.rpartition('/')[2])
         if router is not None:
-            router.note_standing(standing, monotonic_ms())
+            router.note_status(status, monotonic_ms())
 
     def note_drain(self, upstream: str, draining: bool) -> None:
         """Take in that an upstream begins or ends to drain.
--- a/src/jackdawhead/node/news.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -22,7 +22,7 @@
 _LEAVING_AVOID_MS: Final = 3000
 
 
-class NewsDesk:
+class GossipController:
     """Takes news in and passes on what was not known.
 
     Each kind is merged so that order and repetition do not matter.
@@ -94,4 +94,4 @@
         self._parts.config.bring_up_to_date(link)
 
 
-__all__ = ('NewsDesk',)
+__all__ = ('GossipController',)
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -17,7 +17,7 @@
 
     from ...audit import AuditTrail
     from ...blackboard import Blackboard
-    from ..trace_tap import TraceTap
+    from ..trace_recorder import TraceRecorder
 
 _EXPIRE_EVERY_S: Final = 0.02
 
@@ -29,7 +29,7 @@
     :param board: source of both.
     :param audit: trail of changes.
     :param rng: source of randomness.
-    :param tap: records the ends of runs for replay.
+    :param recorder: records the ends of runs for replay.
     :param on_drain: called when an upstream begins or ends to drain.
     """
 
@@ -39,14 +39,14 @@
         board: Blackboard,
         audit: AuditTrail,
         rng: Random,
-        tap: TraceTap,
+        recorder: TraceRecorder,
         on_drain: Callable[[str, bool], None],
     ) -> None:
         self._vm = vm
         self._board = board
         self._audit = audit
         self._rng = rng
-        self._tap = tap
+        self._recorder = recorder
         self._on_drain = on_drain
         self._upstreams: dict[str, HomeUpstream] = {}
         self._waiting = Event()
@@ -110,7 +110,7 @@
                 self._audit,
                 self._rng,
                 HomeEvents(
-                    self._on_drain, self._waiting.set, self._tap.note_end
+                    self._on_drain, self._waiting.set, self._recorder.note_end
                 ),
                 is_new=is_new,
             )
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -142,12 +142,12 @@
         return replace(ended, condemned=was_silent and is_fast)
 
     def _exchange(self, connection: Connection) -> Ended:
-        self._job.has_sign = not connection.reused
+        self._job.has_response = not connection.reused
         with ExitStack() as stack:
             stack.callback(connection.close)
             self._send(connection)
             response = self._receive_head(connection)
-            self._job.has_sign = True
+            self._job.has_response = True
             refused = self._refusal_of(response)
             if refused is not None:
                 return refused
--- a/src/jackdawhead/node/home/job.py
+++ b/src/jackdawhead/node/home/job.py
@@ -28,7 +28,7 @@
     :param body: chunks of the request's body that follow the first.
     :param credit: gate of the answer's body.
     :param running: whether its greenlet has begun.
-    :param has_sign: whether its connection is new or has carried a sign of
+    :param has_response: whether its connection is new or has carried a sign of
         this answer, so that a delay is the upstream's own.
     :param started_ms: monotonic time at which it did.
     :param cancelled: whether the caller no longer waits.
@@ -41,7 +41,7 @@
     credit: CreditGate = field(default_factory=CreditGate)
     greenlet: Greenlet | None = None
     running: bool = False
-    has_sign: bool = False
+    has_response: bool = False
     started_ms: float = 0
     cancelled: bool = False
 
--- a/src/jackdawhead/node/home/session.py
+++ b/src/jackdawhead/node/home/session.py
@@ -125,7 +125,7 @@
     def _deliver(self, message: Message) -> None:
         match message:
             case Head() | Refusal():
-                self._send_standing(message.request_id)
+                self._send_status(message.request_id)
                 self._end_if_last(message)
             case Body():
                 self._end_if_last(message)
@@ -135,10 +135,10 @@
         if isinstance(message, Refusal) or message.last:
             self._placed.pop(message.request_id, None)
 
-    def _send_standing(self, request_id: int) -> None:
+    def _send_status(self, request_id: int) -> None:
         placed = self._placed[request_id]
         operation = placed.job.submit.operation
-        self._send(placed.upstream.standing(operation))
+        self._send(placed.upstream.status(operation))
 
     def _cancel(self, request_id: int) -> None:
         placed = self._placed.get(request_id)
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -23,7 +23,7 @@
     from ...audit import AuditTrail
     from ...config.model import HeaderNames, Service
     from ...config.settings import Address
-    from ...wire.messages import Standing
+    from ...wire.messages import UpstreamStatus
     from .job import Job
 
 
@@ -147,12 +147,12 @@
         if self._state.mark_listed_leaving(leaving):
             self._drain_changed()
 
-    def standing(self, operation: str) -> Standing:
+    def status(self, operation: str) -> UpstreamStatus:
         """Return load and evidence, as told to entries.
 
         :param operation: operation whose evidence is asked for.
         """
-        return self._state.standing(operation, monotonic_ms())
+        return self._state.status(operation, monotonic_ms())
 
     def close(self) -> None:
         """Refuse what waits and close idle connections."""
@@ -190,7 +190,7 @@
         """Free the slot, then deliver the end with the latest evidence."""
         if ended is None:
             now_ms = monotonic_ms()
-            ran_ms = now_ms - job.started_ms if job.has_sign else 0
+            ran_ms = now_ms - job.started_ms if job.has_response else 0
             self._state.cancel_running(job.work, ran_ms, now_ms)
             job.deliver(job.refusal(Outcome.UNKNOWN, Reason.CANCELLED))
         else:
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -14,8 +14,8 @@
     Challenge,
     Hello,
     Message,
-    Sign,
-    SignRequest,
+    Pong,
+    Ping,
     Welcome,
 )
 from ..wire.stream import Stream
@@ -81,9 +81,9 @@
         """
         self._stream.send(message)
 
-    def ask_sign(self) -> None:
+    def ping(self) -> None:
         """Ask the other node for a sign of life."""
-        self.send(SignRequest())
+        self.send(Ping())
 
     def close(self, reason: str) -> None:
         """Close the link.
@@ -109,8 +109,8 @@
     def _receive(self, message: Message) -> None:
         self.heard_at_ms = monotonic_ms()
         match message:
-            case SignRequest() if self.vm:
-                self.send(Sign())
+            case Ping() if self.vm:
+                self.send(Pong())
             case _ if self.vm:
                 self._on_message(self, message)
             case _:
--- a/src/jackdawhead/node/local_channel.py
+++ b/src/jackdawhead/node/local_channel.py
@@ -12,7 +12,7 @@
     Head,
     Message,
     Refusal,
-    Standing,
+    UpstreamStatus,
 )
 from .home.session import HomeSession
 
@@ -33,7 +33,7 @@
         self._parts = parts
         self._session = HomeSession(parts.home, parts.board, self._receive)
 
-    def ask_sign(self) -> None:
+    def ping(self) -> None:
         """Note that the home is alive, as this process is."""
         self.heard_at_ms = monotonic_ms()
 
@@ -61,8 +61,8 @@
     :returns: whether it was one of a home's answers.
     """
     match message:
-        case Standing():
-            parts.routing.note_standing(message)
+        case UpstreamStatus():
+            parts.routing.note_status(message)
         case Head() | Body() | Refusal() | Credit():
             parts.attempts.deliver(channel, message)
         case DrainNews(upstream=upstream, draining=draining):
--- a/src/jackdawhead/node/parts.py
+++ b/src/jackdawhead/node/parts.py
@@ -15,8 +15,8 @@
     from .home.controller import HomeController
     from .identity import Identity
     from .membership import MembershipController
-    from .tickets.desk import TicketDesk
-    from .trace_tap import TraceTap
+    from .tickets.store import TicketStore
+    from .trace_recorder import TraceRecorder
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,13 +27,13 @@
     identity: Identity
     board: Blackboard
     audit: AuditTrail
-    tap: TraceTap
+    recorder: TraceRecorder
     attempts: Attempts
     home: HomeController
     routing: RoutingController
     config: ConfigController
     membership: MembershipController
-    tickets: TicketDesk
+    tickets: TicketStore
 
 
 __all__ = ('NodeParts',)
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -18,7 +18,7 @@
 from .assembly import build_parts
 from .channels import Channels
 from .entry.traffic import Traffic
-from .front import caller_server
+from .caller_listener import caller_server
 from .http_server import QuickServer
 from .pause_watch import PauseWatch
 from .platform_client import PlatformClient
@@ -56,8 +56,8 @@
             self._tell_crash,
         )
         self._channels = Channels(self.parts)
-        self.parts.config.broadcast = self._channels.news.broadcast
-        self.parts.membership.broadcast = self._channels.news.broadcast
+        self.parts.config.broadcast = self._channels.gossip.broadcast
+        self.parts.membership.broadcast = self._channels.gossip.broadcast
         self._platform = PlatformClient(settings.platform_address)
         self._callers = caller_server(self.parts, self._channels, self.traffic)
 
@@ -181,7 +181,7 @@
 
     def _tell_drain(self, upstream: str, draining: bool) -> None:
         self.parts.routing.note_drain(upstream, draining)
-        self._channels.news.broadcast(DrainNews(upstream, draining))
+        self._channels.gossip.broadcast(DrainNews(upstream, draining))
 
     def _tell_crash(
         self,
@@ -189,7 +189,7 @@
         fingerprint: int,
         upstream: str,
     ) -> None:
-        self._channels.news.broadcast(
+        self._channels.gossip.broadcast(
             PoisonNews(service, fingerprint, upstream),
         )
 
--- a/src/jackdawhead/node/tickets/dispatch.py
+++ b/src/jackdawhead/node/tickets/dispatch.py
@@ -18,7 +18,7 @@
     from ..channels import Channels
     from ..entry.dispatcher import Dispatcher
     from ..parts import NodeParts
-    from .desk import TicketDesk
+    from .store import TicketStore
 
 _DEFAULT_DEADLINE_MS: Final = 60_000
 _COME_BACK_MS: Final = 1000
@@ -41,11 +41,11 @@
         self._parts = parts
         self._dispatcher = dispatcher
         self._channels = channels
-        self._desk: TicketDesk = parts.tickets
+        self._store: TicketStore = parts.tickets
 
     def issue(self) -> str:
         """Return the text of a new ticket of this node."""
-        return encode_ticket(self._desk.issue(), self._parts.identity.keys[0])
+        return encode_ticket(self._store.issue(), self._parts.identity.keys[0])
 
     def dispatch(self, request: CallerRequest, text: str) -> Answer:
         """Return the answer of the ticket's only run.
@@ -70,7 +70,7 @@
         :param request: the caller's request.
         """
         deadline_ms = request.deadline_ms or _DEFAULT_DEADLINE_MS
-        return self._desk.run(
+        return self._store.run(
             ticket, lambda: self._dispatcher.dispatch(request), deadline_ms
         )
 
--- a/src/jackdawhead/node/tickets/desk.py
+++ b/src/jackdawhead/node/tickets/store.py
@@ -16,7 +16,7 @@
 from ...reasons import Reason
 from ..entry.answer_body import CutAnswerError
 from ..entry.requests import Answer, Refused, UpstreamAnswer
-from ..entry.whole_body import WholeBody
+from ..entry.buffered_body import BufferedBody
 from .token import Ticket
 
 if TYPE_CHECKING:
@@ -43,7 +43,7 @@
     kept_bytes: int = 0
 
 
-class TicketDesk:
+class TicketStore:
     """Runs each ticket at most once and repeats its answer.
 
     A ticket that is not kept here, because it has grown old or was issued
@@ -138,7 +138,7 @@
     if body is None:
         return Refused(Outcome.RAN, Reason.ANSWER_TOO_LARGE)
     return UpstreamAnswer(
-        answer.status, answer.headers, len(body), WholeBody(body)
+        answer.status, answer.headers, len(body), BufferedBody(body)
     )
 
 
@@ -158,4 +158,4 @@
     return b''.join(blocks)
 
 
-__all__ = ('LIFE_MS', 'TicketDesk')
+__all__ = ('LIFE_MS', 'TicketStore')
--- a/src/jackdawhead/node/trace_tap.py
+++ b/src/jackdawhead/node/trace_recorder.py
@@ -37,7 +37,7 @@
 _MS_PER_S: Final = 1000
 
 
-class TraceTap:
+class TraceRecorder:
     """Keeps records for the one reader, up to a bound.
 
     :param settings: VM and zone of this node.
@@ -151,4 +151,4 @@
     return round(time.time() * _MS_PER_S, 1)
 
 
-__all__ = ('TraceTap',)
+__all__ = ('TraceRecorder',)
--- a/src/jackdawhead/policy/evidence.py
+++ b/src/jackdawhead/policy/evidence.py
@@ -8,7 +8,7 @@
 from statistics import median
 from typing import Final
 
-ALARM_SCALE: Final = 100
+CUSUM_SCALE: Final = 100
 _RING_SIZE: Final = 32
 _TIMED_SIZE: Final = 16
 _LEAST_TIMED: Final = 8
@@ -17,7 +17,7 @@
 _FAILING_SHARE: Final = 0.4
 _FAILURE_STEP: Final = log(_FAILING_SHARE / _USUAL_SHARE)
 _SUCCESS_STEP: Final = log((1 - _FAILING_SHARE) / (1 - _USUAL_SHARE))
-_MAX_ALARM: Final = 30.0
+_MAX_CUSUM: Final = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,13 +43,13 @@
     :param run_ms: median run time of the latest successes, 0 if unknown.
     :param least_ms: least of the last few run times, 0 if unknown; far above
         the peers' median it shows that all of them are slow.
-    :param alarm: cumulative sum of the evidence for failing, 0 or more.
+    :param cusum: cumulative sum of the evidence for failing, 0 or more.
     """
 
     count: int
     error_share: float
     run_ms: float
-    alarm: float = 0
+    cusum: float = 0
     least_ms: float = 0
 
 
@@ -62,10 +62,10 @@
     2 % to 40 % of failures sooner than any share of a fixed count.
     """
 
-    __slots__ = ('_alarm', '_samples', '_summary')
+    __slots__ = ('_cusum', '_samples', '_summary')
 
     def __init__(self) -> None:
-        self._alarm: float = 0
+        self._cusum: float = 0
         self._samples: deque[Sample] = deque(maxlen=_RING_SIZE)
         self._summary: Summary | None = None
 
@@ -76,13 +76,13 @@
         """
         self._samples.append(new)
         step = _SUCCESS_STEP if new.ok else _FAILURE_STEP
-        self._alarm = max(0, min(_MAX_ALARM, self._alarm + step))
+        self._cusum = max(0, min(_MAX_CUSUM, self._cusum + step))
         self._summary = None
 
     def clear(self) -> None:
         """Forget everything, for example when a trial begins."""
         self._samples.clear()
-        self._alarm = 0
+        self._cusum = 0
         self._summary = None
 
     def summary(self, oldest_ms: float) -> Summary:
@@ -100,7 +100,7 @@
     def _summarise(self) -> Summary:
         count = len(self._samples)
         if not count:
-            self._alarm = 0
+            self._cusum = 0
             return Summary(0, 0, 0)
         good = [each.run_ms for each in self._samples if each.ok]
         timed = [run_ms for run_ms in good if run_ms][-_TIMED_SIZE:]
@@ -108,9 +108,9 @@
             count,
             (count - len(good)) / count,
             median(timed) if len(timed) >= _LEAST_TIMED else 0,
-            self._alarm,
+            self._cusum,
             min(timed[-_FEW:]) if len(timed) >= _FEW else 0,
         )
 
 
-__all__ = ('ALARM_SCALE', 'EvidenceRing', 'Sample', 'Summary')
+__all__ = ('CUSUM_SCALE', 'EvidenceRing', 'Sample', 'Summary')
--- a/src/jackdawhead/policy/evidence_book.py
+++ b/src/jackdawhead/policy/evidence_store.py
@@ -13,7 +13,7 @@
 _WARM_UP_SAMPLES: Final = 24
 
 
-class EvidenceBook:
+class EvidenceStore:
     """Recent outcomes of each operation.
 
     Run times count for nothing until the upstream has been seen for a time
@@ -62,4 +62,4 @@
         return self._warm_up_left > 0 or sample.at_ms < self._warm_at_ms
 
 
-__all__ = ('EvidenceBook',)
+__all__ = ('EvidenceStore',)
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -7,7 +7,7 @@
 
 from .balancers import BALANCERS
 from .detection import Health, HealthChange
-from .evidence import ALARM_SCALE, Sample, Summary
+from .evidence import CUSUM_SCALE, Sample, Summary
 from .detectors import DETECTORS
 from .loads import LoadReport, Pool, RoutingQuery, UpstreamLoad
 from .poison import PoisonTable
@@ -17,7 +17,7 @@
     from random import Random
 
     from ..config.model import Service
-    from ..wire.messages import Standing
+    from ..wire.messages import UpstreamStatus
 
 _EMPTY: Final = Pool()
 
@@ -125,41 +125,39 @@
         """
         return self._loads.get(upstream)
 
-    def note_standing(self, standing: Standing, now_ms: float) -> None:
+    def note_status(self, status: UpstreamStatus, now_ms: float) -> None:
         """Take in what a home says of an upstream.
 
-        :param standing: load and evidence.
+        :param status: load and evidence.
         :param now_ms: monotonic time.
         """
-        load = self._loads.get(standing.upstream)
+        load = self._loads.get(status.upstream)
         if load is None:
             return
         slots = self.service.slots_per_upstream
-        report = LoadReport(
-            standing.wait_ms, standing.run_ms, slots, standing.free
-        )
+        report = LoadReport(status.wait_ms, status.run_ms, slots, status.free)
         load.note_report(report, now_ms)
-        if standing.avoid_ms:
-            load.avoid_until_ms = now_ms + standing.avoid_ms
-        if standing.median_ms:
-            load.medians_ms[standing.operation] = standing.median_ms
-        count = standing.count
+        if status.avoid_ms:
+            load.avoid_until_ms = now_ms + status.avoid_ms
+        if status.median_ms:
+            load.medians_ms[status.operation] = status.median_ms
+        count = status.count
         if count:
             self._has_news = True
             summary = Summary(
                 count,
-                standing.failures / count,
-                standing.median_ms,
-                standing.alarm / ALARM_SCALE,
-                standing.least_ms,
+                status.failures / count,
+                status.median_ms,
+                status.cusum / CUSUM_SCALE,
+                status.least_ms,
             )
             self._detector.report(
-                standing.upstream,
-                standing.operation,
+                status.upstream,
+                status.operation,
                 summary,
                 now_ms,
             )
-        self.mark_draining(standing.upstream, standing.draining)
+        self.mark_draining(status.upstream, status.draining)
 
     def note_trial(
         self,
--- a/src/jackdawhead/policy/suspicion.py
+++ b/src/jackdawhead/policy/suspicion.py
@@ -12,7 +12,7 @@
 
 _PERCENT: Final = 100
 _MIN_EXCESS_MS: Final = 10.0
-_ALARM_LIMIT: Final = 9.5
+_CUSUM_LIMIT: Final = 9.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,12 +21,12 @@
 
     :param error_share: median share of failures, 0 to 1.
     :param run_ms: median run time.
-    :param alarm: median of the evidence for failing.
+    :param cusum: median of the evidence for failing.
     """
 
     error_share: float
     run_ms: float
-    alarm: float = 0
+    cusum: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,7 @@
     return Norm(
         median(each.error_share for each in known),
         median(runs) if runs else 0,
-        median(each.alarm for each in known),
+        median(each.cusum for each in known),
     )
 
 
@@ -76,8 +76,8 @@
     """
     if summary.count >= policy.min_samples:
         excess = summary.error_share - norm.error_share
-        is_alarmed = summary.alarm - norm.alarm >= _ALARM_LIMIT
-        if is_alarmed or excess * _PERCENT >= policy.error_percent:
+        has_changed = summary.cusum - norm.cusum >= _CUSUM_LIMIT
+        if has_changed or excess * _PERCENT >= policy.error_percent:
             return Suspicion(1 + excess, _error_cause(summary, norm))
     slowest_ms = max(summary.run_ms, summary.least_ms)
     if exceeds(slowest_ms, norm, policy):
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING, Final
 
 from ..audit_kinds import AuditKind
-from ..wire.messages import Standing
+from ..wire.messages import UpstreamStatus
 from .admission import ADMISSIONS
 from .ending import Ending
-from .evidence import ALARM_SCALE, Sample
-from .evidence_book import EvidenceBook
+from .evidence import CUSUM_SCALE, Sample
+from .evidence_store import EvidenceStore
 
 if TYPE_CHECKING:
     from random import Random
@@ -63,7 +63,7 @@
         self.name = name
         rule = ADMISSIONS.find(service.queue.admission).unwrap()
         self.admission = rule(service, rng)
-        self._book = EvidenceBook(service, is_new=is_new)
+        self._evidence = EvidenceStore(service, is_new=is_new)
         self._record = record
         self._avoid_until_ms: float = 0
         self._avoid_ms = 0
@@ -120,23 +120,23 @@
             doing, for example on a connection that may be silent.
         :param now_ms: monotonic time.
         """
-        usual_ms = self._book.summary(work.operation, now_ms).run_ms
+        usual_ms = self._evidence.summary(work.operation, now_ms).run_ms
         if not usual_ms:
             run_times = self.admission.run_times
             usual_ms = _SLOW_FACTOR * run_times.expected_ms(work.operation)
         is_slow = ran_ms >= usual_ms
         self.admission.finish(work, ran_ms if is_slow else None)
         if is_slow:
-            self._book.add(work.operation, Sample(now_ms, True, ran_ms))
+            self._evidence.add(work.operation, Sample(now_ms, True, ran_ms))
 
-    def standing(self, operation: str, now_ms: float) -> Standing:
+    def status(self, operation: str, now_ms: float) -> UpstreamStatus:
         """Return load and evidence, as told to entries.
 
         :param operation: operation whose evidence is asked for.
         :param now_ms: monotonic time.
         """
-        summary = self._book.summary(operation, now_ms)
-        return Standing(
+        summary = self._evidence.summary(operation, now_ms)
+        return UpstreamStatus(
             upstream=self.name,
             operation=operation,
             wait_ms=int(self.admission.expected_wait_ms(now_ms)),
@@ -146,7 +146,7 @@
             failures=round(summary.error_share * summary.count),
             median_ms=int(summary.run_ms),
             least_ms=int(summary.least_ms),
-            alarm=int(summary.alarm * ALARM_SCALE),
+            cusum=int(summary.cusum * CUSUM_SCALE),
             avoid_ms=max(0, int(self._avoid_until_ms - now_ms)),
             draining=self.is_draining(now_ms),
         )
@@ -156,7 +156,7 @@
             case Ending.SUCCEEDED | Ending.FAILED:
                 is_ok = end.ending is Ending.SUCCEEDED
                 sample = Sample(now_ms, is_ok, end.run_ms)
-                self._book.add(end.operation, sample)
+                self._evidence.add(end.operation, sample)
                 self._note_reachable()
             case Ending.CRASHED | Ending.UNREACHABLE:
                 self._note_unreachable(end.ending, now_ms)
@@ -171,7 +171,7 @@
             return
         self._avoid_ms = 0
         self._avoid_until_ms = 0
-        self._book.restart()
+        self._evidence.restart()
         self._record(AuditKind.UPSTREAM_RESTARTED, self.name, 'answers again')
 
     def _note_unreachable(self, ending: Ending, now_ms: float) -> None:
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -241,7 +241,7 @@
     ) -> None:
         now_ms = self._shared.timeline.now_ms
         load = copy.load
-        self._note_standing(request, load)
+        self._note_status(request, load)
         if copy not in request.copies:
             return
         load.note_done()
@@ -260,22 +260,22 @@
             copy.job = None
             if job is not None:
                 self._upstreams[copy.load.upstream].cancel(job)
-                self._plan_standing(request, copy.load)
+                self._plan_status(request, copy.load)
         request.copies.clear()
 
-    def _plan_standing(self, request: _Request, load: UpstreamLoad) -> None:
-        """A home tells its standing after a cancellation, too."""
+    def _plan_status(self, request: _Request, load: UpstreamLoad) -> None:
+        """A home tells its status after a cancellation, too."""
         timeline = self._shared.timeline
         timeline.after(
             2 * self._hop_ms(load.upstream),
-            lambda: self._note_standing(request, load),
+            lambda: self._note_status(request, load),
         )
 
-    def _note_standing(self, request: _Request, load: UpstreamLoad) -> None:
+    def _note_status(self, request: _Request, load: UpstreamLoad) -> None:
         now_ms = self._shared.timeline.now_ms
         state = self._upstreams[load.upstream].state
-        standing = state.standing(request.operation.name, now_ms)
-        request.router.note_standing(standing, now_ms)
+        status = state.status(request.operation.name, now_ms)
+        request.router.note_status(status, now_ms)
 
     def _learn(
         self,
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -206,7 +206,7 @@
 
 @_message(14)
 @dataclass(frozen=True, slots=True)
-class Standing(Message):
+class UpstreamStatus(Message):
     """Load and evidence of an upstream; sent ahead of each answer.
 
     :param wait_ms: expected wait of short work that arrives now.
@@ -216,7 +216,7 @@
     :param failures: how many of them are failures.
     :param median_ms: median run time of the successes, 0 if unknown.
     :param least_ms: least of the last few run times, 0 if unknown.
-    :param alarm: evidence for failing, in hundredths.
+    :param cusum: evidence for failing, in hundredths.
     :param avoid_ms: time for which it cannot be reached, 0 if it can.
     """
 
@@ -229,7 +229,7 @@
     failures: int
     median_ms: int
     least_ms: int
-    alarm: int
+    cusum: int
     avoid_ms: int
     draining: bool
 
@@ -267,13 +267,13 @@
 
 @_message(17)
 @dataclass(frozen=True, slots=True)
-class SignRequest(Message):
+class Ping(Message):
     """Asks for a sign of life at once."""
 
 
 @_message(18)
 @dataclass(frozen=True, slots=True)
-class Sign(Message):
+class Pong(Message):
     """The sign of life that was asked for."""
 
 
@@ -294,9 +294,9 @@
     'Message',
     'PoisonNews',
     'Refusal',
-    'Sign',
-    'SignRequest',
-    'Standing',
+    'Pong',
+    'Ping',
+    'UpstreamStatus',
     'Submit',
     'TicketSubmit',
     'VmNews',
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -23,7 +23,7 @@
 from jackdawhead.policy.homes import HomeMap
 from jackdawhead.policy.loads import RoutingQuery
 from jackdawhead.policy.service_router import Member, ServiceRouter
-from jackdawhead.wire.messages import Standing
+from jackdawhead.wire.messages import UpstreamStatus
 
 from .fleet import Fleet, read_json, wait_until
 from .sites import HELVETIA
@@ -113,10 +113,10 @@
         assert load is not None
         load.note_sent()
         load.note_done()
-        router.note_standing(_standing(load.upstream, rng), now_ms)
+        router.note_status(_status(load.upstream, rng), now_ms)
     decide_us = (time.perf_counter() - start) / _ROUNDS * _US
     for member in members:
-        router.note_standing(_standing(member.name, rng), float(_ROUNDS))
+        router.note_status(_status(member.name, rng), float(_ROUNDS))
     start = time.perf_counter()
     router.tick(float(_ROUNDS))
     tick_ms = (time.perf_counter() - start) * _KB
@@ -129,9 +129,9 @@
     }
 
 
-def _standing(upstream: str, rng: Random) -> Standing:
+def _status(upstream: str, rng: Random) -> UpstreamStatus:
     run_ms = 20 + rng.randrange(5)
-    return Standing(
+    return UpstreamStatus(
         upstream, 'get', 0, 2, run_ms, 32, 0, run_ms, run_ms, 0, 0, False
     )
 
