--- a/features/path/failures.feature
+++ b/features/path/failures.feature
@@ -9,6 +9,10 @@
     And the header "X-Outcome" is "unknown"
     And the upstreams record "/cultivars/slow" as "cancelled"
 
+  Scenario: Deadlines are told alike, whichever side notices first
+    When a caller sends 40 slow lookups to node 1 with the deadline 150 ms
+    Then each was told as "unknown"
+
   Scenario: A caller that hangs up cancels its work
     When a caller sends GET "/cultivars/left?ms=5000" to node 1 and hangs up
     Then the upstreams record "/cultivars/left" as "cancelled"
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -78,6 +78,32 @@
     context.reply = call(node.caller_port, 'GET', target, b'', headers)
 
 
+@when(
+    'a caller sends {count:d} slow lookups to node {position:d} '
+    'with the deadline {deadline:d} ms'
+)
+def send_slow_lookups(
+    context: Context,
+    count: int,
+    position: int,
+    deadline: int,
+) -> None:
+    """Send lookups that take longer than they may, one after the other."""
+    port = context.fleet.nodes[node_at(context, position)].caller_port
+    headers = {'X-Deadline-Ms': str(deadline)}
+    context.replies = [
+        call(port, 'GET', f'/cultivars/{number}?ms=5000', b'', headers)
+        for number in range(count)
+    ]
+
+
+@then('each was told as "{outcome}"')
+def check_outcomes(context: Context, outcome: str) -> None:
+    """Compare all outcomes."""
+    told = {reply.headers['x-outcome'] for reply in context.replies}
+    assert told == {outcome}, told
+
+
 @when('a caller sends GET "{target}" to node {position:d} and hangs up')
 def send_and_hang_up(context: Context, target: str, position: int) -> None:
     """Send a request and close the connection while it runs."""
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -25,6 +25,7 @@
     from .job import Job
 
 _UNAVAILABLE: Final = 503
+_GATEWAY_TIMEOUT: Final = 504
 _SERVER_ERROR: Final = 500
 _DEFAULT_AVOID_MS: Final = 100
 _MS_PER_S: Final = 1000
@@ -160,8 +161,10 @@
     def _ending_of(self, response: _Response) -> Ending:
         if response.status_code < _SERVER_ERROR:
             return Ending.SUCCEEDED
-        is_late = self._job.work.deadline_at_ms - monotonic_ms() < _LATE_MS
-        return self._deadline_ending() if is_late else Ending.FAILED
+        return self._deadline_ending() if self._is_late() else Ending.FAILED
+
+    def _is_late(self) -> bool:
+        return self._job.work.deadline_at_ms - monotonic_ms() < _LATE_MS
 
     def _deadline_ending(self) -> Ending:
         given_ms = self._job.work.deadline_at_ms - self._started_ms
@@ -221,7 +224,13 @@
         return max(_MIN_SILENCE_MS, _SILENCE_FACTOR * self._target.expected_ms)
 
     def _refusal_of(self, response: _Response) -> Ended | None:
-        """Recognise an upstream's own refusal, a proof of 'not run'."""
+        """Recognise an upstream's own refusal, a proof of 'not run'.
+
+        Its own time-out at the deadline is no answer either, and is told
+        like that of this home, whichever comes first.
+        """
+        if response.status_code == _GATEWAY_TIMEOUT and self._is_late():
+            return self._refused(self._deadline_ending(), Reason.DEADLINE)
         if response.status_code != _UNAVAILABLE:
             return None
         names = self._target.names
