Tell a silent path by its own pong, and check it in a race too

Two faults led there, each shown by a scenario that failed first (features/fleet/live_path.feature). A ping counted as answered when anything arrived, and with only the way to the home cut, its heartbeats still arrive, one a second: a window of 250 ms hit one in four times. And a race whose second copy was refused waited for the first without checking its path. Ruled out: the deadline itself (2,052 ms is the deadline of lookups and the grace), the retry budget (the answer was 'deadline', not 'peer-silent'). Change: pings and pongs carry a serial number (protocol version 2), and only the pong of a ping counts. Races check both paths once both copies are overdue. A second copy starts a check of the first one's path beside it. A home whose path is silent is avoided until it answers, at most 3 s, in place of 500 ms. The first check comes after 250 ms in place of 500 ms. Conclusion: one-way cuts are found by round trips only.

--- /dev/null
+++ b/features/fleet/live_path.feature
@@ -0,0 +1,16 @@
+Feature: A path is only live if a request and its answer can both pass
+
+  Scenario Outline: The path to a home is cut <direction> while heartbeats go on
+    Given a link to a home behind a relay, both sending heartbeats
+    When the path is cut <direction>
+    Then a lookup sent on the link is given up as "peer-silent"
+
+    Examples: one direction at a time
+      | direction |
+      | forward   |
+      | backward  |
+
+  Scenario: The other copy was refused and the path of this one is cut
+    Given a link to a home behind a relay, both sending heartbeats
+    When the path is cut forward
+    Then a lookup with a second copy that is refused is given up as "peer-silent"
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,103 @@
+"""Steps that cut one link between two ends in this process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from behave import given, then, when
+from gevent import socket
+from gevent.server import StreamServer
+
+from jackdawhead.node.entry.attempts import Attempts
+from jackdawhead.node.entry.live_path import LivePaths
+from jackdawhead.node.entry.race import Copy, Race
+from jackdawhead.node.identity import new_identity
+from jackdawhead.node.links import AcceptedLink, DialledLink, Link
+from jackdawhead.wire.messages import Heartbeat, Message, Refusal
+from jackdawhead.policy.loads import LoadReport, UpstreamLoad
+from standins.relay import Relay
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_IP = '127.0.0.1'
+_KEYS = ('a-shared-key-for-tests-only',)
+_BEAT_S = 0.02
+_RUN_MS = 1.0
+_LEFT_MS = 5000.0
+
+
+def ignore(link: Link, event: Message | str) -> None:
+    """Take no notice of a message or of a close."""
+
+
+def beat(link: Link) -> None:
+    """Send heartbeats until the link is closed."""
+    while not link.ended.is_set():
+        link.send(Heartbeat(0, leaving=False))
+        gevent.sleep(_BEAT_S)
+
+
+def accept(sock: socket.socket, _: tuple[str, int]) -> None:
+    """Serve the home's end of the link."""
+    link = AcceptedLink(new_identity('home', _KEYS), sock, ignore, ignore)
+    link.challenge()
+    link.ready.get()
+    beat(link)
+
+
+@given('a link to a home behind a relay, both sending heartbeats')
+def link_home(context: Context) -> None:
+    """Open a link of which this process has both ends."""
+    server = StreamServer((_IP, 0), accept)
+    server.start()
+    context.stack.callback(server.stop, 0)
+    context.relay = Relay(server.server_port)
+    context.relay.start()
+    context.stack.callback(context.relay.stop)
+    sock = socket.create_connection((_IP, context.relay.port))
+    context.link = DialledLink(
+        new_identity('entry', _KEYS), sock, ignore, ignore
+    )
+    context.stack.callback(context.link.close, 'end of scenario')
+    assert context.link.ready.get()
+    gevent.spawn(beat, context.link)
+
+
+@when('the path is cut {direction}')
+def cut_path(context: Context, direction: str) -> None:
+    """Hold back what goes to the home, or what comes from it."""
+    if direction == 'forward':
+        context.relay.cut_forward()
+    else:
+        context.relay.cut_backward()
+
+
+@then('a lookup sent on the link is given up as "{reason}"')
+def check_given_up(context: Context, reason: str) -> None:
+    """Wait for an answer that cannot come."""
+    silent: list[str] = []
+    attempt = Attempts().begin(context.link)
+    first = LivePaths(silent.append).first(attempt, _RUN_MS, _LEFT_MS)
+    assert isinstance(first, Refusal), first
+    assert first.reason == reason, first
+    assert silent == ['home']
+
+
+@then('a lookup with a second copy that is refused is given up as "{reason}"')
+def check_race_given_up(context: Context, reason: str) -> None:
+    """Refuse the second copy at once, and wait for the first."""
+    attempts = Attempts()
+    first = attempts.begin(context.link)
+    second = attempts.begin(context.link, first)
+    second.deliver(Refusal(second.request_id, 'not-run', 'busy', 0))
+    copies = (Copy(first, load()), Copy(second, load()))
+    heard = Race(attempts, LivePaths(str), copies, _LEFT_MS).run()
+    assert isinstance(heard.first, Refusal), heard
+    assert heard.first.reason == reason, heard
+
+
+def load() -> UpstreamLoad:
+    """Return an upstream whose short work takes a millisecond."""
+    return UpstreamLoad('home', 'home', 'zone', LoadReport(0, _RUN_MS, 1, 1))
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -12,7 +12,13 @@
 from jackdawhead.node.identity import new_identity
 from jackdawhead.wire.codec import FrameReader, decode, encode
 from jackdawhead.wire.handshake import new_nonce, sign
-from jackdawhead.wire.messages import Cancel, Challenge, Hello, Message
+from jackdawhead.wire.messages import (
+    PROTOCOL_VERSION,
+    Cancel,
+    Challenge,
+    Hello,
+    Message,
+)
 
 from features.steps.fleet_steps import node_at
 
@@ -44,7 +50,7 @@
     identity = new_identity('stranger', (key,))
     signature = sign(key, nonce, identity.vm, identity.incarnation)
     return Hello(
-        1,
+        PROTOCOL_VERSION,
         identity.vm,
         identity.incarnation,
         new_nonce(),
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -25,10 +25,12 @@
     """A way to a home: a stream, or a call within the process."""
 
     vm: str
-    heard_at_ms: float
 
-    def ping(self) -> None:
-        """Ask the home for a sign of life, which moves ``heard_at_ms``."""
+    def ping(self) -> int:
+        """Ask the home for an answer at once; return the serial number."""
+
+    def has_answered(self, serial: int) -> bool:
+        """Return whether the ping with this number, or a later one, was."""
 
     def send(self, message: Message) -> None:
         """Send a message to the home."""
--- /dev/null
+++ b/src/jackdawhead/node/entry/calls.py
@@ -0,0 +1,36 @@
+"""A request with what was decided about it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ...clock import monotonic_ms
+
+if TYPE_CHECKING:
+    from ...config.model import Operation
+    from ...policy.service_router import ServiceRouter
+    from .requests import CallerRequest
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request with what was decided about it.
+
+    :param deadline_at_ms: monotonic time.
+    :param tried: upstreams it was sent to.
+    """
+
+    request: CallerRequest
+    router: ServiceRouter
+    operation: Operation
+    fingerprint: int
+    deadline_at_ms: float
+    tried: set[str] = field(default_factory=set)
+
+    def left_ms(self) -> float:
+        """Return the time left."""
+        return self.deadline_at_ms - monotonic_ms()
+
+
+__all__ = ('Call',)
--- /dev/null
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -0,0 +1,215 @@
+"""Sends a request to one home, or to two, and waits for the answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import gevent
+
+from ...clock import monotonic_ms
+from ...outcome import Outcome
+from ...policy.evidence import Sample
+from ...policy.hedging import hedge_after_ms
+from ...policy.loads import RoutingQuery, UpstreamLoad
+from ...reasons import Reason
+from ...wire.messages import Head, Refusal, Submit
+from .answer_body import AnswerBody, CutAnswerError
+from .body_pump import pump_body
+from .live_path import LivePaths, patience_ms
+from .race import Copy, Heard, Race
+from .requests import Answer, Refused, UpstreamAnswer
+
+if TYPE_CHECKING:
+    from ..channels import Channels
+    from .attempts import Attempt, Attempts
+    from .calls import Call
+    from .routing import RoutingController
+
+_GRACE_MS: Final = 50
+_SAID_HERE: Final = frozenset((Reason.PEER_SILENT, Reason.BODY_CUT))
+_COME_BACK_MS: Final = 500
+_SERVER_ERROR: Final = 500
+
+
+class Exchanges:
+    """Exchanges requests and answers with homes.
+
+    :param routing: state of the services.
+    :param channels: ways to the homes.
+    :param attempts: where answers are awaited.
+    """
+
+    def __init__(
+        self,
+        routing: RoutingController,
+        channels: Channels,
+        attempts: Attempts,
+    ) -> None:
+        self._routing = routing
+        self._channels = channels
+        self._attempts = attempts
+        self._paths = LivePaths(routing.note_silent_path)
+
+    def run(
+        self,
+        call: Call,
+        load: UpstreamLoad,
+        *,
+        may_wait: bool,
+    ) -> Answer:
+        """Return the answer of an upstream, or why there is none.
+
+        Slow idempotent work may be sent to a second upstream; the upstream
+        that answered is then the one that is judged.
+
+        :param call: the request.
+        :param load: where it is sent first.
+        :param may_wait: whether a busy home may queue it.
+        """
+        channel = self._channels.to(load.home)
+        if channel is None:
+            return Refused(
+                Outcome.NOT_RUN, Reason.PEER_UNREACHABLE, _COME_BACK_MS
+            )
+        attempt = self._attempts.begin(channel)
+        started_ms = monotonic_ms()
+        pump = self._submit(call, load, attempt, may_wait=may_wait)
+        copy = Copy(attempt, load)
+        try:
+            heard = self._await_first(call, copy)
+        except BaseException:
+            self._attempts.cancel(attempt)
+            _kill(pump)
+            raise
+        self._learn(call, heard, monotonic_ms() - started_ms)
+        if isinstance(heard.first, Head):
+            return self._answer(call, heard.copy.attempt, heard.first)
+        _kill(pump)
+        return self._refused(heard.copy.attempt, heard.first)
+
+    def _await_first(self, call: Call, copy: Copy) -> Heard:
+        attempt = copy.attempt
+        if not call.operation.idempotent or not call.request.last:
+            return Heard(copy, attempt.first(call.left_ms() + _GRACE_MS))
+        hedge_ms = hedge_after_ms(call.operation, copy.load, monotonic_ms())
+        if hedge_ms is not None and hedge_ms < patience_ms(copy.run_ms):
+            first = attempt.first(min(hedge_ms, call.left_ms()))
+            if first is not None:
+                return Heard(copy, first)
+            self._paths.watch(attempt.channel)
+            heard = self._hedge(call, copy)
+            if heard is not None:
+                return heard
+        first = self._paths.first(attempt, copy.run_ms, call.left_ms())
+        return Heard(copy, first)
+
+    def _hedge(self, call: Call, copy: Copy) -> Heard | None:
+        """Send a second copy and return the better answer, if one may."""
+        load = self._hedge_target(call)
+        channel = self._channels.to(load.home) if load else None
+        if load is None or channel is None:
+            return None
+        call.tried.add(load.upstream)
+        twin = self._attempts.begin(channel, copy.attempt)
+        load.note_sent()
+        try:
+            self._submit(call, load, twin, may_wait=True)
+            copies = (copy, Copy(twin, load))
+            return Race(
+                self._attempts, self._paths, copies, call.left_ms()
+            ).run()
+        except BaseException:
+            self._attempts.cancel(twin)
+            raise
+        finally:
+            load.note_done()
+
+    def _hedge_target(self, call: Call) -> UpstreamLoad | None:
+        has_others = len(call.tried) < call.router.member_count
+        if not has_others or call.left_ms() <= 0:
+            return None
+        if not call.router.budget.may_hedge():
+            return None
+        query = RoutingQuery(monotonic_ms(), frozenset(call.tried))
+        return call.router.choose(call.operation.name, query)
+
+    def _submit(
+        self,
+        call: Call,
+        load: UpstreamLoad,
+        attempt: Attempt,
+        *,
+        may_wait: bool,
+    ) -> gevent.Greenlet | None:
+        request = call.request
+        attempt.channel.send(
+            Submit(
+                attempt.request_id,
+                call.router.service.name,
+                load.upstream,
+                call.operation.name,
+                request.method,
+                request.target,
+                request.headers,
+                request.organisation,
+                call.fingerprint,
+                max(1, int(call.left_ms())),
+                may_wait,
+                request.body_bytes,
+                request.chunk,
+                request.last,
+            ),
+        )
+        if request.last:
+            return None
+        return gevent.spawn(pump_body, request, attempt)
+
+    def _refused(self, attempt: Attempt, first: Refusal | None) -> Refused:
+        if first is None:
+            self._attempts.cancel(attempt)
+            return Refused(Outcome.UNKNOWN, Reason.DEADLINE)
+        reason = Reason(first.reason)
+        if reason in _SAID_HERE:
+            self._attempts.cancel(attempt)
+        else:
+            self._attempts.end(attempt)
+        return Refused(Outcome(first.outcome), reason, first.retry_after_ms)
+
+    def _answer(self, call: Call, attempt: Attempt, head: Head) -> Answer:
+        body = AnswerBody(
+            self._attempts,
+            attempt,
+            head,
+            call.operation.deadline_ms,
+        )
+        try:
+            body.await_first()
+        except CutAnswerError:
+            return Refused(Outcome.UNKNOWN, Reason.ANSWER_CUT)
+        return UpstreamAnswer(head.status, head.headers, head.body_bytes, body)
+
+    def _learn(self, call: Call, heard: Heard, took_ms: float) -> None:
+        first = heard.first
+        load = heard.copy.load
+        is_ok = isinstance(first, Head) and first.status < _SERVER_ERROR
+        if is_ok:
+            call.router.poison.note_success(call.fingerprint)
+        if isinstance(first, Refusal):
+            if first.reason == Reason.UPSTREAM_CRASHED.value:
+                self._routing.note_crash(
+                    call.router,
+                    call.fingerprint,
+                    load.upstream,
+                )
+            if first.outcome == Outcome.NOT_RUN.value:
+                return
+        sample = Sample(monotonic_ms(), is_ok, took_ms)
+        call.router.note_trial(load.upstream, call.operation.name, sample)
+
+
+def _kill(greenlet: gevent.Greenlet | None) -> None:
+    if greenlet is not None:
+        greenlet.kill(block=False)
+
+
+__all__ = ('Exchanges',)
--- a/src/jackdawhead/node/entry/live_path.py
+++ b/src/jackdawhead/node/entry/live_path.py
@@ -12,54 +12,95 @@
 from ...wire.messages import Head, Refusal
 
 if TYPE_CHECKING:
-    from .attempts import Attempt
+    from collections.abc import Callable
 
-_MIN_PATIENCE_MS: Final = 500
+    from .attempts import Attempt, Channel
+
+_MIN_PATIENCE_MS: Final = 250
 _PATIENCE_FACTOR: Final = 8
 _PONG_MS: Final = 250
 _PONG_POLL_MS: Final = 10
 _GRACE_MS: Final = 50
 
 
-def await_on_live_path(
-    attempt: Attempt,
-    run_ms: float,
-    left_ms: float,
-) -> Head | Refusal | None:
-    """Return the head or the refusal, or nothing when time is up.
+class LivePaths:
+    """Finds out which paths to homes are silent.
+
+    :param on_silent: called with the VM of a home that answered no ping.
+    """
+
+    def __init__(self, on_silent: Callable[[str], None]) -> None:
+        self._on_silent = on_silent
+        self._watched: set[str] = set()
+
+    def is_open(self, channel: Channel) -> bool:
+        """Return whether a home answers a ping soon, and tell if not.
+
+        :param channel: way to the home.
+        """
+        serial = channel.ping()
+        # Polls are counted, as time also passes while this process is
+        # paused, and the answer may have come meanwhile.
+        for _ in range(_PONG_MS // _PONG_POLL_MS):
+            gevent.sleep(seconds(_PONG_POLL_MS))
+            if channel.has_answered(serial):
+                return True
+        self._on_silent(channel.vm)
+        return False
+
+    def watch(self, channel: Channel) -> None:
+        """Check a path without holding up the request.
+
+        :param channel: way to a home; checked once at a time.
+        """
+        if channel.vm not in self._watched:
+            self._watched.add(channel.vm)
+            gevent.spawn(self._check, channel)
+
+    def first(
+        self,
+        attempt: Attempt,
+        run_ms: float,
+        left_ms: float,
+    ) -> Head | Refusal | None:
+        """Return the head or the refusal, or nothing when time is up.
+
+        When the answer is overdue, the path is checked. If it is silent, a
+        refusal with the reason ``peer-silent`` is returned.
+
+        :param attempt: of idempotent work.
+        :param run_ms: expected run time.
+        :param left_ms: time left for the request.
+        """
+        ends_ms = monotonic_ms() + left_ms
+        first = attempt.first(min(patience_ms(run_ms), left_ms))
+        if first is not None:
+            return first
+        if monotonic_ms() < ends_ms and not self.is_open(attempt.channel):
+            return silent(attempt)
+        return attempt.first(ends_ms - monotonic_ms() + _GRACE_MS)
+
+    def _check(self, channel: Channel) -> None:
+        self.is_open(channel)
+        self._watched.discard(channel.vm)
+
+
+def patience_ms(run_ms: float) -> float:
+    """Return after which time an answer is overdue.
+
+    :param run_ms: expected run time of the work.
+    """
+    return max(_MIN_PATIENCE_MS, _PATIENCE_FACTOR * run_ms)
+
 
-    When the answer is overdue, the home is asked for a sign of life. If it
-    gives none, a refusal with the reason ``peer-silent`` is returned.
+def silent(attempt: Attempt) -> Refusal:
+    """Return what is told of an attempt on a silent path.
 
-    :param attempt: of idempotent work.
-    :param run_ms: expected run time.
-    :param left_ms: time left for the request.
+    :param attempt: given up.
     """
-    ends_ms = monotonic_ms() + left_ms
-    patience_ms = max(_MIN_PATIENCE_MS, _PATIENCE_FACTOR * run_ms)
-    first = attempt.first(min(patience_ms, left_ms))
-    if first is not None:
-        return first
-    if monotonic_ms() < ends_ms and not _answers_ping(attempt):
-        return _silent(attempt)
-    return attempt.first(ends_ms - monotonic_ms() + _GRACE_MS)
-
-
-def _answers_ping(attempt: Attempt) -> bool:
-    channel = attempt.channel
-    asked_ms = monotonic_ms()
-    channel.ping()
-    while channel.heard_at_ms < asked_ms:
-        if monotonic_ms() - asked_ms > _PONG_MS:
-            return False
-        gevent.sleep(seconds(_PONG_POLL_MS))
-    return True
-
-
-def _silent(attempt: Attempt) -> Refusal:
     return Refusal(
         attempt.request_id, Outcome.UNKNOWN.value, Reason.PEER_SILENT.value, 0
     )
 
 
-__all__ = ('await_on_live_path',)
+__all__ = ('LivePaths', 'patience_ms', 'silent')
--- a/src/jackdawhead/node/entry/race.py
+++ b/src/jackdawhead/node/entry/race.py
@@ -7,10 +7,12 @@
 
 from ...clock import monotonic_ms
 from ...wire.messages import Head, Refusal
+from .live_path import patience_ms, silent
 
 if TYPE_CHECKING:
     from ...policy.loads import UpstreamLoad
     from .attempts import Attempt, Attempts
+    from .live_path import LivePaths
 
 _GRACE_MS: Final = 50
 _SERVER_ERROR: Final = 500
@@ -26,6 +28,11 @@
     attempt: Attempt
     load: UpstreamLoad
 
+    @property
+    def run_ms(self) -> float:
+        """Run time to expect."""
+        return self.load.report.run_ms
+
 
 @dataclass(frozen=True, slots=True)
 class Heard:
@@ -38,35 +45,72 @@
     first: Head | Refusal | None
 
 
-def race(
-    attempts: Attempts,
-    copies: tuple[Copy, Copy],
-    left_ms: float,
-) -> Heard:
-    """Return the first good answer, and withdraw the other copy.
-
-    If neither is good, the last one heard is returned.
+class Race:
+    """Waits for two copies, which are twins.
 
-    :param copies: the earlier and the later one; twins.
+    :param attempts: where a copy is withdrawn.
+    :param paths: tells whether a copy can still be answered.
+    :param copies: the earlier and the later one.
     :param left_ms: time left for the request.
     """
-    ends_ms = monotonic_ms() + left_ms + _GRACE_MS
-    earlier, later = copies
-    message = earlier.attempt.any_first(ends_ms - monotonic_ms())
-    if message is None:
-        attempts.cancel(later.attempt)
-        return Heard(earlier, None)
-    is_earlier = message.request_id == earlier.attempt.request_id
-    heard, other = (earlier, later) if is_earlier else (later, earlier)
-    if _is_good(message):
-        attempts.cancel(other.attempt)
-        return Heard(heard, message)
-    attempts.cancel(heard.attempt)
-    return Heard(other, other.attempt.first(ends_ms - monotonic_ms()))
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        paths: LivePaths,
+        copies: tuple[Copy, Copy],
+        left_ms: float,
+    ) -> None:
+        self._attempts = attempts
+        self._paths = paths
+        self._copies = copies
+        self._ends_ms = monotonic_ms() + left_ms
+
+    def run(self) -> Heard:
+        """Return the first good answer, and withdraw the other copy.
+
+        If neither is good, the last one heard is returned. A copy whose
+        path is silent is withdrawn once both are overdue.
+        """
+        overdue_ms = max(patience_ms(copy.run_ms) for copy in self._copies)
+        message = self._any_first(min(overdue_ms, self._left_ms()))
+        if message is None:
+            return self._wait_on_open_paths()
+        return self._judge(message)
+
+    def _wait_on_open_paths(self) -> Heard:
+        open_copies = [
+            copy
+            for copy in self._copies
+            if self._paths.is_open(copy.attempt.channel)
+        ]
+        message = self._any_first(self._left_ms() if open_copies else 0)
+        if message is not None:
+            return self._judge(message)
+        earlier, later = self._copies
+        self._attempts.cancel(later.attempt)
+        return Heard(earlier, None if open_copies else silent(earlier.attempt))
+
+    def _judge(self, message: Head | Refusal) -> Heard:
+        earlier, later = self._copies
+        is_earlier = message.request_id == earlier.attempt.request_id
+        heard, other = (earlier, later) if is_earlier else (later, earlier)
+        if _is_good(message):
+            self._attempts.cancel(other.attempt)
+            return Heard(heard, message)
+        self._attempts.cancel(heard.attempt)
+        first = self._paths.first(other.attempt, other.run_ms, self._left_ms())
+        return Heard(other, first)
+
+    def _any_first(self, timeout_ms: float) -> Head | Refusal | None:
+        return self._copies[0].attempt.any_first(timeout_ms)
+
+    def _left_ms(self) -> float:
+        return self._ends_ms - monotonic_ms() + _GRACE_MS
 
 
 def _is_good(message: Head | Refusal) -> bool:
     return isinstance(message, Head) and message.status < _SERVER_ERROR
 
 
-__all__ = ('Copy', 'Heard', 'race')
+__all__ = ('Copy', 'Heard', 'Race')
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -25,6 +25,7 @@
 _TICK_MS: Final = 200
 _TICK_PER_UPSTREAM_MS: Final = 0.75
 _AVOID_HOME_MS: Final = 500
+_AVOID_SILENT_MS: Final = 3000
 _KIND_OF_HEALTH: Final = {
     Health.EJECTED: AuditKind.UPSTREAM_EJECTED,
     Health.TRIAL: AuditKind.UPSTREAM_TRIAL,
@@ -58,6 +59,7 @@
         self._audit = audit
         self._on_crash = on_crash
         self._routers: dict[str, ServiceRouter] = {}
+        self._silent_homes: set[str] = set()
         board.config.on_change(lambda _: self._update())
         board.vm_list.on_change(lambda _: self._update())
 
@@ -154,6 +156,23 @@
         for router in self.routers():
             router.avoid_home(home, until_ms)
 
+    def note_silent_path(self, home: str) -> None:
+        """Avoid a home that has not answered a ping, until it does.
+
+        :param home: VM of the home.
+        """
+        self._silent_homes.add(home)
+        self.avoid(home, _AVOID_SILENT_MS)
+
+    def note_open_path(self, home: str) -> None:
+        """Use a home again that has answered a ping late.
+
+        :param home: VM of the home.
+        """
+        if home in self._silent_homes:
+            self._silent_homes.discard(home)
+            self.avoid(home, 0)
+
     def _count_crash(
         self,
         router: ServiceRouter,
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -56,6 +56,8 @@
         self.ended = Event()
         self._identity = identity
         self._nonce = new_nonce()
+        self._pinged = 0
+        self._answered = 0
         self._on_message = on_message
         self._on_close = on_close
         self._stream = Stream(sock, self._receive, self._closed)
@@ -81,9 +83,24 @@
         """
         self._stream.send(message)
 
-    def ping(self) -> None:
-        """Ask the other node for a sign of life."""
-        self.send(Ping())
+    def ping(self) -> int:
+        """Ask the other node for an answer at once.
+
+        :returns: serial number of the ping.
+        """
+        self._pinged += 1
+        self.send(Ping(self._pinged))
+        return self._pinged
+
+    def has_answered(self, serial: int) -> bool:
+        """Return whether a ping, or a later one, was answered.
+
+        Other messages show nothing: while one direction is cut, what the
+        other node sends unasked still arrives.
+
+        :param serial: of the ping.
+        """
+        return self._answered >= serial
 
     def close(self, reason: str) -> None:
         """Close the link.
@@ -109,8 +126,11 @@
     def _receive(self, message: Message) -> None:
         self.heard_at_ms = monotonic_ms()
         match message:
-            case Ping() if self.vm:
-                self.send(Pong())
+            case Ping(serial=serial) if self.vm:
+                self.send(Pong(serial))
+            case Pong(serial=serial) if self.vm:
+                self._answered = serial
+                self._on_message(self, message)
             case _ if self.vm:
                 self._on_message(self, message)
             case _:
--- a/src/jackdawhead/node/local_channel.py
+++ b/src/jackdawhead/node/local_channel.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from ..clock import monotonic_ms
 from ..wire.messages import (
     Body,
     Credit,
     DrainNews,
     Head,
     Message,
+    Pong,
     Refusal,
     UpstreamStatus,
 )
@@ -29,13 +29,19 @@
 
     def __init__(self, parts: NodeParts) -> None:
         self.vm = parts.identity.vm
-        self.heard_at_ms = monotonic_ms()
         self._parts = parts
         self._session = HomeSession(parts.home, parts.board, self._receive)
 
-    def ping(self) -> None:
-        """Note that the home is alive, as this process is."""
-        self.heard_at_ms = monotonic_ms()
+    def ping(self) -> int:
+        """Return the serial number of a ping, which is never sent."""
+        return 0
+
+    def has_answered(self, serial: int) -> bool:
+        """Return that the home is reached, as it is this process.
+
+        :param serial: of a ping.
+        """
+        return True
 
     def send(self, message: Message) -> None:
         """Hand a message to the home.
@@ -61,6 +67,8 @@
     :returns: whether it was one of a home's answers.
     """
     match message:
+        case Pong():
+            parts.routing.note_open_path(channel.vm)
         case UpstreamStatus():
             parts.routing.note_status(message)
         case Head() | Body() | Refusal() | Credit():
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-PROTOCOL_VERSION: Final = 1
+PROTOCOL_VERSION: Final = 2
 
 HeaderPairs = list[list[str]]
 _MessageT = TypeVar('_MessageT')
@@ -268,13 +268,23 @@
 @_message(17)
 @dataclass(frozen=True, slots=True)
 class Ping(Message):
-    """Asks for a sign of life at once."""
+    """Asks for an answer at once, which shows that the path is open.
+
+    :param serial: grows with each ping on a stream.
+    """
+
+    serial: int
 
 
 @_message(18)
 @dataclass(frozen=True, slots=True)
 class Pong(Message):
-    """The sign of life that was asked for."""
+    """The answer to a ping.
+
+    :param serial: that of the ping.
+    """
+
+    serial: int
 
 
 __all__ = (
