Act on nothing old after a pause, and get round a silent upstream

Four faults, each with a scenario that failed first.

Change: whoever acts on what comes from outside compares the monotonic clock with the last tick first; after more than 3 s links are dropped with all that waits in them, and callers' requests wait until peers have told the version in force, at most 1.5 s. A start waits in the same way.

Found one by one with a log line at each hedge: no second copy while an upstream warms up, as no median is known; none when the wait to expect exceeded the patience; none for work that others had refused as busy before; an own-zone upstream that is to be avoided was taken as idle; the last upstream left was preferred although avoided; and a home's report after a cancelled run passed for a sign of life. Change: twice the average run stands in for the median; the path check and the second copy have their own times; an upstream from which nothing came back since an overdue request was sent, with another in flight, is avoided until it answers, at most 1 s. Ruled out: the retry budget alone (tokens were left in 4 of 6 cases).

A request that crashed an upstream could be sent to it again after its restart: 6 starts, with 2 allowed. It now goes to others first.

--- a/features/fleet/partition.feature
+++ b/features/fleet/partition.feature
@@ -36,3 +36,16 @@
     When a poison request is sent to node 1 until it is refused
     Then a poison request to node 4 is refused without a crash
     And at most 2 upstreams crashed
+
+  Scenario: A node that was paused asks before it acts on what it knew
+    Given a fleet of 9 nodes before "registry-desk"
+    When a node that does not watch the platform is paused, and the operators publish version 2 with a new route
+    And a caller sends GET "/new-2/rosa" to that node before it wakes
+    Then the status is 200
+
+  Scenario: A request that crashed an upstream goes to another one next
+    Given a fleet of 3 nodes before "registry-desk"
+    When the operators publish version 2 with "services: {registry-desk: {retry: {max_attempts: 1}}}" added
+    Then all nodes follow configuration 2 within 8 s
+    When a poison request is sent to node 1 each 1500 ms until it is refused
+    Then at most 2 upstreams crashed
--- a/features/fleet/subsets.feature
+++ b/features/fleet/subsets.feature
@@ -4,7 +4,7 @@
     Given a fleet of 12 nodes before "registry-desk" that closes unused links
     When callers send 240 lookups to all nodes
     Then some node uses 12 upstreams
-    When the operators publish version 2 with subsets of 3
+    When the operators publish version 2 with "services: {registry-desk: {subset_size: 3}}" added
     Then all nodes follow configuration 2 within 8 s
     When callers send 240 lookups to all nodes
     Then every lookup has the whole answer to its own request
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -2,29 +2,37 @@
 
 from __future__ import annotations
 
+import json
+import signal
 import time
 from collections.abc import Callable
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from behave import given, then, when
 
-from features.steps.fleet_steps import node_at, start_fleet
-from features.steps.spread_steps import restart, statuses
+from features.steps.fleet_steps import node_at, own_fleet, start_fleet
+from features.steps.spread_steps import restart, site_files, statuses
 from jackdawhead.bench.client import Call
 from jackdawhead.bench.load import LoadPlan, run_load
 from jackdawhead.config.settings import Address
-from standins.fleet import Fleet, call, wait_until
+from jackdawhead.node.membership import parse_vm_list
+from jackdawhead.policy.readers import is_reader
+from standins.fleet import Fleet, call, read_json, wait_until
 from standins.relay import Relay
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from jackdawhead.blackboard import VmList
+
 _IP = '127.0.0.1'
 _RATE_PER_S = 80.0
 _POISON = '/cultivars/poison'
 _REFUSED = 422
+_SENT_S = 0.5
+_SECOND = 2
 
 
 def lookup(number: int) -> Call:
@@ -70,6 +78,54 @@
     start_with_relays(context, count, service, list(range(1, count + 1)))
 
 
+@given(
+    'a fleet of {count:d} nodes before "{service}" with a relay '
+    'before upstream {position:d}'
+)
+def fleet_with_upstream_relay(
+    context: Context,
+    count: int,
+    service: str,
+    position: int,
+) -> None:
+    """Start a fleet with one upstream behind a relay."""
+    own_fleet(context, count, service)
+    name = list(context.fleet.upstreams)[position - 1]
+    relay = Relay(context.fleet.upstreams[name].port)
+    relay.start()
+    context.stack.callback(relay.stop)
+    context.relays = {name: relay}
+    context.fleet.relayed_upstreams[name] = relay.port
+    context.fleet.publish_vms()
+    wait_until(
+        lambda: all(
+            each['vm_list_version'] == _SECOND for each in statuses(context)
+        ),
+        'second list everywhere',
+    )
+
+
+@given(
+    'a fleet of {count:d} nodes before "{service}" with a relay '
+    'before the platform of node {position:d}'
+)
+def fleet_with_platform_relay(
+    context: Context,
+    count: int,
+    service: str,
+    position: int,
+) -> None:
+    """Start a fleet, one node of which reaches the platform by a relay."""
+    own_fleet(context, count, service)
+    relay = Relay(context.fleet.platform_port)
+    relay.start()
+    context.stack.callback(relay.stop)
+    context.relays = {'platform': relay}
+    vm = node_at(context, position)
+    restart(context, vm, platform_address=f'{_IP}:{relay.port}')
+    context.fleet.await_ready([vm])
+
+
 def start_with_relays(
     context: Context,
     count: int,
@@ -227,6 +283,62 @@
     context.load.exchanges = context.exchanges
 
 
+@when(
+    'a node that does not watch the platform is paused, and the operators '
+    'publish version {version:d} with a new route'
+)
+def pause_and_publish(context: Context, version: int) -> None:
+    """Stop a node; when its links are gone, change the configuration."""
+    context.paused = next(
+        node
+        for node in context.fleet.nodes.values()
+        if not is_reader(node.vm, node.zone, listed(context))
+    )
+    context.paused.process.send_signal(signal.SIGSTOP)
+    wait_until(
+        lambda: (
+            not any(
+                context.paused.vm in status['links']
+                for status in statuses_of_others(context)
+            )
+        ),
+        'no links to the paused node',
+    )
+    context.fleet.publish('config', site_files(version))
+    wait_until(
+        lambda: all(
+            status['config_version'] == version
+            for status in statuses_of_others(context)
+        ),
+        f'version {version} at the others',
+    )
+
+
+def listed(context: Context) -> VmList:
+    """Return the list of VMs as the nodes know it."""
+    text = json.dumps(context.fleet.listed_vms(context.fleet.listed_port))
+    return parse_vm_list(1, text).unwrap()
+
+
+def statuses_of_others(context: Context) -> list[dict[str, Any]]:
+    """Return what the nodes know that are not paused."""
+    return [
+        read_json(node.admin_port, '/status')
+        for node in context.fleet.nodes.values()
+        if node is not context.paused
+    ]
+
+
+@when('a caller sends GET "{target}" to that node before it wakes')
+def send_while_paused(context: Context, target: str) -> None:
+    """Send a request that the node finds when it wakes up."""
+    node = context.paused
+    sending = gevent.spawn(call, node.caller_port, 'GET', target)
+    gevent.sleep(_SENT_S)
+    node.process.send_signal(signal.SIGCONT)
+    context.reply = sending.get()
+
+
 @when('a poison request is sent to node {position:d} until it is refused')
 def send_poison(context: Context, position: int) -> None:
     """Send a request that crashes upstreams."""
@@ -238,6 +350,17 @@
     wait_until(is_refused, 'refusal')
 
 
+@when(
+    'a poison request is sent to node {position:d} each {pause:d} ms '
+    'until it is refused'
+)
+def send_poison_slowly(context: Context, position: int, pause: int) -> None:
+    """Give crashed upstreams the time to come back in between."""
+    port = context.fleet.nodes[node_at(context, position)].caller_port
+    while call(port, 'GET', _POISON).status != _REFUSED:
+        gevent.sleep(pause / 1000)
+
+
 @then('a poison request to node {position:d} is refused without a crash')
 def check_poison(context: Context, position: int) -> None:
     """Send the same request to another node."""
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -92,7 +92,7 @@
     first = attempts.begin(context.link)
     second = attempts.begin(context.link, first)
     second.deliver(Refusal(second.request_id, 'not-run', 'busy', 0))
-    copies = (Copy(first, load()), Copy(second, load()))
+    copies = (Copy(first, load(), 0), Copy(second, load(), 0))
     heard = Race(attempts, LivePaths(str), copies, _LEFT_MS).run()
     assert isinstance(heard.first, Refusal), heard
     assert heard.first.reason == reason, heard
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -25,9 +25,14 @@
 """
 
 
+def own_files() -> dict[str, str]:
+    """Return the site's files."""
+    return {path.name: path.read_text() for path in HELVETIA.folder.glob('*')}
+
+
 def site_files(number: int) -> dict[str, str]:
     """Return the site's files and one with a new route."""
-    files = {path.name: path.read_text() for path in HELVETIA.folder.glob('*')}
+    files = own_files()
     files['80-new.yaml'] = _ROUTE.format(number=number)
     return files
 
@@ -47,13 +52,21 @@
     assert str(version) in reply.body.decode(), reply
 
 
+@when('the operators publish version {version:d} with "{text}" added')
+def publish_added(context: Context, version: int, text: str) -> None:
+    """Publish a configuration with one more file."""
+    files = {**own_files(), '90-added.yaml': text}
+    reply = context.fleet.publish('config', files)
+    assert str(version) in reply.body.decode(), reply
+
+
 @when(
     'the operators publish version {version:d} with a longer deadline of '
     'lookups'
 )
 def publish_deadline(context: Context, version: int) -> None:
     """Publish a configuration with one setting changed."""
-    files = {path.name: path.read_text() for path in HELVETIA.folder.glob('*')}
+    files = own_files()
     name = next(each for each in files if 'registry-desk' in each)
     changed = files[name].replace('deadline_ms: 2000', 'deadline_ms: 2500')
     assert changed != files[name]
@@ -147,7 +160,7 @@
 @when('the platform serves only version 1')
 def serve_stale(context: Context) -> None:
     """Put the first publication back, as a restored platform would."""
-    files = {path.name: path.read_text() for path in HELVETIA.folder.glob('*')}
+    files = own_files()
     context.fleet.publish('config', files, version=1)
     set_mode(context, 'stale')
 
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -12,7 +12,6 @@
 from jackdawhead.policy.service_router import Member
 from jackdawhead.policy.subset import SubsetRule
 from standins.fleet import Fleet, wait_until
-from standins.sites import HELVETIA
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -33,16 +32,6 @@
     start_fleet(context.fleet, service, count)
 
 
-@when('the operators publish version {version:d} with subsets of {size:d}')
-def publish_subsets(context: Context, version: int, size: int) -> None:
-    """Publish a configuration with another size of the subset."""
-    files = {path.name: path.read_text() for path in HELVETIA.folder.glob('*')}
-    setting = f'services: {{{_SERVICE}: {{subset_size: {size}}}}}'
-    files['80-subset.yaml'] = setting
-    reply = context.fleet.publish('config', files)
-    assert str(version) in reply.body.decode(), reply
-
-
 def used_counts(context: Context) -> list[int]:
     """Return how many upstreams of the main service each node uses."""
     return [
--- a/src/jackdawhead/node/acceptor.py
+++ b/src/jackdawhead/node/acceptor.py
@@ -7,6 +7,7 @@
 from gevent.server import StreamServer
 
 from ..audit import AuditKind
+from ..clock import monotonic_ms
 from ..wire.messages import TicketSubmit
 from .home.session import HomeSession
 from .links import AcceptedLink, Link
@@ -79,6 +80,8 @@
         link.ended.wait()
 
     def _receive(self, link: Link, message: Message) -> None:
+        if self._parts.pauses.notice(monotonic_ms()):
+            return
         if self._gossip.take(link, message):
             return
         if isinstance(message, TicketSubmit):
--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -13,6 +13,7 @@
 from .identity import new_identity
 from .membership import MembershipController
 from .parts import NodeParts
+from .pause_watch import PauseWatch
 from .tickets.store import TicketStore
 from .trace_recorder import TraceRecorder
 
@@ -55,6 +56,7 @@
         config=ConfigController(board, audit),
         membership=MembershipController(board, audit),
         tickets=TicketStore(identity),
+        pauses=PauseWatch(settings.vm, audit),
     )
 
 
--- a/src/jackdawhead/node/caller_listener.py
+++ b/src/jackdawhead/node/caller_listener.py
@@ -29,7 +29,7 @@
     :param traffic: counts requests.
     """
     settings = parts.settings
-    plain = Dispatcher(parts.routing, channels, parts.attempts, parts.recorder)
+    plain = Dispatcher(parts, channels)
     tickets = TicketDispatcher(parts, plain, channels)
     channels.take_tickets(TicketSessions(settings.stream_keys, tickets))
     api = CallerApi(settings, parts.board, Dispatchers(plain, tickets), traffic)
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -22,6 +22,8 @@
 
 _HEARTBEAT_MS: Final = 1000
 _FLUSH_MS: Final = 800
+_CATCH_UP_MS: Final = 1000
+_CATCH_UP_POLL_MS: Final = 10
 
 
 class Channels:
@@ -32,6 +34,7 @@
 
     def __init__(self, parts: NodeParts) -> None:
         self.gossip = GossipController(parts, self.links)
+        self._config = parts.board.config
         self._local = LocalChannel(parts)
         self._dialler = Dialler(parts, self.gossip)
         self._acceptor = Acceptor(parts, self.gossip, self._dialler.forgive)
@@ -73,12 +76,34 @@
         return self._dialler.links
 
     def meet_peers(self, timeout_ms: float) -> None:
-        """Link to seeds and gossip peers and wait for what they know.
+        """Link to seeds and gossip peers, and take over what they know.
 
         :param timeout_ms: longest wait.
         """
         self._dialler.dial_seeds()
-        self._dialler.dial_peers(timeout_ms)
+        with gevent.Timeout(seconds(timeout_ms), False):
+            self.catch_up(timeout_ms)
+
+    def drop_links(self, reason: str) -> None:
+        """Close all links.
+
+        :param reason: for the log.
+        """
+        for link in self.links():
+            link.close(reason)
+
+    def catch_up(self, dial_ms: float = _CATCH_UP_MS) -> None:
+        """Dial peers and wait until their configuration is in force here.
+
+        A configuration that is refused here is waited for without end, so
+        the caller limits the time.
+
+        :param dial_ms: longest wait for the dials.
+        """
+        self._dialler.dial_peers(dial_ms)
+        latest = max((link.config_version for link in self.links()), default=0)
+        while self._config.read().version < latest:
+            gevent.sleep(seconds(_CATCH_UP_POLL_MS))
 
     def run(self) -> None:
         """Send heartbeats and close silent links, for ever."""
--- a/src/jackdawhead/node/entry/calls.py
+++ b/src/jackdawhead/node/entry/calls.py
@@ -18,7 +18,7 @@
     """A request with what was decided about it.
 
     :param deadline_at_ms: monotonic time.
-    :param tried: upstreams it was sent to.
+    :param tried: upstreams it was sent to, or that it may have crashed.
     """
 
     request: CallerRequest
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -19,9 +19,7 @@
 
 if TYPE_CHECKING:
     from ..channels import Channels
-    from ..trace_recorder import TraceRecorder
-    from .attempts import Attempts
-    from .routing import RoutingController
+    from ..parts import NodeParts
 
 _COME_BACK_MS: Final = 50
 _SERVER_ERROR: Final = 500
@@ -31,22 +29,15 @@
 class Dispatcher:
     """Finds an answer for each request.
 
-    :param routing: routes and the state of the services.
+    :param parts: controllers of this node.
     :param channels: ways to the homes.
-    :param attempts: where answers are awaited.
-    :param recorder: records arrivals for replay.
     """
 
-    def __init__(
-        self,
-        routing: RoutingController,
-        channels: Channels,
-        attempts: Attempts,
-        recorder: TraceRecorder,
-    ) -> None:
-        self._recorder = recorder
-        self._routing = routing
-        self._exchanges = Exchanges(routing, channels, attempts)
+    def __init__(self, parts: NodeParts, channels: Channels) -> None:
+        self._recorder = parts.recorder
+        self._routing = parts.routing
+        self._pauses = parts.pauses
+        self._exchanges = Exchanges(parts.routing, channels, parts.attempts)
 
     def dispatch(self, request: CallerRequest) -> Answer:
         """Return the answer of an upstream, or a final refusal.
@@ -60,6 +51,7 @@
                 return self._send(call)
 
     def _plan(self, request: CallerRequest) -> Call | Refused:
+        self._pauses.await_fresh()
         table = self._routing.table
         if table is None:
             return Refused(Outcome.NOT_RUN, Reason.NO_CONFIG, _COME_BACK_MS)
@@ -90,6 +82,7 @@
             operation,
             fingerprint,
             monotonic_ms() + deadline_ms,
+            router.poison.crashed_upstreams(fingerprint),
         )
 
     def _send(self, call: Call) -> Answer:
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -15,7 +15,7 @@
 from ...wire.messages import Head, Refusal, Submit
 from .answer_body import AnswerBody, CutAnswerError
 from .body_pump import pump_body
-from .live_path import LivePaths, patience_ms
+from .live_path import LivePaths
 from .race import Copy, Heard, Race
 from .requests import Answer, Refused, UpstreamAnswer
 
@@ -74,7 +74,7 @@
         attempt = self._attempts.begin(channel)
         started_ms = monotonic_ms()
         pump = self._submit(call, load, attempt, may_wait=may_wait)
-        copy = Copy(attempt, load)
+        copy = Copy(attempt, load, started_ms)
         try:
             heard = self._await_first(call, copy)
         except BaseException:
@@ -92,11 +92,13 @@
         if not call.operation.idempotent or not call.request.last:
             return Heard(copy, attempt.first(call.left_ms() + _GRACE_MS))
         hedge_ms = hedge_after_ms(call.operation, copy.load, monotonic_ms())
-        if hedge_ms is not None and hedge_ms < patience_ms(copy.run_ms):
-            first = attempt.first(min(hedge_ms, call.left_ms()))
+        if hedge_ms is not None:
+            limit_ms = min(hedge_ms, call.left_ms())
+            first = self._paths.first(attempt, copy.run_ms, limit_ms)
             if first is not None:
                 return Heard(copy, first)
             self._paths.watch(attempt.channel)
+            copy.load.note_overdue(copy.sent_ms, monotonic_ms())
             heard = self._hedge(call, copy)
             if heard is not None:
                 return heard
@@ -105,7 +107,7 @@
 
     def _hedge(self, call: Call, copy: Copy) -> Heard | None:
         """Send a second copy and return the better answer, if one may."""
-        load = self._hedge_target(call)
+        load = self._hedge_target(call, copy.load.upstream)
         channel = self._channels.to(load.home) if load else None
         if load is None or channel is None:
             return None
@@ -114,7 +116,7 @@
         load.note_sent()
         try:
             self._submit(call, load, twin, may_wait=True)
-            copies = (copy, Copy(twin, load))
+            copies = (copy, Copy(twin, load, monotonic_ms()))
             return Race(
                 self._attempts, self._paths, copies, call.left_ms()
             ).run()
@@ -124,13 +126,13 @@
         finally:
             load.note_done()
 
-    def _hedge_target(self, call: Call) -> UpstreamLoad | None:
-        has_others = len(call.tried) < call.router.member_count
-        if not has_others or call.left_ms() <= 0:
+    def _hedge_target(self, call: Call, first: str) -> UpstreamLoad | None:
+        """Choose another upstream; one that was busy before may be free."""
+        if call.router.member_count <= 1 or call.left_ms() <= 0:
             return None
         if not call.router.budget.may_hedge():
             return None
-        query = RoutingQuery(monotonic_ms(), frozenset(call.tried))
+        query = RoutingQuery(monotonic_ms(), frozenset((first,)))
         return call.router.choose(call.operation.name, query)
 
     def _submit(
@@ -191,6 +193,8 @@
     def _learn(self, call: Call, heard: Heard, took_ms: float) -> None:
         first = heard.first
         load = heard.copy.load
+        if isinstance(first, Head):
+            load.note_answer(monotonic_ms())
         is_ok = isinstance(first, Head) and first.status < _SERVER_ERROR
         if is_ok:
             call.router.poison.note_success(call.fingerprint)
--- a/src/jackdawhead/node/entry/race.py
+++ b/src/jackdawhead/node/entry/race.py
@@ -23,10 +23,12 @@
     """One sending of a request.
 
     :param load: upstream it was sent to.
+    :param sent_ms: monotonic time.
     """
 
     attempt: Attempt
     load: UpstreamLoad
+    sent_ms: float
 
     @property
     def run_ms(self) -> float:
--- a/src/jackdawhead/node/parts.py
+++ b/src/jackdawhead/node/parts.py
@@ -15,6 +15,7 @@
     from .home.controller import HomeController
     from .identity import Identity
     from .membership import MembershipController
+    from .pause_watch import PauseWatch
     from .tickets.store import TicketStore
     from .trace_recorder import TraceRecorder
 
@@ -34,6 +35,7 @@
     config: ConfigController
     membership: MembershipController
     tickets: TicketStore
+    pauses: PauseWatch
 
 
 __all__ = ('NodeParts',)
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -20,7 +20,6 @@
 from .entry.traffic import Traffic
 from .caller_listener import caller_server
 from .http_server import QuickServer
-from .pause_watch import PauseWatch
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
 
@@ -58,6 +57,8 @@
         self._channels = Channels(self.parts)
         self.parts.config.broadcast = self._channels.gossip.broadcast
         self.parts.membership.broadcast = self._channels.gossip.broadcast
+        self.parts.pauses.drop_links = self._channels.drop_links
+        self.parts.pauses.refresh = self._channels.catch_up
         self._platform = PlatformClient(settings.platform_address)
         self._callers = caller_server(self.parts, self._channels, self.traffic)
 
@@ -130,7 +131,7 @@
             self._channels.run,
             self.parts.home.run,
             self.parts.routing.run,
-            PauseWatch(self.parts).run,
+            self.parts.pauses.run,
         ]
         for loop in loops:
             self._spawn(stack, loop)
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -57,7 +57,7 @@
         rng: Random,
     ) -> UpstreamLoad | None:
         local = self._best(pool.local, query, rng)
-        if local is not None and local.is_idle():
+        if local is not None and local.is_idle(query.now_ms):
             return local
         remote = self._best(pool.remote, query, rng)
         if remote is None or local is None:
--- a/src/jackdawhead/policy/hedging.py
+++ b/src/jackdawhead/policy/hedging.py
@@ -11,6 +11,7 @@
     from .loads import UpstreamLoad
 
 _RUN_FACTOR: Final = 4
+_UNKNOWN_FACTOR: Final = 2
 _LEAST_MS: Final = 50
 
 
@@ -22,7 +23,8 @@
     """Return the time after which a second copy may be sent, or nothing.
 
     Only short idempotent work is hedged, after a time that few runs take
-    (Dean and Barroso, The Tail at Scale).
+    (Dean and Barroso, The Tail at Scale). While no median is known, as after
+    the start of an upstream, twice the average of its short work stands in.
 
     :param operation: of the work.
     :param load: where the first copy is sent.
@@ -30,10 +32,10 @@
     """
     if not operation.idempotent or operation.work_class is WorkClass.LONG:
         return None
-    median_ms = load.medians_ms.get(operation.name)
-    if median_ms is None:
-        return None
-    wait_ms = load.expected_wait_ms(now_ms)
+    typical_ms = _UNKNOWN_FACTOR * load.report.run_ms
+    median_ms = load.medians_ms.get(operation.name, typical_ms)
+    is_avoided = load.is_avoided(now_ms)
+    wait_ms = 0 if is_avoided else load.expected_wait_ms(now_ms)
     return max(_LEAST_MS, _RUN_FACTOR * median_ms + wait_ms)
 
 
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -12,6 +12,8 @@
 _REPORT_LIFE_MS: Final = 1000
 _SAMPLE_TRIES: Final = 8
 _UNREACHABLE_WAIT_MS: Final = 1e9
+_STALLED_IN_FLIGHT: Final = 2
+_STALLED_MS: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +39,9 @@
     :param in_flight: requests of this node that are not answered yet.
     :param sent_since_report: requests that the report does not count.
     :param avoid_until_ms: monotonic time until which it cannot be reached.
+    :param answered_at_ms: monotonic time of the last answer.
+    :param stalled_until_ms: monotonic time until which it seems to answer
+        nothing.
     :param medians_ms: median run time of each operation, as far as known.
     """
 
@@ -48,6 +53,8 @@
     in_flight: int = 0
     sent_since_report: int = 0
     avoid_until_ms: float = 0
+    answered_at_ms: float = 0
+    stalled_until_ms: float = 0
     medians_ms: dict[str, float] = field(default_factory=dict)
 
     def expected_wait_ms(self, now_ms: float) -> float:
@@ -58,7 +65,7 @@
 
         :param now_ms: monotonic time.
         """
-        if now_ms < self.avoid_until_ms:
+        if self.is_avoided(now_ms):
             return _UNREACHABLE_WAIT_MS
         report = self.report
         each_ms = report.run_ms / report.slots
@@ -69,9 +76,20 @@
             return max(0, surplus) * each_ms
         return report.wait_ms + self.sent_since_report * each_ms
 
-    def is_idle(self) -> bool:
-        """Return whether two slots are free or more, as far as is known."""
-        return self.report.free - self.sent_since_report > 1
+    def is_avoided(self, now_ms: float) -> bool:
+        """Return whether it cannot be reached, or seems to have stopped.
+
+        :param now_ms: monotonic time.
+        """
+        return now_ms < max(self.avoid_until_ms, self.stalled_until_ms)
+
+    def is_idle(self, now_ms: float) -> bool:
+        """Return whether two slots are free or more, as far as is known.
+
+        :param now_ms: monotonic time.
+        """
+        has_slots = self.report.free - self.sent_since_report > 1
+        return has_slots and not self.is_avoided(now_ms)
 
     def completion_ms(self, now_ms: float) -> float:
         """Return the expected wait and run time of short work sent now.
@@ -95,6 +113,31 @@
         """Count a request that ended, in whatever way."""
         self.in_flight = max(0, self.in_flight - 1)
 
+    def note_overdue(self, sent_ms: float, now_ms: float) -> None:
+        """Take in that a request has taken longer than few runs do.
+
+        If nothing at all has come back since it was sent, and it is not
+        alone, the upstream seems to have stopped: it is avoided until
+        something comes back, or for a moment.
+
+        :param sent_ms: monotonic time at which it was sent.
+        :param now_ms: monotonic time.
+        """
+        has_answered = self.answered_at_ms >= sent_ms
+        if not has_answered and self.in_flight >= _STALLED_IN_FLIGHT:
+            self.stalled_until_ms = now_ms + _STALLED_MS
+
+    def note_answer(self, now_ms: float) -> None:
+        """Take in that the upstream has answered a request.
+
+        A report alone shows nothing, as its home sends one, too, when it
+        breaks off a run.
+
+        :param now_ms: monotonic time.
+        """
+        self.answered_at_ms = now_ms
+        self.stalled_until_ms = 0
+
     def note_report(self, report: LoadReport, now_ms: float) -> None:
         """Take a newer report.
 
--- a/src/jackdawhead/policy/poison.py
+++ b/src/jackdawhead/policy/poison.py
@@ -136,6 +136,17 @@
         suspect = self._suspects.get(fingerprint)
         return suspect is not None and upstream in suspect.crashed_at_ms
 
+    def crashed_upstreams(self, fingerprint: int) -> set[str]:
+        """Return the upstreams that crashed with this request in flight.
+
+        It is sent to others, since a second crash of the same upstream
+        would tell nothing new.
+
+        :param fingerprint: of the request.
+        """
+        suspect = self._suspects.get(fingerprint) if self._suspects else None
+        return set(suspect.crashed_at_ms) if suspect else set()
+
     def quarantined_ms(self, fingerprint: int, now_ms: float) -> int:
         """Return for how much longer a request is refused, 0 if it is not.
 
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -129,7 +129,8 @@
     ) -> UpstreamLoad | None:
         """Return the upstream for a request, or nothing if none is left.
 
-        When all have been tried, one is chosen a second time.
+        When all that can be reached have been tried, one is chosen a second
+        time.
         One request at a time goes to an upstream on trial, if its
         operation is idempotent or the service has no such operation.
 
@@ -141,7 +142,9 @@
             return trial
         pool = self._pools.get(operation, _EMPTY)
         chosen = self._balancer.choose(pool, query, self._rng)
-        if chosen is None and query.tried:
+        if not query.tried:
+            return chosen
+        if chosen is None or chosen.is_avoided(query.now_ms):
             again = RoutingQuery(query.now_ms)
             chosen = self._balancer.choose(pool, again, self._rng)
         return chosen
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -154,7 +154,8 @@
         operation = router.service.operations[arrival.operation]
         router.budget.note_first_attempt()
         now_ms = self._shared.timeline.now_ms
-        self._attempt(_Request(arrival, router, operation, now_ms))
+        tried = router.poison.crashed_upstreams(arrival.fingerprint)
+        self._attempt(_Request(arrival, router, operation, now_ms, tried))
 
     def _attempt(self, request: _Request) -> None:
         now_ms = self._shared.timeline.now_ms
@@ -219,12 +220,14 @@
         """Send a second copy if the first is still not answered."""
         now_ms = self._shared.timeline.now_ms
         router = request.router
-        has_others = len(request.tried) < router.member_count
-        if request.copies != [copy] or not has_others:
+        if request.copies != [copy]:
+            return
+        copy.load.note_overdue(copy.sent_ms, now_ms)
+        if router.member_count <= 1:
             return
         if now_ms >= request.deadline_at_ms or not router.budget.may_hedge():
             return
-        query = RoutingQuery(now_ms, frozenset(request.tried))
+        query = RoutingQuery(now_ms, frozenset((copy.load.upstream,)))
         load = router.choose(request.operation.name, query)
         if load is None or load.home in self._cut_homes:
             return
@@ -286,6 +289,8 @@
     ) -> None:
         router = request.router
         fingerprint = request.arrival.fingerprint
+        if answer.outcome is Outcome.RAN:
+            load.note_answer(self._shared.timeline.now_ms)
         if answer.is_good:
             router.poison.note_success(fingerprint)
         if answer.reason is Reason.UPSTREAM_CRASHED:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -66,6 +66,7 @@
     upstreams: dict[str, UpstreamSpot] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
     listed_ports: dict[str, int] = field(default_factory=dict)
+    relayed_upstreams: dict[str, int] = field(default_factory=dict)
     node_settings: dict[str, Any] = field(default_factory=dict)
     place: Callable[[str, int], int] = field(default=lambda _, port: port)
     by_zone: dict[str, list[subprocess.Popen[bytes]]] = field(
@@ -176,7 +177,9 @@
         vms: dict[str, dict[str, Any]] = {}
         for spot in self.upstreams.values():
             vm = vms.setdefault(spot.vm, _vm(spot.vm, spot.zone))
-            vm['upstream_ports'][spot.service] = spot.port
+            name = f'{spot.vm}/{spot.service}'
+            port = self.relayed_upstreams.get(name, spot.port)
+            vm['upstream_ports'][spot.service] = port
         for node in self.nodes.values():
             vm = vms.setdefault(node.vm, _vm(node.vm, node.zone))
             vm['stream_port'] = port_of(node)
