Find homes by a ring, spare heartbeats on links in use, list removals

Cause: the first measurement of grouping a list of VMs by service took 27, 224 and 2,664 ms at 4,000, 16,000 and 64,000 VMs: each VM without a node was compared with all nodes of its zone. Ruled out: the grouping itself (choosing 60 subsets took 6 ms). Change: consistent hashing with 64 points a node in place of rendezvous hashing for homes.

60 services of 36 upstreams use 46, 115 and 175 homes in those lists. 175 heartbeats a second with headers are more than 7 KB/s, so a link that carried anything within half a second gets none.

--- a/features/fleet/live_path.feature
+++ b/features/fleet/live_path.feature
@@ -14,3 +14,7 @@
     Given a link to a home behind a relay, both sending heartbeats
     When the path is cut forward
     Then a lookup with a second copy that is refused is given up as "peer-silent"
+
+  Scenario: What a link carries stands in for heartbeats
+    Given a link to a home behind a relay, both sending heartbeats
+    Then a heartbeat is due on the link half a second after the last message
--- a/features/fleet/subsets.feature
+++ b/features/fleet/subsets.feature
@@ -28,3 +28,9 @@
     Then each entry uses 30 upstreams, none of them in zone 1
     When the homes of all zones cannot be dialled
     Then each entry uses 30 upstreams, 20 of them in its zone
+
+  Scenario: A node that leaves moves only the upstreams it owned
+    Given 40 nodes and 4000 VMs without a node in one zone
+    Then each node owns 50 to 200 upstreams
+    When a node leaves
+    Then only the upstreams of that node have another home
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -9,11 +9,17 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from jackdawhead.clock import monotonic_ms
 from jackdawhead.node.entry.attempts import Attempts
 from jackdawhead.node.entry.live_path import LivePaths
 from jackdawhead.node.entry.race import Copy, Race
 from jackdawhead.node.identity import new_identity
-from jackdawhead.node.links import AcceptedLink, DialledLink, Link
+from jackdawhead.node.links import (
+    QUIET_MS,
+    AcceptedLink,
+    DialledLink,
+    Link,
+)
 from jackdawhead.wire.messages import Heartbeat, Message, Refusal
 from jackdawhead.policy.loads import LoadReport, UpstreamLoad
 from standins.relay import Relay
@@ -101,3 +107,13 @@
 def load() -> UpstreamLoad:
     """Return an upstream whose short work takes a millisecond."""
     return UpstreamLoad('home', 'home', 'zone', LoadReport(0, _RUN_MS, 1, 1))
+
+
+@then('a heartbeat is due on the link half a second after the last message')
+def check_heartbeat_due(context: Context) -> None:
+    """Compare the times around a message."""
+    before_ms = monotonic_ms()
+    context.link.ping()
+    after_ms = monotonic_ms()
+    assert not context.link.needs_heartbeat(before_ms + QUIET_MS - 1)
+    assert context.link.needs_heartbeat(after_ms + QUIET_MS)
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -9,6 +9,8 @@
 
 from features.steps.fleet_steps import start_fleet
 from features.steps.spread_steps import statuses
+from jackdawhead.blackboard import Vm, VmList
+from jackdawhead.policy.homes import HomeMap
 from jackdawhead.policy.service_router import Member
 from jackdawhead.policy.subset import SubsetRule
 from standins.fleet import Fleet, wait_until
@@ -166,3 +168,48 @@
     """Choose subsets anew when nothing can be reached."""
     lost = frozenset(each.home for each in context.members)
     context.subsets = subsets(context, lost)
+
+
+@given('{nodes:d} nodes and {vms:d} VMs without a node in one zone')
+def place_vms(context: Context, nodes: int, vms: int) -> None:
+    """List nodes, and VMs that have upstreams only."""
+    listed = [listed_vm(f'node-{number}', 1) for number in range(nodes)]
+    listed += [listed_vm(f'vm-{number}', 0) for number in range(vms)]
+    context.listed = {vm.name: vm for vm in listed}
+    context.homes = homes(context)
+
+
+def listed_vm(name: str, stream_port: int) -> Vm:
+    """Return a VM of the only zone."""
+    return Vm(name, 'zone', '127.0.0.1', False, stream_port, {'s': 1})
+
+
+def homes(context: Context) -> dict[str, str]:
+    """Return the home of each VM."""
+    home_map = HomeMap(VmList(1, context.listed))
+    return {name: home_map.home_of(vm) for name, vm in context.listed.items()}
+
+
+@then('each node owns {least:d} to {most:d} upstreams')
+def check_owned(context: Context, least: int, most: int) -> None:
+    """Count the upstreams of each home."""
+    owned = Counter(context.homes.values())
+    assert least <= min(owned.values()), owned
+    assert max(owned.values()) <= most, owned
+
+
+@when('a node leaves')
+def remove_node(context: Context) -> None:
+    """Take the first node off the list."""
+    context.gone = next(iter(context.listed))
+    context.listed.pop(context.gone)
+
+
+@then('only the upstreams of that node have another home')
+def check_moved(context: Context) -> None:
+    """Compare the homes before and after."""
+    for name, home in homes(context).items():
+        if context.homes[name] == context.gone:
+            assert home != context.gone
+        else:
+            assert home == context.homes[name]
--- a/src/jackdawhead/cli/commands/replay.py
+++ b/src/jackdawhead/cli/commands/replay.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from ...config.load import load_folder
-from ...policy.admission import ADMISSIONS
+from ...policy.admissions import ADMISSIONS
 from ...policy.balancers import BALANCERS
 from ...policy.detectors import DETECTORS
 from ...replay.engine import Replay, with_rules
--- a/src/jackdawhead/config/checks.py
+++ b/src/jackdawhead/config/checks.py
@@ -6,7 +6,7 @@
 
 from jsonschema import Draft202012Validator
 
-from ..policy.admission import ADMISSIONS
+from ..policy.admissions import ADMISSIONS
 from ..policy.balancers import BALANCERS
 from ..policy.detectors import DETECTORS
 from .problems import Problem
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -11,6 +11,7 @@
 from .dialler import Dialler
 from .local_channel import LocalChannel
 from .gossip_controller import GossipController
+from .links import HEARTBEAT_MS
 
 if TYPE_CHECKING:
     from contextlib import ExitStack
@@ -20,7 +21,6 @@
     from .parts import NodeParts
     from .tickets.session import TicketSessions
 
-_HEARTBEAT_MS: Final = 1000
 _FLUSH_MS: Final = 800
 _CATCH_UP_MS: Final = 1000
 _CATCH_UP_POLL_MS: Final = 10
@@ -108,19 +108,24 @@
     def run(self) -> None:
         """Send heartbeats and close silent links, for ever."""
         while True:
-            gevent.sleep(seconds(_HEARTBEAT_MS))
-            self.beat()
+            gevent.sleep(seconds(HEARTBEAT_MS))
+            self._keep_alive(monotonic_ms())
             self._dialler.close_unused()
             self._dialler.keep_peers()
 
     def beat(self) -> None:
-        """Send a heartbeat on each link, or close it if it is silent."""
-        now_ms = monotonic_ms()
+        """Send a heartbeat on each link at once."""
+        heartbeat = self.gossip.heartbeat()
+        for link in self.links():
+            link.send(heartbeat)
+
+    def _keep_alive(self, now_ms: float) -> None:
+        """Close silent links, and send a heartbeat on those not in use."""
         heartbeat = self.gossip.heartbeat()
         for link in self.links():
             if link.is_silent(now_ms):
                 link.close('no heartbeat')
-            else:
+            elif link.needs_heartbeat(now_ms):
                 link.send(heartbeat)
 
     def _close_links(self) -> None:
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -29,6 +29,8 @@
 
 HANDSHAKE_MS: Final = 2000
 SILENCE_MS: Final = 3000
+HEARTBEAT_MS: Final = 1000
+QUIET_MS: Final = 500
 
 
 class Link:
@@ -52,6 +54,7 @@
         self.config_version = 0
         self.heard_at_ms = monotonic_ms()
         self.used_at_ms = self.heard_at_ms
+        self._sent_at_ms: float = 0
         self.ready: AsyncResult = AsyncResult()
         self.heard_heartbeat = Event()
         self.ended = Event()
@@ -82,8 +85,16 @@
 
         :param message: any registered message.
         """
+        self._sent_at_ms = monotonic_ms()
         self._stream.send(message)
 
+    def needs_heartbeat(self, now_ms: float) -> bool:
+        """Return whether nothing has just been sent that shows life instead.
+
+        :param now_ms: monotonic time.
+        """
+        return now_ms - self._sent_at_ms >= QUIET_MS
+
     def ping(self) -> int:
         """Ask the other node for an answer at once.
 
--- /dev/null
+++ b/src/jackdawhead/policy/admissions.py
@@ -0,0 +1,9 @@
+"""All admission rules; importing this module fills the registry."""
+
+from __future__ import annotations
+
+from .admission import ADMISSIONS, AdmissionRule
+from .deadline_admission import DeadlineAdmission
+from .fifo_admission import FifoAdmission
+
+__all__ = ('ADMISSIONS', 'AdmissionRule', 'DeadlineAdmission', 'FifoAdmission')
--- a/src/jackdawhead/policy/homes.py
+++ b/src/jackdawhead/policy/homes.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from bisect import bisect_left
+from typing import TYPE_CHECKING, Final
 
 import xxhash
 
@@ -11,23 +12,27 @@
 
     from ..blackboard import Vm, VmList
 
+_POINTS: Final = 64
+
 
 class HomeMap:
     """Assigns each upstream to a node by the VM list alone.
 
     The node on the upstream's own VM owns it. An upstream whose VM runs no
-    node is assigned to one of its zone by rendezvous hashing (Thaler and
-    Ravishankar), so that a change of the list moves few of them.
+    node is assigned to one of its zone by consistent hashing (Karger et
+    al.), so that a change of the list moves few of them, and a long list
+    takes no more than a look-up for each VM.
 
     :param vm_list: the platform's list.
     """
 
     def __init__(self, vm_list: VmList) -> None:
         self._vms = vm_list.vms
-        self._nodes: dict[str, list[str]] = {}
+        nodes: dict[str, list[str]] = {}
         for vm in vm_list.vms.values():
             if vm.stream_port and not vm.leaving:
-                self._nodes.setdefault(vm.zone, []).append(vm.name)
+                nodes.setdefault(vm.zone, []).append(vm.name)
+        self._rings = {zone: _Ring(names) for zone, names in nodes.items()}
 
     def home_of(self, vm: Vm) -> str:
         """Return the VM whose node owns the upstreams of a VM.
@@ -37,8 +42,8 @@
         """
         if vm.stream_port:
             return vm.name
-        nodes = self._nodes.get(vm.zone, [])
-        return max(nodes, key=lambda node: _weight(node, vm.name), default='')
+        ring = self._rings.get(vm.zone)
+        return ring.node_of(vm.name) if ring else ''
 
     def upstreams_of(self, home: str) -> Iterator[tuple[Vm, str, int]]:
         """Yield VM, service and port of each upstream that a node owns.
@@ -51,8 +56,29 @@
                     yield vm, service, port
 
 
-def _weight(node: str, subject: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{node}|{subject}'.encode())
+class _Ring:
+    """Points of nodes on a ring of hashes.
+
+    :param nodes: VMs of the nodes, at least one.
+    """
+
+    def __init__(self, nodes: list[str]) -> None:
+        points = sorted(
+            (_position(f'{node}|{number}'), node)
+            for node in nodes
+            for number in range(_POINTS)
+        )
+        self._positions = [position for position, _ in points]
+        self._nodes = [node for _, node in points]
+
+    def node_of(self, subject: str) -> str:
+        """Return the node of the first point after a subject's position."""
+        index = bisect_left(self._positions, _position(subject))
+        return self._nodes[index % len(self._nodes)]
+
+
+def _position(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
 __all__ = ('HomeMap',)
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -8,7 +8,7 @@
 
 from ..audit_kinds import AuditKind
 from ..wire.messages import UpstreamStatus
-from .admission import ADMISSIONS
+from .admissions import ADMISSIONS
 from .ending import Ending
 from .evidence import CUSUM_SCALE, Sample
 from .evidence_store import EvidenceStore
