Let work that reached no home try more homes than attempts allow

Just after the start not all homes are linked; 30 callers at once kept the dials longer than the 250 ms that requests wait for them, and three such attempts are all that max_attempts allows. Ruled out: a lost link (no 'peer-lost' at any node), a refused dial (all links joined within 0.3 s), the tokens for redirects (20 saved). Change: an attempt that reached no home counts against the five redirects, not against the attempts; the tokens are spent as before. Before: the new scenario failed (no resend after 4 attempts). Conclusion: a limit on work that ran says nothing of work that did not.

--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -10,6 +10,7 @@
 from gevent.server import StreamServer
 
 from jackdawhead.clock import monotonic_ms
+from jackdawhead.config.model import RetryPolicy
 from jackdawhead.node.entry.attempts import Attempts
 from jackdawhead.node.entry.live_path import LivePaths
 from jackdawhead.node.entry.race import Copy, Race
@@ -20,7 +21,11 @@
     DialledLink,
     Link,
 )
+from jackdawhead.policy.resend import AttemptEnd
+from jackdawhead.policy.retries import RetryBudget
+from jackdawhead.reasons import Reason
 from jackdawhead.wire.messages import Heartbeat, Message, Refusal
+from jackdawhead.outcome import Outcome
 from jackdawhead.policy.loads import LoadReport, UpstreamLoad
 from standins.relay import Relay
 
@@ -117,3 +122,28 @@
     after_ms = monotonic_ms()
     assert not context.link.needs_heartbeat(before_ms + QUIET_MS - 1)
     assert context.link.needs_heartbeat(after_ms + QUIET_MS)
+
+
+@given('a retry budget of {attempts:d} attempts')
+def make_budget(context: Context, attempts: int) -> None:
+    """Begin with the tokens that are saved at the start."""
+    policy = RetryPolicy(8, 50, attempts, 20)
+    context.budget = RetryBudget(policy)
+
+
+def is_resent(context: Context, reason: str, attempts: int) -> bool:
+    """Return whether work that was not run is sent once more."""
+    end = AttemptEnd(Outcome.NOT_RUN, Reason(reason))
+    return bool(context.budget.may_resend(end, attempts))
+
+
+@then('work that ended as "{reason}" is resent after {attempts:d} attempts')
+def check_resent(context: Context, reason: str, attempts: int) -> None:
+    """Ask the budget."""
+    assert is_resent(context, reason, attempts)
+
+
+@then('work that ended as "{reason}" is not resent after {attempts:d} attempts')
+def check_not_resent(context: Context, reason: str, attempts: int) -> None:
+    """Ask the budget."""
+    assert not is_resent(context, reason, attempts)
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -87,14 +87,17 @@
         """Return whether one more attempt is within all limits, and pay.
 
         Redirects from busy homes have been paid for by their reservation
-        and do not count as attempts.
+        and do not count as attempts. Work that reached no home, since a link
+        is still being dialled for example, may try as many others.
 
         :param end: of the attempt before.
         :param attempt: its number, from 1.
         """
         if end.reason is Reason.BUSY:
             return True
-        if attempt >= self._policy.max_attempts:
+        is_unsent = end.reason is Reason.PEER_UNREACHABLE
+        limit = _MAX_REDIRECTS if is_unsent else self._policy.max_attempts
+        if attempt >= limit:
             return False
         return self._try_spend(end.outcome)
 
