--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -8,6 +8,7 @@
 from ..blackboard import Blackboard
 from .config_controller import ConfigController
 from .entry.attempts import Attempts
+from .entry.crash_news import CrashNews
 from .entry.routing import RoutingController
 from .home.controller import HomeController
 from .identity import new_identity
@@ -41,6 +42,7 @@
     board = Blackboard()
     audit = AuditTrail()
     recorder = TraceRecorder(settings, board)
+    routing = RoutingController(settings.vm, settings.zone, board, audit, rng)
     identity = new_identity(settings.vm, settings.stream_keys)
     return NodeParts(
         settings=settings,
@@ -50,9 +52,8 @@
         recorder=recorder,
         attempts=Attempts(),
         home=HomeController(settings.vm, board, audit, rng, recorder, on_drain),
-        routing=RoutingController(
-            settings.vm, settings.zone, board, audit, rng, on_crash
-        ),
+        routing=routing,
+        crashes=CrashNews(routing, audit, on_crash),
         config=ConfigController(board, audit),
         membership=MembershipController(board, audit),
         tickets=TicketStore(identity),
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -37,7 +37,7 @@
         self._recorder = parts.recorder
         self._routing = parts.routing
         self._pauses = parts.pauses
-        self._exchanges = Exchanges(parts.routing, channels, parts.attempts)
+        self._exchanges = Exchanges(parts, channels)
 
     def dispatch(self, request: CallerRequest) -> Answer:
         """Return the answer of an upstream, or a final refusal.
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -21,9 +21,9 @@
 
 if TYPE_CHECKING:
     from ..channels import Channels
-    from .attempts import Attempt, Attempts
+    from ..parts import NodeParts
+    from .attempts import Attempt
     from .calls import Call
-    from .routing import RoutingController
 
 _GRACE_MS: Final = 50
 _SAID_HERE: Final = frozenset((Reason.PEER_SILENT, Reason.BODY_CUT))
@@ -34,21 +34,15 @@
 class Exchanges:
     """Exchanges requests and answers with homes.
 
-    :param routing: state of the services.
+    :param parts: controllers of this node.
     :param channels: ways to the homes.
-    :param attempts: where answers are awaited.
     """
 
-    def __init__(
-        self,
-        routing: RoutingController,
-        channels: Channels,
-        attempts: Attempts,
-    ) -> None:
-        self._routing = routing
+    def __init__(self, parts: NodeParts, channels: Channels) -> None:
         self._channels = channels
-        self._attempts = attempts
-        self._paths = LivePaths(routing.note_silent_path)
+        self._attempts = parts.attempts
+        self._crashes = parts.crashes
+        self._paths = LivePaths(parts.routing.note_silent_path)
 
     def run(
         self,
@@ -200,7 +194,7 @@
             call.router.poison.note_success(call.fingerprint)
         if isinstance(first, Refusal):
             if first.reason == Reason.UPSTREAM_CRASHED.value:
-                self._routing.note_crash(
+                self._crashes.note_crash(
                     call.router,
                     call.fingerprint,
                     load.upstream,
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -10,14 +10,11 @@
 from ...audit import AuditKind
 from ...clock import monotonic_ms, seconds
 from ...policy.detection import Health, HealthChange
-from ...policy.poison import Crash
 from ...policy.service_router import ServiceRouter
-from ...wire.messages import PoisonNews
 from .members import ServiceMembers
 from .routes import RouteTable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
     from random import Random
 
     from ...audit import AuditTrail
@@ -60,8 +57,6 @@
     :param board: source of configuration and VM list.
     :param audit: trail of changes.
     :param rng: source of randomness.
-    :param on_crash: called with service, fingerprint and upstream when an
-        upstream crashed with a request of this node in flight.
     """
 
     def __init__(
@@ -71,14 +66,12 @@
         board: Blackboard,
         audit: AuditTrail,
         rng: Random,
-        on_crash: Callable[[str, int, str], None],
     ) -> None:
         self.rng = rng
         self.table: RouteTable | None = None
         self._zone = zone
         self._board = board
         self._audit = audit
-        self._on_crash = on_crash
         self._routers: dict[str, ServiceRouter] = {}
         self._members = ServiceMembers(vm, zone)
         self._silent_homes: set[str] = set()
@@ -96,6 +89,13 @@
         router.used_at_ms = monotonic_ms()
         return router
 
+    def has_service(self, service: str) -> bool:
+        """Return whether a service is configured.
+
+        :param service: its name.
+        """
+        return service in self._services()
+
     def routers(self) -> tuple[ServiceRouter, ...]:
         """Return the state of all services in use."""
         return tuple(self._routers.values())
@@ -160,50 +160,6 @@
         if router is not None:
             router.mark_draining(upstream, draining)
 
-    def note_crash(
-        self,
-        router: ServiceRouter,
-        fingerprint: int,
-        upstream: str,
-    ) -> None:
-        """Take in that a request was in flight when its upstream crashed.
-
-        :param router: state of the service.
-        """
-        self._count_crash(router, Crash(fingerprint, upstream, 0))
-        self._on_crash(router.service.name, fingerprint, upstream)
-
-    def note_poison(self, news: PoisonNews) -> bool:
-        """Take in a crash that another node has seen.
-
-        :param news: fingerprint and upstream.
-        :returns: whether it was not known here.
-        """
-        if news.service not in self._services():
-            return False
-        poison = self.router(news.service).poison
-        if poison.is_over(news.age_ms):
-            return False
-        if poison.knows(news.fingerprint, news.upstream):
-            return False
-        self._count_crash(
-            self.router(news.service),
-            Crash(news.fingerprint, news.upstream, news.age_ms),
-        )
-        return True
-
-    def poison_news(self) -> Iterator[PoisonNews]:
-        """Yield what is known of crashes, for a node that may not know."""
-        now_ms = monotonic_ms()
-        for router in self._routers.values():
-            for crash in router.poison.latest_crashes(now_ms):
-                yield PoisonNews(
-                    router.service.name,
-                    crash.fingerprint,
-                    crash.upstream,
-                    int(crash.age_ms),
-                )
-
     def avoid(self, home: str, duration_ms: int = _AVOID_HOME_MS) -> None:
         """Avoid a home that cannot be reached from here for a moment.
 
@@ -250,16 +206,6 @@
         if self._members.note_reachable(home):
             self._choose_members()
 
-    def _count_crash(self, router: ServiceRouter, crash: Crash) -> None:
-        at_ms = monotonic_ms() - crash.age_ms
-        poison = router.poison
-        if poison.note_crash(crash.fingerprint, crash.upstream, at_ms):
-            self._audit.record(
-                AuditKind.REQUEST_QUARANTINED,
-                f'{router.service.name}/{crash.fingerprint:016x}',
-                f'upstreams crashed with it in flight, last {crash.upstream}',
-            )
-
     def _record(self, change: HealthChange) -> None:
         self._audit.record(
             _KIND_OF_HEALTH[change.health],
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -66,7 +66,7 @@
         )
         link.send(self.heartbeat())
         self._parts.membership.greet(link)
-        for news in self._parts.routing.poison_news():
+        for news in self._parts.crashes.known():
             link.send(news)
 
     def take(self, link: Link, message: Message) -> bool:
@@ -80,7 +80,7 @@
             case Heartbeat():
                 self._take_heartbeat(link, message)
             case PoisonNews():
-                if self._parts.routing.note_poison(message):
+                if self._parts.crashes.take(message):
                     self.broadcast(message, link)
             case ConfigNews():
                 self._parts.config.take_news(message, link)
--- a/src/jackdawhead/node/parts.py
+++ b/src/jackdawhead/node/parts.py
@@ -11,6 +11,7 @@
     from ..config.settings import NodeSettings
     from .config_controller import ConfigController
     from .entry.attempts import Attempts
+    from .entry.crash_news import CrashNews
     from .entry.routing import RoutingController
     from .home.controller import HomeController
     from .identity import Identity
@@ -32,6 +33,7 @@
     attempts: Attempts
     home: HomeController
     routing: RoutingController
+    crashes: CrashNews
     config: ConfigController
     membership: MembershipController
     tickets: TicketStore
--- a/src/jackdawhead/policy/peer_detector.py
+++ b/src/jackdawhead/policy/peer_detector.py
@@ -15,19 +15,16 @@
     HealthChange,
 )
 from .ejection import Ejection, EjectionHistory
-from .evidence import EvidenceRing, Sample, Summary
 from .floor import ejection_limit
 from .suspicion import Norm, Suspicion, exceeds, norm_of, suspect
+from .trials import Scope, Trials
 
 if TYPE_CHECKING:
     from ..config.model import Service
+    from .evidence import Sample, Summary
 
 _PERCENT: Final = 100
 _MIN_PEERS: Final = 3
-_TRIAL_SAMPLES: Final = 8
-_TRIAL_FAILURES: Final = 1
-
-_Key = tuple[str, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +52,8 @@
         self._reports: dict[str, dict[str, _Report]] = {
             name: {} for name in service.operations
         }
-        self._trials: dict[_Key, EvidenceRing] = {}
-        self._ejections: dict[_Key, Ejection] = {}
+        self._trials = Trials()
+        self._ejections: dict[Scope, Ejection] = {}
         self._histories: dict[str, EjectionHistory] = {}
         self._norms: dict[str, Norm] = {}
         self._barely_known: set[str] = set()
@@ -104,9 +101,7 @@
         is_slow = exceeds(sample.run_ms, norm, self._policy)
         judged = replace(sample, ok=sample.ok and not is_slow)
         for scope in (operation, ALL_OPERATIONS):
-            ring = self._trials.get((upstream, scope))
-            if ring is not None:
-                ring.add(judged)
+            self._trials.add((upstream, scope), judged)
 
     def health(self, upstream: str, operation: str) -> Health:
         whole = self._ejections.get((upstream, ALL_OPERATIONS))
@@ -164,7 +159,7 @@
             is_concerned = key[1] in failing or key[1] == ALL_OPERATIONS
             if is_concerned and ejection.health is not Health.WELL:
                 ejection.restore(now_ms)
-                self._trials.pop(key, None)
+                self._trials.drop(key)
                 self._note(key, Health.WELL, 'the whole service fails')
 
     def _begin_trials(self, now_ms: float) -> None:
@@ -172,17 +167,14 @@
             is_due = ejection.until_ms <= now_ms
             if ejection.health is Health.EJECTED and is_due:
                 ejection.health = Health.TRIAL
-                self._trials[key] = EvidenceRing()
+                self._trials.begin(key)
                 self._note(
                     key, Health.TRIAL, 'the time of the ejection is over'
                 )
 
     def _judge_trials(self, now_ms: float) -> None:
-        for key, ring in tuple(self._trials.items()):
-            verdict = self._trial_verdict(key[1], ring.summary(0))
-            if verdict is None:
-                continue
-            self._trials.pop(key)
+        verdicts = self._trials.take_verdicts(self._norms)
+        for key, verdict in verdicts.items():
             ejection = self._ejections[key]
             if verdict.severity:
                 ejection.eject(now_ms, verdict.severity, verdict.cause)
@@ -193,23 +185,11 @@
                 ejection.restore(now_ms)
                 self._note(key, Health.WELL, 'trial passed')
 
-    def _trial_verdict(
-        self,
-        operation: str,
-        summary: Summary,
-    ) -> Suspicion | None:
-        shares = [each.error_share for each in self._norms.values()]
-        norm = self._norms.get(operation, Norm(max(shares, default=0), 0))
-        allowed = _TRIAL_FAILURES + norm.error_share * summary.count
-        if round(summary.error_share * summary.count) > allowed:
-            return Suspicion(1, f'errors or delays {summary.error_share:.0%}')
-        return Suspicion(0, '') if summary.count >= _TRIAL_SAMPLES else None
-
     def _suspects(
         self,
         summaries: dict[str, dict[str, Summary]],
-    ) -> dict[_Key, Suspicion]:
-        found: dict[_Key, Suspicion] = {}
+    ) -> dict[Scope, Suspicion]:
+        found: dict[Scope, Suspicion] = {}
         for upstream in self._members:
             known = {
                 operation: by_upstream[upstream]
@@ -223,7 +203,7 @@
         self,
         upstream: str,
         known: dict[str, Summary],
-    ) -> dict[_Key, Suspicion]:
+    ) -> dict[Scope, Suspicion]:
         judged = {
             operation: suspect(summary, self._norms[operation], self._policy)
             for operation, summary in known.items()
@@ -250,7 +230,7 @@
         upstream: str,
         sick: dict[str, Suspicion],
         known: dict[str, Summary],
-    ) -> dict[_Key, Suspicion]:
+    ) -> dict[Scope, Suspicion]:
         is_all_known = len(sick) == len(known)
         is_enough = len(sick) > 1 or len(self._reports) == 1
         if is_all_known and is_enough:
@@ -261,7 +241,7 @@
             for operation, suspicion in sick.items()
         }
 
-    def _eject(self, suspects: dict[_Key, Suspicion], now_ms: float) -> None:
+    def _eject(self, suspects: dict[Scope, Suspicion], now_ms: float) -> None:
         limit = ejection_limit(
             len(self._members),
             self._service.healthy_floor_percent,
@@ -279,7 +259,7 @@
             self._forget_reports(key)
             self._note(key, Health.EJECTED, suspicion.cause)
 
-    def _ejection_of(self, key: _Key) -> Ejection:
+    def _ejection_of(self, key: Scope) -> Ejection:
         """Return the state of a key; that of a whole upstream replaces all."""
         upstream, operation = key
         if operation == ALL_OPERATIONS:
@@ -311,12 +291,12 @@
             if len(self._off()) <= limit:
                 break
             ejection.restore(now_ms)
-            self._trials.pop(key, None)
+            self._trials.drop(key)
             self._note(key, Health.WELL, 'the floor of healthy capacity')
 
-    def _drop(self, key: _Key) -> None:
+    def _drop(self, key: Scope) -> None:
         self._ejections.pop(key)
-        self._trials.pop(key, None)
+        self._trials.drop(key)
 
     def _off(self) -> set[str]:
         return {
@@ -325,13 +305,13 @@
             if ejection.health is not Health.WELL
         }
 
-    def _forget_reports(self, key: _Key) -> None:
+    def _forget_reports(self, key: Scope) -> None:
         upstream, operation = key
         for name, reports in self._reports.items():
             if operation in {ALL_OPERATIONS, name}:
                 reports.pop(upstream, None)
 
-    def _note(self, key: _Key, health: Health, cause: str) -> None:
+    def _note(self, key: Scope, health: Health, cause: str) -> None:
         upstream, operation = key
         self._changes.append(HealthChange(upstream, operation, health, cause))
 
@@ -340,12 +320,12 @@
     return sum(1 for each in found.values() if each.count >= min_samples)
 
 
-def _rank(suspect_pair: tuple[_Key, Suspicion]) -> tuple[float, int]:
+def _rank(suspect_pair: tuple[Scope, Suspicion]) -> tuple[float, int]:
     key, suspicion = suspect_pair
     return -suspicion.severity, _hash(key)
 
 
-def _hash(key: _Key) -> int:
+def _hash(key: Scope) -> int:
     return xxhash.xxh3_64_intdigest('|'.join(key).encode())
 
 
--- /dev/null
+++ b/src/jackdawhead/policy/trials.py
@@ -0,0 +1,81 @@
+"""Trials of ejected upstreams by a little real work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from .evidence import EvidenceRing
+from .suspicion import Norm, Suspicion
+
+if TYPE_CHECKING:
+    from .evidence import Sample
+
+_TRIAL_SAMPLES: Final = 8
+_TRIAL_FAILURES: Final = 1
+
+Scope = tuple[str, str]
+
+
+class Trials:
+    """Outcomes of the trials in progress, by upstream and operation."""
+
+    def __init__(self) -> None:
+        self._rings: dict[Scope, EvidenceRing] = {}
+
+    def begin(self, scope: Scope) -> None:
+        """Begin a trial.
+
+        :param scope: upstream and operation.
+        """
+        self._rings[scope] = EvidenceRing()
+
+    def drop(self, scope: Scope) -> None:
+        """Forget a trial, if there is one.
+
+        :param scope: upstream and operation.
+        """
+        self._rings.pop(scope, None)
+
+    def add(self, scope: Scope, sample: Sample) -> None:
+        """Take in an outcome, if there is a trial.
+
+        :param scope: upstream and operation.
+        """
+        ring = self._rings.get(scope)
+        if ring is not None:
+            ring.add(sample)
+
+    def take_verdicts(
+        self,
+        norms: dict[str, Norm],
+    ) -> dict[Scope, Suspicion]:
+        """Return and end the trials that can be judged.
+
+        :param norms: what the peers do, by operation.
+        :returns: verdicts, without severity for those that passed.
+        """
+        verdicts = {}
+        for scope, ring in self._rings.items():
+            verdict = _verdict(scope[1], ring, norms)
+            if verdict is not None:
+                verdicts[scope] = verdict
+        for scope in verdicts:
+            self._rings.pop(scope)
+        return verdicts
+
+
+def _verdict(
+    operation: str,
+    ring: EvidenceRing,
+    norms: dict[str, Norm],
+) -> Suspicion | None:
+    summary = ring.summary(0)
+    shares = [each.error_share for each in norms.values()]
+    norm = norms.get(operation, Norm(max(shares, default=0), 0))
+    allowed = _TRIAL_FAILURES + norm.error_share * summary.count
+    if round(summary.error_share * summary.count) > allowed:
+        return Suspicion(1, f'errors or delays {summary.error_share:.0%}')
+    return Suspicion(0, '') if summary.count >= _TRIAL_SAMPLES else None
+
+
+__all__ = ('Scope', 'Trials')
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING, Final
 
@@ -17,12 +16,13 @@
 from ..policy.work import Work
 from ..reasons import Reason
 from .homes import HomeAnswer, HomeJob, ReplayUpstream, Shared
+from .requests import ReplayCopy, ReplayRequest
 from .result import Finished, HealthyShare, SeenChange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..config.model import Operation, Service
+    from ..config.model import Service
     from ..trace.records import ArrivalRecord
 
 _OWN_ZONE_MS: Final = 0.5
@@ -32,44 +32,6 @@
 _work_ids: Final = count(1)
 
 
-@dataclass(slots=True, eq=False)
-class _Copy:
-    """One sending of a request.
-
-    :param load: upstream it was sent to.
-    """
-
-    load: UpstreamLoad
-    sent_ms: float
-    job: HomeJob | None = None
-
-
-@dataclass(slots=True)
-class _Request:
-    """A caller's request on its way.
-
-    :param tried: upstreams it was sent to.
-    :param hedges: second copies that were sent.
-    :param is_reserved: whether a busy home shall refuse it.
-    :param copies: sendings that are not answered yet.
-    """
-
-    arrival: ArrivalRecord
-    router: ServiceRouter
-    operation: Operation
-    arrived_ms: float
-    tried: set[str] = field(default_factory=set)
-    attempts: int = 0
-    hedges: int = 0
-    is_reserved: bool = False
-    copies: list[_Copy] = field(default_factory=list)
-
-    @property
-    def deadline_at_ms(self) -> float:
-        """Virtual time at which it is given up."""
-        return self.arrived_ms + self.operation.deadline_ms
-
-
 class ReplayEntry:
     """One entry with the routing state that a live one would keep.
 
@@ -155,9 +117,9 @@
         router.budget.note_first_attempt()
         now_ms = self._shared.timeline.now_ms
         tried = router.poison.crashed_upstreams(arrival.fingerprint)
-        self._attempt(_Request(arrival, router, operation, now_ms, tried))
+        self._attempt(ReplayRequest(arrival, router, operation, now_ms, tried))
 
-    def _attempt(self, request: _Request) -> None:
+    def _attempt(self, request: ReplayRequest) -> None:
         now_ms = self._shared.timeline.now_ms
         request.attempts += 1
         router = request.router
@@ -175,7 +137,7 @@
         request.tried.add(load.upstream)
         self._send(request, load)
 
-    def _send(self, request: _Request, load: UpstreamLoad) -> None:
+    def _send(self, request: ReplayRequest, load: UpstreamLoad) -> None:
         timeline = self._shared.timeline
         if load.home in self._cut_homes:
             until_ms = timeline.now_ms + _CUT_AVOID_MS
@@ -193,10 +155,12 @@
         if hedge_ms is not None:
             timeline.after(hedge_ms, lambda: self._hedge(request, copy))
 
-    def _send_copy(self, request: _Request, load: UpstreamLoad) -> _Copy:
+    def _send_copy(
+        self, request: ReplayRequest, load: UpstreamLoad
+    ) -> ReplayCopy:
         timeline = self._shared.timeline
         load.note_sent()
-        copy = _Copy(load, timeline.now_ms)
+        copy = ReplayCopy(load, timeline.now_ms)
         request.copies.append(copy)
         upstream = self._upstreams[load.upstream]
         hop_ms = self._hop_ms(load.upstream)
@@ -212,11 +176,11 @@
         timeline.after(hop_ms, lambda: self._arrive_at(upstream, copy))
         return copy
 
-    def _arrive_at(self, upstream: ReplayUpstream, copy: _Copy) -> None:
+    def _arrive_at(self, upstream: ReplayUpstream, copy: ReplayCopy) -> None:
         if copy.job is not None:
             upstream.submit(copy.job)
 
-    def _hedge(self, request: _Request, copy: _Copy) -> None:
+    def _hedge(self, request: ReplayRequest, copy: ReplayCopy) -> None:
         """Send a second copy if the first is still not answered."""
         now_ms = self._shared.timeline.now_ms
         router = request.router
@@ -238,8 +202,8 @@
 
     def _receive(
         self,
-        request: _Request,
-        copy: _Copy,
+        request: ReplayRequest,
+        copy: ReplayCopy,
         answer: HomeAnswer,
     ) -> None:
         now_ms = self._shared.timeline.now_ms
@@ -255,7 +219,7 @@
         if not request.copies:
             self._end_attempt(request, answer)
 
-    def _withdraw_copies(self, request: _Request) -> None:
+    def _withdraw_copies(self, request: ReplayRequest) -> None:
         """Cancel the other copy of a request that is answered."""
         for copy in request.copies:
             copy.load.note_done()
@@ -266,7 +230,7 @@
                 self._plan_status(request, copy.load)
         request.copies.clear()
 
-    def _plan_status(self, request: _Request, load: UpstreamLoad) -> None:
+    def _plan_status(self, request: ReplayRequest, load: UpstreamLoad) -> None:
         """A home tells its status after a cancellation, too."""
         timeline = self._shared.timeline
         timeline.after(
@@ -274,7 +238,7 @@
             lambda: self._note_status(request, load),
         )
 
-    def _note_status(self, request: _Request, load: UpstreamLoad) -> None:
+    def _note_status(self, request: ReplayRequest, load: UpstreamLoad) -> None:
         now_ms = self._shared.timeline.now_ms
         state = self._upstreams[load.upstream].state
         status = state.status(request.operation.name, now_ms)
@@ -282,7 +246,7 @@
 
     def _learn(
         self,
-        request: _Request,
+        request: ReplayRequest,
         load: UpstreamLoad,
         answer: HomeAnswer,
         took_ms: float,
@@ -303,7 +267,7 @@
         sample = Sample(now_ms, answer.is_good, took_ms)
         router.note_trial(load.upstream, request.operation.name, sample)
 
-    def _end_attempt(self, request: _Request, answer: HomeAnswer) -> None:
+    def _end_attempt(self, request: ReplayRequest, answer: HomeAnswer) -> None:
         policy = request.router.service.retry
         now_ms = self._shared.timeline.now_ms
         end = _end_of(answer)
@@ -322,7 +286,7 @@
         )
         self._shared.timeline.after(delay_ms, lambda: self._attempt(request))
 
-    def _finish(self, request: _Request, answer: HomeAnswer) -> None:
+    def _finish(self, request: ReplayRequest, answer: HomeAnswer) -> None:
         now_ms = self._shared.timeline.now_ms
         spent_ms = now_ms - request.arrived_ms
         self._shared.result.finished.append(
@@ -340,7 +304,7 @@
             )
         )
 
-    def _work_of(self, request: _Request, arrived_ms: float) -> Work:
+    def _work_of(self, request: ReplayRequest, arrived_ms: float) -> Work:
         return Work(
             next(_work_ids),
             request.operation.name,
--- /dev/null
+++ b/src/jackdawhead/replay/requests.py
@@ -0,0 +1,54 @@
+"""A caller's request during a replay, and its sendings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..config.model import Operation
+    from ..policy.loads import UpstreamLoad
+    from ..policy.service_router import ServiceRouter
+    from ..trace.records import ArrivalRecord
+    from .homes import HomeJob
+
+
+@dataclass(slots=True, eq=False)
+class ReplayCopy:
+    """One sending of a request.
+
+    :param load: upstream it was sent to.
+    """
+
+    load: UpstreamLoad
+    sent_ms: float
+    job: HomeJob | None = None
+
+
+@dataclass(slots=True)
+class ReplayRequest:
+    """A caller's request on its way.
+
+    :param tried: upstreams it was sent to.
+    :param hedges: second copies that were sent.
+    :param is_reserved: whether a busy home shall refuse it.
+    :param copies: sendings that are not answered yet.
+    """
+
+    arrival: ArrivalRecord
+    router: ServiceRouter
+    operation: Operation
+    arrived_ms: float
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+    hedges: int = 0
+    is_reserved: bool = False
+    copies: list[ReplayCopy] = field(default_factory=list)
+
+    @property
+    def deadline_at_ms(self) -> float:
+        """Virtual time at which it is given up."""
+        return self.arrived_ms + self.operation.deadline_ms
+
+
+__all__ = ('ReplayCopy', 'ReplayRequest')
