Send on what nobody takes, avoid a silent upstream sooner, audit both

Ruled out: the drain itself, which was known everywhere in time. Change: refusals by which nobody took the work (draining, leaving, unreachable) count against the five redirects, like unlinked homes; 'overloaded' does not. Before: the new rows of live_path.feature failed for draining and leaving. After: 8 of 8, leaving.feature 3 of 3.

Cause 2: 'The path from a node to its upstream is cut forward' lost 1 of 300 lookups in 5 of 24 runs. Each time the 8 % for second copies was spent (0.16 to 0.96 tokens left), because an upstream counted as stalled only with two requests in flight there. Change: one is enough; what it costs is that a straggler's upstream is preferred less until it answers. Before: 5 of 24 runs lost one; after: 0 of 24. Ruled out: more tokens (the outage trace is at 9.8 % of 10 % already).

The audit trail now tells of silent paths (path-silent, path-open) and of upstreams that answer nothing (upstream-stalled), which it did not; one scenario looks for the latter.

--- a/features/fleet/live_path.feature
+++ b/features/fleet/live_path.feature
@@ -19,7 +19,7 @@
     Given a link to a home behind a relay, both sending heartbeats
     Then a heartbeat is due on the link half a second after the last message
 
-  Scenario Outline: Homes that cannot be reached do not use up the attempts
+  Scenario Outline: Work that nobody takes does not use up the attempts
     Given a retry budget of 3 attempts
     Then work that ended as "<reason>" is resent after <yes> attempts
     And work that ended as "<reason>" is not resent after <no> attempts
@@ -27,4 +27,6 @@
     Examples: reasons for which the work did not run
       | reason           | yes | no |
       | peer-unreachable | 4   | 5  |
-      | draining         | 2   | 3  |
+      | draining         | 4   | 5  |
+      | node-leaving     | 4   | 5  |
+      | overloaded       | 2   | 3  |
--- a/features/fleet/paths_out.feature
+++ b/features/fleet/paths_out.feature
@@ -6,6 +6,7 @@
     And the relay is cut <direction>
     And callers send 300 lookups to all nodes
     Then every lookup has the whole answer to its own request
+    And some node records "upstream-stalled" in its audit trail
     When the relay is healed
     And callers send 200 lookups to all nodes
     Then every lookup has the whole answer to its own request
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -194,6 +194,16 @@
     assert not found, found
 
 
+@then('some node records "{kind}" in its audit trail')
+def check_some_audit(context: Context, kind: str) -> None:
+    """Look for a record in all audit trails."""
+    assert any(
+        record['kind'] == kind
+        for vm in context.fleet.nodes
+        for record in context.fleet.audit(vm)
+    )
+
+
 @then('all nodes are linked again within {seconds:d} s')
 def check_linked(context: Context, seconds: int) -> None:
     """Wait until each node has links again."""
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -41,6 +41,7 @@
     def __init__(self, parts: NodeParts, channels: Channels) -> None:
         self._channels = channels
         self._attempts = parts.attempts
+        self._routing = parts.routing
         self._crashes = parts.crashes
         self._paths = LivePaths(parts.routing.note_silent_path)
 
@@ -92,7 +93,7 @@
             if first is not None:
                 return Heard(copy, first)
             self._paths.watch(attempt.channel)
-            copy.load.note_overdue(copy.sent_ms, monotonic_ms())
+            self._routing.note_overdue(copy.load, copy.sent_ms, monotonic_ms())
             heard = self._hedge(call, copy)
             if heard is not None:
                 return heard
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -20,6 +20,7 @@
     from ...audit import AuditTrail
     from ...blackboard import Blackboard
     from ...config.model import Service
+    from ...policy.loads import UpstreamLoad
     from ...wire.messages import UpstreamStatus
 
 _TICK_MS: Final = 200
@@ -175,7 +176,11 @@
 
         :param home: VM of the home.
         """
-        self._silent_homes.add(home)
+        if home not in self._silent_homes:
+            self._silent_homes.add(home)
+            self._audit.record(
+                AuditKind.PATH_SILENT, home, 'it did not answer a ping in time'
+            )
         self.avoid(home, _AVOID_SILENT_MS)
 
     def note_open_path(self, home: str) -> None:
@@ -185,8 +190,30 @@
         """
         if home in self._silent_homes:
             self._silent_homes.discard(home)
+            self._audit.record(AuditKind.PATH_OPEN, home, 'it answers pings')
             self.avoid(home, 0)
 
+    def note_overdue(
+        self,
+        load: UpstreamLoad,
+        sent_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Take in that a request has taken longer than few runs do.
+
+        :param load: of the upstream it was sent to.
+        :param sent_ms: monotonic time at which it was sent.
+        :param now_ms: monotonic time.
+        """
+        was_avoided = load.is_avoided(now_ms)
+        load.note_overdue(sent_ms, now_ms)
+        if load.is_avoided(now_ms) and not was_avoided:
+            self._audit.record(
+                AuditKind.UPSTREAM_STALLED,
+                load.upstream,
+                f'no answer to {load.in_flight} requests, one of them overdue',
+            )
+
     def note_unreachable(self, home: str, duration_ms: int) -> None:
         """Use other homes than one that could not be dialled.
 
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -12,7 +12,6 @@
 _REPORT_LIFE_MS: Final = 1000
 _SAMPLE_TRIES: Final = 8
 _UNREACHABLE_WAIT_MS: Final = 1e9
-_STALLED_IN_FLIGHT: Final = 2
 _STALLED_MS: Final = 1000
 
 
@@ -116,15 +115,14 @@
     def note_overdue(self, sent_ms: float, now_ms: float) -> None:
         """Take in that a request has taken longer than few runs do.
 
-        If nothing at all has come back since it was sent, and it is not
-        alone, the upstream seems to have stopped: it is avoided until
-        something comes back, or for a moment.
+        If nothing at all has come back since it was sent, the upstream may
+        have stopped: it is avoided until something comes back, or for a
+        moment.
 
         :param sent_ms: monotonic time at which it was sent.
         :param now_ms: monotonic time.
         """
-        has_answered = self.answered_at_ms >= sent_ms
-        if not has_answered and self.in_flight >= _STALLED_IN_FLIGHT:
+        if self.answered_at_ms < sent_ms:
             self.stalled_until_ms = now_ms + _STALLED_MS
 
     def note_answer(self, now_ms: float) -> None:
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -16,6 +16,14 @@
 
 _PERCENT: Final = 100
 _MAX_REDIRECTS: Final = 5
+_NOT_TAKEN: Final = frozenset(
+    (
+        Reason.PEER_UNREACHABLE,
+        Reason.UPSTREAM_UNREACHABLE,
+        Reason.NODE_LEAVING,
+        Reason.DRAINING,
+    )
+)
 _MAX_RETRIES_SAVED: Final = 3.0
 _MAX_REDIRECTS_SAVED: Final = 20.0
 
@@ -87,16 +95,16 @@
         """Return whether one more attempt is within all limits, and pay.
 
         Redirects from busy homes have been paid for by their reservation
-        and do not count as attempts. Work that reached no home, since a link
-        is still being dialled for example, may try as many others.
+        and do not count as attempts. Work that nobody took, since a link is
+        still being dialled or an upstream drains, may try as many others.
 
         :param end: of the attempt before.
         :param attempt: its number, from 1.
         """
         if end.reason is Reason.BUSY:
             return True
-        is_unsent = end.reason is Reason.PEER_UNREACHABLE
-        limit = _MAX_REDIRECTS if is_unsent else self._policy.max_attempts
+        is_untaken = end.reason in _NOT_TAKEN
+        limit = _MAX_REDIRECTS if is_untaken else self._policy.max_attempts
         if attempt >= limit:
             return False
         return self._try_spend(end.outcome)
