Prove that stream keys change without a stop

Cause: the how-to page describes it, and no test showed it. Change: a scenario restarts three nodes in turn under load with the old and the new key, the new and the old, and the new one alone; no node may refuse a link of another and every lookup has its answer. Ruled out: that it passes by nodes serving alone.

--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -32,6 +32,7 @@
 _POISON = '/cultivars/poison'
 _REFUSED = 422
 _SENT_S = 0.5
+_KEY_LOAD_S = 4.0
 _SECOND = 2
 
 
@@ -349,6 +350,56 @@
     context.reply = sending.get()
 
 
+@given('a fleet with the key "{name}" of {count:d} nodes before "{service}"')
+def fleet_with_key(
+    context: Context,
+    name: str,
+    count: int,
+    service: str,
+) -> None:
+    """Start a fleet with a stream key of its own."""
+    context.fleet = Fleet()
+    context.stack.callback(context.fleet.close)
+    context.fleet.node_settings = {'stream_keys': stream_keys(name)}
+    start_fleet(context.fleet, service, count)
+
+
+def stream_keys(names: str) -> list[str]:
+    """Return keys by their names."""
+    return [f'{name}-shared-key-of-tests' for name in names.split(', ')]
+
+
+@then('no node refuses a link of another')
+def check_no_refusal(context: Context) -> None:
+    """Look through all audit trails."""
+    kinds = {
+        record['kind']
+        for vm in context.fleet.nodes
+        for record in context.fleet.audit(vm)
+    }
+    assert 'peer-refused' not in kinds, kinds
+
+
+@when(
+    'all nodes are restarted in turn with the keys "{names}" while callers '
+    'look up at the other nodes'
+)
+def restart_with_keys(context: Context, names: str) -> None:
+    """Restart each node with other keys under load."""
+    keys = stream_keys(names)
+    exchanges = []
+    for vm in list(context.fleet.nodes):
+        others = [each for each in context.fleet.nodes if each != vm]
+
+        def replace(name: str = vm) -> None:
+            restart(context, name, stream_keys=keys)
+            context.fleet.await_ready([name])
+
+        load_while(context, others, _KEY_LOAD_S, replace)
+        exchanges.extend(context.load.exchanges)
+    context.load.exchanges = exchanges
+
+
 @when('a poison request is sent to node {position:d} until it is refused')
 def send_poison(context: Context, position: int) -> None:
     """Send a request that crashes upstreams."""
