Do the work of a change once, and call one piece where two stood

Found by reading the whole change again: - The hash of each service and route was taken twice for a load, once to leave the known out and once to remember them; the files kept a chain to the ones before. One pass, and one set of trees, now. Ruled out: a change of behaviour.

--- a/src/jackdawhead/cli/commands/operators.py
+++ b/src/jackdawhead/cli/commands/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from abc import abstractmethod
 from argparse import ArgumentParser, ArgumentTypeError, Namespace
 from datetime import datetime, timezone
 from typing import Any, Final
@@ -33,32 +34,62 @@
         raise ArgumentTypeError(f'{text!r} is not ip:port') from None
 
 
-@command('status')
-class StatusCommand(Command):
-    """Shows what a node knows."""
-
-    summary = 'show what a running node knows'
-    details = 'Exits with 69 if the node cannot be reached.'
+class NodeCommand(Command):
+    """Asks a node for an admin page and prints it."""
 
     def add_arguments(self, parser: ArgumentParser) -> None:
-        _add_node(parser)
+        parser.add_argument(
+            '--node',
+            type=parse_address,
+            required=True,
+            metavar='IP:PORT',
+            help='admin address of the node',
+        )
         add_format(parser)
 
     def run(self, options: Namespace) -> ExitCode:
-        match _get(options.node, '/status'):
-            case Success(status):
+        match _get(options.node, self.target(options)):
+            case Success(answer):
                 if options.format == 'json':
-                    print_json(status)
+                    print_json(answer)
                 else:
-                    _print_status(status)
+                    self.show(answer)
                 return ExitCode.OK
             case Failure(message):
                 print_error(message)
         return ExitCode.UNREACHABLE
 
+    @abstractmethod
+    def target(self, options: Namespace) -> str:
+        """Return path and query of the page.
+
+        :param options: parsed arguments.
+        """
+
+    @abstractmethod
+    def show(self, answer: Any) -> None:
+        """Print the page for people.
+
+        :param answer: the page as plain data.
+        """
+
+
+@command('status')
+class StatusCommand(NodeCommand):
+    """Shows what a node knows."""
+
+    summary = 'show what a running node knows'
+    details = 'Exits with 69 if the node cannot be reached.'
+
+    def target(self, options: Namespace) -> str:
+        return '/status'
+
+    def show(self, answer: Any) -> None:
+        _print_status(answer)
+
 
 @command('audit')
-class AuditCommand(Command):
+class AuditCommand(NodeCommand):
     """Shows the audit trail of a node."""
 
     summary = 'show the changes a running node has made or seen'
@@ -68,7 +99,7 @@
     )
 
     def add_arguments(self, parser: ArgumentParser) -> None:
-        _add_node(parser)
+        super().add_arguments(parser)
         parser.add_argument(
             '--since',
             type=int,
@@ -76,29 +107,12 @@
             metavar='N',
             help='only records after number N',
         )
-        add_format(parser)
-
-    def run(self, options: Namespace) -> ExitCode:
-        match _get(options.node, f'/audit?since={options.since}'):
-            case Success(records):
-                if options.format == 'json':
-                    print_json(records)
-                else:
-                    _print_audit(records)
-                return ExitCode.OK
-            case Failure(message):
-                print_error(message)
-        return ExitCode.UNREACHABLE
 
+    def target(self, options: Namespace) -> str:
+        return f'/audit?since={options.since}'
 
-def _add_node(parser: ArgumentParser) -> None:
-    parser.add_argument(
-        '--node',
-        type=parse_address,
-        required=True,
-        metavar='IP:PORT',
-        help='admin address of the node',
-    )
+    def show(self, answer: Any) -> None:
+        _print_audit(answer)
 
 
 def _get(address: Address, target: str) -> Result[Any, str]:
--- a/src/jackdawhead/config/known_parts.py
+++ b/src/jackdawhead/config/known_parts.py
@@ -1,106 +1,97 @@
-"""Remembers the parts of the last configuration, to check only the rest."""
+"""Remembers the parts of the configuration in force, to check only the rest."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
 
 import xxhash
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
 from .merge import MergedTree
 from .sources import Branch, SourceFile, parse_source
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from .problems import Problem
     from .sources import Plain
 
 _SECTIONS: Final = ('services', 'routes')
 
+Digests = dict[str, dict[str, int]]
 
-class KnownFiles:
-    """Trees of the files of the last configuration.
 
-    :param before: those of the one before, whose equal files are taken over.
-    """
+class KnownFiles:
+    """Trees of files, by file."""
 
-    def __init__(self, before: KnownFiles | None = None) -> None:
-        self._before = before.trees if before else {}
-        self.trees: dict[SourceFile, Branch] = {}
+    def __init__(self) -> None:
+        self._trees: dict[SourceFile, Branch] = {}
 
     def parse(self, source: SourceFile) -> Result[Branch, Problem]:
         """Return the tree of a file, parsed only if it is not known.
 
         :param source: the file.
         """
-        known = self._before.get(source)
-        parsed = parse_source(source) if known is None else Success(known)
-        if isinstance(parsed, Failure):
-            return parsed
-        tree: Branch = parsed.unwrap()
-        self.trees[source] = tree
-        return Success(tree)
-
-    def settle(self) -> None:
-        """Forget the configuration before."""
-        self._before = {}
-
-
-class KnownEntries:
-    """Services and routes of the last configuration that fit the schema."""
-
-    def __init__(self) -> None:
-        self._digests: frozenset[int] = frozenset()
-
-    def without_known(self, tree: MergedTree) -> MergedTree:
-        """Return a tree without the entries that are known to fit.
-
-        Of each section one entry is kept, since a section must not be
-        empty.
-
-        :param tree: the merged files.
+        known = self._trees.get(source)
+        if known is not None:
+            return Success(known)
+        parsed = parse_source(source)
+        if isinstance(parsed, Success):
+            self._trees[source] = parsed.unwrap()
+        return parsed
+
+    def keep(self, sources: tuple[SourceFile, ...]) -> None:
+        """Forget all files but these.
+
+        :param sources: the files in force, all of them known.
         """
-        plain = dict(tree.plain)
-        for section in _SECTIONS:
-            entries = plain.get(section)
-            if isinstance(entries, dict) and entries:
-                plain[section] = self._unknown(section, entries)
-        return MergedTree(plain, tree.origins)
+        self._trees = {source: self._trees[source] for source in sources}
 
-    def remember(self, tree: MergedTree) -> None:
-        """Remember the entries of a tree that fits.
 
-        :param tree: the merged files.
-        """
-        self._digests = frozenset(_digests(tree))
-
-    def _unknown(
-        self,
-        section: str,
-        entries: dict[str, Plain],
-    ) -> dict[str, Plain]:
-        unknown = {
-            name: entry
-            for name, entry in entries.items()
-            if _digest(section, name, entry) not in self._digests
-        }
-        first = next(iter(entries))
-        return unknown or {first: entries[first]}
-
-
-def _digests(tree: MergedTree) -> Iterator[int]:
+def entry_digests(tree: MergedTree) -> Digests:
+    """Return a hash of each service and route, by section and name.
+
+    :param tree: the merged files.
+    """
+    digests: Digests = {}
     for section in _SECTIONS:
         entries = tree.plain.get(section)
         if isinstance(entries, dict):
-            for name, entry in entries.items():
-                yield _digest(section, name, entry)
+            digests[section] = {
+                name: _digest(entry) for name, entry in entries.items()
+            }
+    return digests
+
 
+def without_known(
+    tree: MergedTree,
+    digests: Digests,
+    known: Digests,
+) -> MergedTree:
+    """Return a tree without the services and routes that are known to fit.
 
-def _digest(section: str, name: str, entry: Plain) -> int:
+    Of each section one entry is kept, since a section must not be empty.
+
+    :param tree: the merged files.
+    :param digests: of its entries.
+    :param known: digests of the entries that fit.
+    """
+    plain = dict(tree.plain)
+    for section, found in digests.items():
+        known_here = known.get(section, {})
+        unknown = [
+            name
+            for name, digest in found.items()
+            if known_here.get(name) != digest
+        ]
+        entries = plain[section]
+        assert isinstance(entries, dict)
+        kept = unknown or list(entries)[:1]
+        plain[section] = {name: entries[name] for name in kept}
+    return MergedTree(plain, tree.origins)
+
+
+def _digest(entry: Plain) -> int:
     """Return a hash that tells types apart, 128 bits of XXH3."""
-    text = repr((section, name, entry))
-    return xxhash.xxh3_128_intdigest(text.encode())
+    return xxhash.xxh3_128_intdigest(repr(entry).encode())
 
 
-__all__ = ('KnownEntries', 'KnownFiles')
+__all__ = ('Digests', 'KnownFiles', 'entry_digests', 'without_known')
--- a/src/jackdawhead/config/load.py
+++ b/src/jackdawhead/config/load.py
@@ -10,7 +10,12 @@
 
 from .build import build_config
 from .checks import check_references, check_schema
-from .known_parts import KnownEntries, KnownFiles
+from .known_parts import (
+    Digests,
+    KnownFiles,
+    entry_digests,
+    without_known,
+)
 from .merge import MergedTree, merge_sources, read_folder
 from .schema import CONFIG_SCHEMA
 
@@ -37,7 +42,8 @@
 
     def __init__(self) -> None:
         self._files = KnownFiles()
-        self._entries = KnownEntries()
+        self._in_force: tuple[SourceFile, ...] = ()
+        self._known: Digests = {}
 
     def load(
         self,
@@ -47,22 +53,22 @@
 
         :param sources: the files of the folder.
         """
-        files = KnownFiles(self._files)
-        loaded = merge_sources(sources, files.parse).bind(self._check)
+        loaded = merge_sources(sources, self._files.parse).bind(self._check)
         if isinstance(loaded, Success):
-            self._files = files
-            self._entries.remember(loaded.unwrap().tree)
-        files.settle()
+            self._in_force = sources
+        self._files.keep(self._in_force)
         return loaded
 
     def _check(
         self,
         tree: MergedTree,
     ) -> Result[LoadedConfig, tuple[Problem, ...]]:
-        rest = self._entries.without_known(tree)
+        digests = entry_digests(tree)
+        rest = without_known(tree, digests, self._known)
         problems = check_schema(rest, CONFIG_SCHEMA) or check_references(tree)
         if problems:
             return Failure(problems)
+        self._known = digests
         return Success(LoadedConfig(build_config(tree.plain), tree))
 
 
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -16,7 +16,7 @@
 from .answer_body import AnswerBody, CutAnswerError
 from .body_pump import pump_body
 from .live_path import LivePaths
-from .race import Copy, Heard, Race
+from .race import Copy, Heard, Race, is_good
 from .requests import Answer, Refused, UpstreamAnswer
 
 if TYPE_CHECKING:
@@ -28,7 +28,6 @@
 _GRACE_MS: Final = 50
 _SAID_HERE: Final = frozenset((Reason.PEER_SILENT, Reason.BODY_CUT))
 _COME_BACK_MS: Final = 500
-_SERVER_ERROR: Final = 500
 
 
 class Exchanges:
@@ -190,7 +189,7 @@
         load = heard.copy.load
         if isinstance(first, Head):
             load.note_answer(monotonic_ms())
-        is_ok = isinstance(first, Head) and first.status < _SERVER_ERROR
+        is_ok = is_good(first)
         if is_ok:
             call.router.poison.note_success(call.fingerprint)
         if isinstance(first, Refusal):
--- a/src/jackdawhead/node/entry/race.py
+++ b/src/jackdawhead/node/entry/race.py
@@ -97,7 +97,7 @@
         earlier, later = self._copies
         is_earlier = message.request_id == earlier.attempt.request_id
         heard, other = (earlier, later) if is_earlier else (later, earlier)
-        if _is_good(message):
+        if is_good(message):
             self._attempts.cancel(other.attempt)
             return Heard(heard, message)
         self._attempts.cancel(heard.attempt)
@@ -111,8 +111,12 @@
         return self._ends_ms - monotonic_ms() + _GRACE_MS
 
 
-def _is_good(message: Head | Refusal) -> bool:
+def is_good(message: Head | Refusal | None) -> bool:
+    """Return whether an upstream has answered without a server error.
+
+    :param message: what was heard first, or nothing.
+    """
     return isinstance(message, Head) and message.status < _SERVER_ERROR
 
 
-__all__ = ('Copy', 'Heard', 'Race')
+__all__ = ('Copy', 'Heard', 'Race', 'is_good')
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -205,9 +205,7 @@
         :param sent_ms: monotonic time at which it was sent.
         :param now_ms: monotonic time.
         """
-        was_avoided = load.is_avoided(now_ms)
-        load.note_overdue(sent_ms, now_ms)
-        if load.is_avoided(now_ms) and not was_avoided:
+        if load.note_overdue(sent_ms, now_ms):
             self._audit.record(
                 AuditKind.UPSTREAM_STALLED,
                 load.upstream,
@@ -253,9 +251,9 @@
         for gone in self._routers.keys() - services.keys():
             self._routers.pop(gone)
         for name, router in self._routers.items():
-            if router.service != services[name]:
-                router.replace_service(services[name])
-        self._choose_members()
+            service = services[name]
+            if router.service != service:
+                router.replace_service(service, self._members.used(service))
 
     def _follow_list(self) -> None:
         self._members.replace(self._board.vm_list.read())
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -16,7 +16,7 @@
     from random import Random
 
     from ...audit import AuditTrail
-    from ...blackboard import Blackboard
+    from ...blackboard import Blackboard, Vm, VmList
     from ..trace_recorder import TraceRecorder
 
 _EXPIRE_EVERY_S: Final = 0.02
@@ -51,8 +51,9 @@
         self._upstreams: dict[str, HomeUpstream] = {}
         self._waiting = Event()
         self._has_started = False
+        self._owned: tuple[tuple[Vm, str, int], ...] = ()
         board.config.on_change(lambda _: self._update())
-        board.vm_list.on_change(lambda _: self._update())
+        board.vm_list.on_change(self._follow_list)
 
     def find(self, upstream: str) -> HomeUpstream | None:
         """Return an upstream of this home.
@@ -91,6 +92,10 @@
     def _has_waiting(self) -> bool:
         return any(upstream.waiting for upstream in self.all())
 
+    def _follow_list(self, vm_list: VmList) -> None:
+        self._owned = tuple(HomeMap(vm_list).upstreams_of(self._vm))
+        self._update()
+
     def _update(self) -> None:
         specs = self._specs()
         for name in self._upstreams.keys() - specs.keys():
@@ -130,9 +135,8 @@
         if loaded is None:
             return {}
         config = loaded.config
-        homes = HomeMap(self._board.vm_list.read())
         specs = {}
-        for vm, service_name, port in homes.upstreams_of(self._vm):
+        for vm, service_name, port in self._owned:
             service = config.services.get(service_name)
             if service is None or vm.zone not in service.zones:
                 continue
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -112,7 +112,7 @@
         """Count a request that ended, in whatever way."""
         self.in_flight = max(0, self.in_flight - 1)
 
-    def note_overdue(self, sent_ms: float, now_ms: float) -> None:
+    def note_overdue(self, sent_ms: float, now_ms: float) -> bool:
         """Take in that a request has taken longer than few runs do.
 
         If nothing at all has come back since it was sent, the upstream may
@@ -121,9 +121,13 @@
 
         :param sent_ms: monotonic time at which it was sent.
         :param now_ms: monotonic time.
+        :returns: whether it is avoided from now on, and was not before.
         """
-        if self.answered_at_ms < sent_ms:
-            self.stalled_until_ms = now_ms + _STALLED_MS
+        if self.answered_at_ms >= sent_ms:
+            return False
+        was_avoided = self.is_avoided(now_ms)
+        self.stalled_until_ms = now_ms + _STALLED_MS
+        return not was_avoided
 
     def note_answer(self, now_ms: float) -> None:
         """Take in that the upstream has answered a request.
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -71,12 +71,17 @@
         """Number of members, without walking them."""
         return len(self._loads) - len(self._draining)
 
-    def replace_service(self, service: Service) -> None:
+    def replace_service(
+        self,
+        service: Service,
+        members: tuple[Member, ...],
+    ) -> None:
         """Follow another policy; what is known of the upstreams stays.
 
         Only a detector of another kind begins anew.
 
         :param service: policy and operations, of the same service.
+        :param members: its upstreams under that policy.
         """
         before = self.service
         self.service = service
@@ -90,6 +95,7 @@
             self._detector = _detector_of(service)
         self._pools = {}
         self._trials = {}
+        self._follow(members)
         self._members_changed()
 
     def replace_members(self, members: tuple[Member, ...]) -> None:
@@ -97,15 +103,8 @@
 
         :param members: all of them.
         """
-        named = {each.name: each for each in members}
-        for gone in self._loads.keys() - named.keys():
-            self._loads.pop(gone)
-        self._draining &= named.keys()
-        for name, member in named.items():
-            present = self._loads.get(name)
-            if present is None or present.home != member.home:
-                self._loads[name] = self._new_load(member)
-        self._members_changed()
+        if self._follow(members):
+            self._members_changed()
 
     def mark_draining(self, upstream: str, draining: bool) -> None:
         """Take in that an upstream drains, before the list says so.
@@ -253,6 +252,22 @@
             self._rebuild_pools()
         return changes
 
+    def _follow(self, members: tuple[Member, ...]) -> bool:
+        """Take over the members; return whether any came, left or moved."""
+        named = {each.name: each for each in members}
+        gone = self._loads.keys() - named.keys()
+        for name in gone:
+            self._loads.pop(name)
+        self._draining -= gone
+        new = [each for each in named.values() if not self._has(each)]
+        for member in new:
+            self._loads[member.name] = self._new_load(member)
+        return bool(gone or new)
+
+    def _has(self, member: Member) -> bool:
+        present = self._loads.get(member.name)
+        return present is not None and present.home == member.home
+
     def _new_load(self, member: Member) -> UpstreamLoad:
         """Return the load of an upstream of which nothing is known.
 
