Start fleets and relays of tests in one way

Found by reading the whole change again: a relay was started in five places, a scenario's fleet in four, audit trails of all nodes were walked in three steps, nodes were restarted in turn by two equal loops, relays were cut and healed by two pairs of equal steps, and a folder of configuration was read in five places. Change: new_fleet, start_relay, audit_records, restart_in_turn and config_files stand once; the steps of regions share those of halves. No scenario, step text, bound or assertion is changed. Left: noting and comparing figures in replay_steps.py are two pairs of steps with different figures and comparisons; joined they would need both as arguments, which reads worse.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -4,7 +4,7 @@
 
 import json
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
 
@@ -17,6 +17,7 @@
 )
 from jackdawhead.config.settings import Address
 from standins.fleet import Fleet, call, read_json, wait_until
+from standins.relay import Relay
 from standins.sites import AMAKUSA, HELVETIA, Site, SiteService
 
 if TYPE_CHECKING:
@@ -61,6 +62,30 @@
     fleet.await_ready()
 
 
+def new_fleet(context: Context, **node_settings: Any) -> Fleet:
+    """Return the fleet of this scenario, nothing of which is started."""
+    context.fleet = Fleet(node_settings=node_settings)
+    context.stack.callback(context.fleet.close)
+    return context.fleet
+
+
+def start_relay(context: Context, port: int) -> Relay:
+    """Start a relay before a port, for the time of this scenario."""
+    relay = Relay(port)
+    relay.start()
+    context.stack.callback(relay.stop)
+    return relay
+
+
+def audit_records(context: Context) -> list[dict[str, Any]]:
+    """Return the audit trails of all nodes."""
+    return [
+        record
+        for vm in context.fleet.nodes
+        for record in context.fleet.audit(vm)
+    ]
+
+
 @given('a shared fleet of {count:d} nodes before "{service}"')
 def share_fleet(context: Context, count: int, service: str) -> None:
     """Start a fleet once for all scenarios of the feature."""
@@ -87,9 +112,7 @@
     service: str,
 ) -> None:
     """Start a fleet, the last nodes of which have no upstream."""
-    context.fleet = Fleet()
-    context.stack.callback(context.fleet.close)
-    start_fleet(context.fleet, service, count, entries)
+    start_fleet(new_fleet(context), service, count, entries)
 
 
 def node_at(context: Context, position: int) -> str:
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -12,15 +12,21 @@
 import gevent
 from behave import given, then, when
 
-from features.steps.fleet_steps import node_at, own_fleet, start_fleet
+from features.steps.fleet_steps import (
+    audit_records,
+    new_fleet,
+    node_at,
+    own_fleet,
+    start_fleet,
+    start_relay,
+)
 from features.steps.spread_steps import restart, site_files, statuses
 from jackdawhead.bench.client import Call
 from jackdawhead.bench.load import LoadPlan, run_load
 from jackdawhead.config.settings import Address
 from jackdawhead.node.membership import parse_vm_list
 from jackdawhead.policy.readers import is_reader
-from standins.fleet import Fleet, call, read_json, wait_until
-from standins.relay import Relay
+from standins.fleet import call, read_json, wait_until
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -32,6 +38,7 @@
 _POISON = '/cultivars/poison'
 _REFUSED = 422
 _SENT_S = 0.5
+_RESTART_LOAD_S = 5.0
 _KEY_LOAD_S = 4.0
 _SECOND = 2
 
@@ -92,9 +99,7 @@
     """Start a fleet with one upstream behind a relay."""
     own_fleet(context, count, service)
     name = list(context.fleet.upstreams)[position - 1]
-    relay = Relay(context.fleet.upstreams[name].port)
-    relay.start()
-    context.stack.callback(relay.stop)
+    relay = start_relay(context, context.fleet.upstreams[name].port)
     context.relays = {name: relay}
     context.fleet.relayed_upstreams[name] = relay.port
     context.fleet.publish_vms()
@@ -118,9 +123,7 @@
 ) -> None:
     """Start a fleet, one node of which reaches the platform by a relay."""
     own_fleet(context, count, service)
-    relay = Relay(context.fleet.platform_port)
-    relay.start()
-    context.stack.callback(relay.stop)
+    relay = start_relay(context, context.fleet.platform_port)
     context.relays = {'platform': relay}
     vm = node_at(context, position)
     restart(context, vm, platform_address=f'{_IP}:{relay.port}')
@@ -134,22 +137,18 @@
     positions: list[int],
 ) -> None:
     """Start a fleet whose list names relays instead of some nodes."""
-    context.fleet = Fleet()
-    context.stack.callback(context.fleet.close)
+    fleet = new_fleet(context)
     context.relays = {}
 
     def place(vm: str, stream_port: int) -> int:
-        position = list(context.fleet.nodes).index(vm) + 1
+        position = list(fleet.nodes).index(vm) + 1
         if position not in positions:
             return stream_port
-        relay = Relay(stream_port)
-        relay.start()
-        context.stack.callback(relay.stop)
-        context.relays[vm] = relay
-        return relay.port
+        context.relays[vm] = start_relay(context, stream_port)
+        return int(context.relays[vm].port)
 
-    context.fleet.place = place
-    start_fleet(context.fleet, service, count)
+    fleet.place = place
+    start_fleet(fleet, service, count)
 
 
 @when('the relay is cut {direction}')
@@ -164,6 +163,7 @@
 
 @when('the relay is healed')
 @when('the halves are joined again')
+@when('the regions are joined again')
 def heal(context: Context) -> None:
     """Let all relays pass everything."""
     for relay in context.relays.values():
@@ -171,12 +171,14 @@
 
 
 @when('the fleet is cut into halves')
-def cut_halves(context: Context) -> None:
-    """Cut every node off from the streams of the others.
-
-    All nodes share one loopback address, so the relays cannot tell where a
-    connection comes from. Each node is left with itself, which is the
-    strictest cut.
+@when('the regions lose each other')
+def cut_all(context: Context) -> None:
+    """Cut all relays in both directions.
+
+    With relays before all nodes of one list each node is left with itself,
+    the strictest cut, since all share one loopback address and the relays
+    cannot tell where a connection comes from. Of two regions each goes on
+    talking within.
     """
     for relay in context.relays.values():
         relay.cut_forward()
@@ -188,8 +190,7 @@
     """Look through all audit trails."""
     found = [
         record
-        for vm in context.fleet.nodes
-        for record in context.fleet.audit(vm)
+        for record in audit_records(context)
         if record['kind'] == 'upstream-ejected'
     ]
     assert not found, found
@@ -198,11 +199,7 @@
 @then('some node records "{kind}" in its audit trail')
 def check_some_audit(context: Context, kind: str) -> None:
     """Look for a record in all audit trails."""
-    assert any(
-        record['kind'] == kind
-        for vm in context.fleet.nodes
-        for record in context.fleet.audit(vm)
-    )
+    assert any(record['kind'] == kind for record in audit_records(context))
 
 
 @then('all nodes are linked again within {seconds:d} s')
@@ -281,17 +278,22 @@
 )
 def restart_all(context: Context) -> None:
     """Restart each node under load."""
-    context.exchanges = []
+    restart_in_turn(context, _RESTART_LOAD_S)
+
+
+def restart_in_turn(context: Context, seconds: float, **extra: Any) -> None:
+    """Restart each node while callers look up at the others."""
+    exchanges = []
     for vm in list(context.fleet.nodes):
         others = [each for each in context.fleet.nodes if each != vm]
 
         def replace(name: str = vm) -> None:
-            restart(context, name)
+            restart(context, name, **extra)
             context.fleet.await_ready([name])
 
-        load_while(context, others, 5, replace)
-        context.exchanges.extend(context.load.exchanges)
-    context.load.exchanges = context.exchanges
+        load_while(context, others, seconds, replace)
+        exchanges.extend(context.load.exchanges)
+    context.load.exchanges = exchanges
 
 
 @when(
@@ -358,10 +360,8 @@
     service: str,
 ) -> None:
     """Start a fleet with a stream key of its own."""
-    context.fleet = Fleet()
-    context.stack.callback(context.fleet.close)
-    context.fleet.node_settings = {'stream_keys': stream_keys(name)}
-    start_fleet(context.fleet, service, count)
+    fleet = new_fleet(context, stream_keys=stream_keys(name))
+    start_fleet(fleet, service, count)
 
 
 def stream_keys(names: str) -> list[str]:
@@ -372,11 +372,7 @@
 @then('no node refuses a link of another')
 def check_no_refusal(context: Context) -> None:
     """Look through all audit trails."""
-    kinds = {
-        record['kind']
-        for vm in context.fleet.nodes
-        for record in context.fleet.audit(vm)
-    }
+    kinds = {record['kind'] for record in audit_records(context)}
     assert 'peer-refused' not in kinds, kinds
 
 
@@ -386,18 +382,7 @@
 )
 def restart_with_keys(context: Context, names: str) -> None:
     """Restart each node with other keys under load."""
-    keys = stream_keys(names)
-    exchanges = []
-    for vm in list(context.fleet.nodes):
-        others = [each for each in context.fleet.nodes if each != vm]
-
-        def replace(name: str = vm) -> None:
-            restart(context, name, stream_keys=keys)
-            context.fleet.await_ready([name])
-
-        load_while(context, others, _KEY_LOAD_S, replace)
-        exchanges.extend(context.load.exchanges)
-    context.load.exchanges = exchanges
+    restart_in_turn(context, _KEY_LOAD_S, stream_keys=stream_keys(names))
 
 
 @when('a poison request is sent to node {position:d} until it is refused')
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -9,6 +9,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from features.steps.fleet_steps import start_relay
 from jackdawhead.clock import monotonic_ms
 from jackdawhead.config.model import RetryPolicy
 from jackdawhead.node.entry.attempts import Attempts
@@ -27,7 +28,6 @@
 from jackdawhead.wire.messages import Heartbeat, Message, Refusal
 from jackdawhead.outcome import Outcome
 from jackdawhead.policy.loads import LoadReport, UpstreamLoad
-from standins.relay import Relay
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -64,9 +64,7 @@
     server = StreamServer((_IP, 0), accept)
     server.start()
     context.stack.callback(server.stop, 0)
-    context.relay = Relay(server.server_port)
-    context.relay.start()
-    context.stack.callback(context.relay.stop)
+    context.relay = start_relay(context, server.server_port)
     sock = socket.create_connection((_IP, context.relay.port))
     context.link = DialledLink(
         new_identity('entry', _KEYS), sock, ignore, ignore
--- a/features/steps/region_steps.py
+++ b/features/steps/region_steps.py
@@ -10,10 +10,9 @@
 
 from behave import given, then, when
 
-from features.steps.fleet_steps import site_of
+from features.steps.fleet_steps import new_fleet, site_of, start_relay
 from features.steps.spread_steps import site_files, statuses
-from standins.fleet import Fleet, NodeProcess, wait_until
-from standins.relay import Relay
+from standins.fleet import NodeProcess, wait_until
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -24,9 +23,7 @@
 @given('two regions of {count:d} nodes before "{service_name}"')
 def start_regions(context: Context, count: int, service_name: str) -> None:
     """Start a fleet whose halves reach each other by relays only."""
-    fleet = Fleet()
-    context.fleet = fleet
-    context.stack.callback(fleet.close)
+    fleet = new_fleet(context)
     site, service = site_of(service_name)
     spots = site.spots(service)[: count * len(_REGIONS)]
     fleet.start_upstreams(
@@ -47,15 +44,8 @@
     for position, (vm, zone) in enumerate(spots):
         port = context.platforms[position % len(_REGIONS)]
         context.fleet.start_node(vm, zone, platform_address=f'127.0.0.1:{port}')
-        context.relays[vm] = start_relay(context, vm)
-
-
-def start_relay(context: Context, vm: str) -> Relay:
-    """Start the relay that the other region uses to reach a node."""
-    relay = Relay(context.fleet.nodes[vm].stream_port)
-    relay.start()
-    context.stack.callback(relay.stop)
-    return relay
+        stream_port = context.fleet.nodes[vm].stream_port
+        context.relays[vm] = start_relay(context, stream_port)
 
 
 def region_of(context: Context, vm: str) -> int:
@@ -70,21 +60,6 @@
     return int(context.relays[node.vm].port)
 
 
-@when('the regions lose each other')
-def cut_regions(context: Context) -> None:
-    """Hold back all bytes between the regions."""
-    for relay in context.relays.values():
-        relay.cut_forward()
-        relay.cut_backward()
-
-
-@when('the regions are joined again')
-def join_regions(context: Context) -> None:
-    """Let all bytes pass."""
-    for relay in context.relays.values():
-        relay.heal()
-
-
 @when('the links between the regions are gone')
 def await_no_links(context: Context) -> None:
     """Wait until no node keeps a link to the other region."""
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -9,7 +9,7 @@
 from behave import then, when
 
 from features.steps.fleet_steps import node_at
-from standins.fleet import call, read_json, wait_until
+from standins.fleet import call, config_files, read_json, wait_until
 from standins.sites import HELVETIA
 
 if TYPE_CHECKING:
@@ -27,7 +27,7 @@
 
 def own_files() -> dict[str, str]:
     """Return the site's files."""
-    return {path.name: path.read_text() for path in HELVETIA.folder.glob('*')}
+    return config_files(HELVETIA.folder)
 
 
 def site_files(number: int) -> dict[str, str]:
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -7,13 +7,13 @@
 
 from behave import given, then, when
 
-from features.steps.fleet_steps import start_fleet
+from features.steps.fleet_steps import new_fleet, start_fleet
 from features.steps.spread_steps import statuses
 from jackdawhead.blackboard import Vm, VmList
 from jackdawhead.policy.homes import HomeMap
 from jackdawhead.policy.service_router import Member
 from jackdawhead.policy.subset import SubsetRule
-from standins.fleet import Fleet, wait_until
+from standins.fleet import wait_until
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -28,10 +28,8 @@
 @given('a fleet of {count:d} nodes before "{service}" that closes unused links')
 def start_with_short_idle(context: Context, count: int, service: str) -> None:
     """Start a fleet whose links are soon held to be unused."""
-    context.fleet = Fleet()
-    context.stack.callback(context.fleet.close)
-    context.fleet.node_settings = {'link_idle_ms': _IDLE_MS}
-    start_fleet(context.fleet, service, count)
+    fleet = new_fleet(context, link_idle_ms=_IDLE_MS)
+    start_fleet(fleet, service, count)
 
 
 def used_counts(context: Context) -> list[int]:
--- a/standins/capacity_fleet.py
+++ b/standins/capacity_fleet.py
@@ -14,7 +14,7 @@
 from jackdawhead.bench.metrics_reader import NodeUsage, read_usage
 from jackdawhead.config.settings import Address
 
-from .fleet import Fleet, read_json, wait_until
+from .fleet import Fleet, config_files, read_json, wait_until
 from .sites import HELVETIA
 
 _IP: Final = '127.0.0.1'
@@ -49,20 +49,16 @@
             for node in fleet.nodes.values()
         ]
     count = len(after)
-    sent = sum(each.stream_bytes for each in after)
-    sent -= sum(each.stream_bytes for each in before)
     return {
         'subset_size': subset_size,
         'dialled_links': sum(links) / count,
-        'bytes_per_s': sent / count / _IDLE_S,
+        'bytes_per_s': _sent_per_s(before, after),
         'resident_mb': sum(each.resident_bytes for each in after) / count / 1e6,
     }
 
 
 def _publish_subset(fleet: Fleet, subset_size: int) -> None:
-    files = {
-        path.name: path.read_text() for path in HELVETIA.folder.glob('*.yaml')
-    }
+    files = config_files(HELVETIA.folder)
     files['90-subset.yaml'] = (
         f'services: {{registry-desk: {{subset_size: {subset_size}}}}}'
     )
@@ -105,14 +101,10 @@
     cpu = [
         new.cpu_s - old.cpu_s for old, new in zip(before, after, strict=True)
     ]
-    sent = [
-        new.stream_bytes - old.stream_bytes
-        for old, new in zip(before, after, strict=True)
-    ]
     return {
         'nodes': nodes,
         'core_percent': sum(cpu) / nodes / _IDLE_S * 100,
-        'bytes_per_s': sum(sent) / nodes / _IDLE_S,
+        'bytes_per_s': _sent_per_s(before, after),
         'resident_mb': max(each.resident_bytes for each in after) / 1e6,
         'reads_per_min': reads_per_min,
         'reads_per_change': change_reads,
@@ -127,6 +119,13 @@
     ]
 
 
+def _sent_per_s(before: list[NodeUsage], after: list[NodeUsage]) -> float:
+    """Return the bytes that a node sent in a second of the idle time."""
+    sent = sum(each.stream_bytes for each in after)
+    sent -= sum(each.stream_bytes for each in before)
+    return sent / len(after) / _IDLE_S
+
+
 def _reads(fleet: Fleet) -> int:
     found = read_json(fleet.platform_port, '/_control/reads')
     return sum(found.values())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -198,8 +198,7 @@
 
         :param port: of the platform, the latest one by default.
         """
-        files = {path.name: path.read_text() for path in folder.glob('*.yaml')}
-        return self.publish('config', files, port)
+        return self.publish('config', config_files(folder), port)
 
     def publish(
         self,
@@ -318,6 +317,11 @@
         client.close()
 
 
+def config_files(folder: Path) -> dict[str, str]:
+    """Return the texts of a folder of configuration, by file name."""
+    return {path.name: path.read_text() for path in folder.glob('*.yaml')}
+
+
 def read_json(port: int, target: str) -> Any:
     """Return what a GET answers, as plain data."""
     return json.loads(call(port, 'GET', target).body)
@@ -391,6 +395,7 @@
     'NodeProcess',
     'Reply',
     'call',
+    'config_files',
     'read_json',
     'wait_until',
 )
--- a/standins/record.py
+++ b/standins/record.py
@@ -23,7 +23,7 @@
 from jackdawhead.bench.load import LoadPlan, run_load
 from jackdawhead.config.settings import Address
 
-from .fleet import Fleet
+from .fleet import Fleet, config_files
 from .scenarios import (
     FLOWS,
     SCENARIOS,
@@ -83,7 +83,7 @@
     for zone in site.zones:
         fleet.start_node(f'node-{zone}', zone)
     fleet.publish_vms()
-    files = {path.name: path.read_text() for path in site.folder.glob('*')}
+    files = config_files(site.folder)
     for service in site.services:
         files[f'90-{service.name}.yaml'] = _RULES.format(service=service.name)
     fleet.publish('config', files)
