--- a/src/jackdawhead/blackboard.py
+++ b/src/jackdawhead/blackboard.py
@@ -80,12 +80,35 @@
         return ConfigMark(self.version, int(leading, _HEXADECIMAL))
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamDetails:
+    """What the platform says of one upstream beyond its port.
+
+    :param instance: identity of its present start, empty if there is none.
+    :param born_ms: time of that start in milliseconds since 1970, 0 if
+        unknown; tells two starts under one identity apart.
+    :param slots: requests that it runs at once, 0 to follow the service.
+    :param cold_ms: time for which it is still slow after its start.
+    :param leaving: whether it takes no new work.
+    """
+
+    instance: str = ''
+    born_ms: int = 0
+    slots: int = 0
+    cold_ms: int = 0
+    leaving: bool = False
+
+
+_NO_DETAILS: Final = UpstreamDetails()
+
+
 @dataclass(frozen=True, slots=True)
 class Vm:
     """A VM as listed by the platform.
 
     :param stream_port: port of the node on it, 0 if it runs none.
     :param upstream_ports: port of the upstream of each service on it.
+    :param details: more about the upstreams of some services.
     """
 
     name: str
@@ -94,6 +117,28 @@
     leaving: bool
     stream_port: int
     upstream_ports: dict[str, int]
+    details: dict[str, UpstreamDetails] = field(default_factory=dict)
+
+    def details_of(self, service: str) -> UpstreamDetails:
+        """Return what is known of the upstream of a service.
+
+        :param service: its name.
+        """
+        return self.details.get(service, _NO_DETAILS)
+
+    def upstream_name(self, service: str) -> str:
+        """Return the identity of the upstream of a service.
+
+        Each start of an upstream is another one, so that evidence, slots
+        and connections of an earlier start are never taken for its own.
+
+        :param service: its name.
+        """
+        details = self.details_of(service)
+        if not details.instance:
+            return f'{self.name}/{service}'
+        start = f'{details.instance}.{details.born_ms}'
+        return f'{self.name}/{start}/{service}'
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,13 +151,18 @@
 
 @dataclass(slots=True)
 class Blackboard:
-    """All topics of a node."""
+    """All topics of a node.
+
+    :param own_service: service of the upstream beside this node, which
+        callers of this node belong to; empty if that is not told.
+    """
 
     config: Topic[ConfigInForce] = field(
         default_factory=lambda: Topic(ConfigInForce()),
     )
     vm_list: Topic[VmList] = field(default_factory=lambda: Topic(VmList()))
     leaving: Topic[bool] = field(default_factory=lambda: Topic(False))
+    own_service: Topic[str] = field(default_factory=lambda: Topic(''))
 
 
 __all__ = (
@@ -120,6 +170,7 @@
     'ConfigInForce',
     'ConfigMark',
     'Topic',
+    'UpstreamDetails',
     'Vm',
     'VmList',
 )
--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -5,6 +5,7 @@
 import sys
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
 
@@ -14,6 +15,9 @@
 from ..exit_codes import ExitCode
 from ..output import print_error, print_problems
 
+if TYPE_CHECKING:
+    from ...node.platform_client import PlatformSource
+
 
 @command('node')
 class NodeCommand(Command):
@@ -23,34 +27,66 @@
     details = (
         'The settings name the VM, its zone, the addresses and the keys; the\n'
         'configuration itself comes from the platform. SIGTERM drains: no\n'
-        'request in progress is cut. Logs go to standard error.'
+        'request in progress is cut. Logs go to standard\n'
+        "error, on the users' platform to standard output."
     )
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         parser.add_argument(
             '--settings',
             type=Path,
-            required=True,
             metavar='DIR',
             help='folder of YAML files with the settings of this node',
         )
+        parser.add_argument(
+            '--platform',
+            action='store_true',
+            help="take the settings from the users' platform instead",
+        )
 
     def run(self, options: Namespace) -> ExitCode:
+        if options.platform:
+            return _run_on_platform()
+        if options.settings is None:
+            print_error('name a folder with --settings, or give --platform')
+            return ExitCode.BAD_USAGE
         match load_settings(options.settings):
             case Success(settings):
+                start_logging(sys.stderr)
                 return _run_node(settings)
             case Failure(problems):
                 print_problems(problems)
         return ExitCode.BAD_CONFIG
 
 
-def _run_node(settings: NodeSettings) -> ExitCode:
+def _run_on_platform() -> ExitCode:
+    from ...platform.settings_file import read_settings, settings_path
+    from ...platform.source import StoreSource
+
+    start_logging(sys.stdout)
+    match read_settings(settings_path()):
+        case Success(settings):
+            source = StoreSource(
+                settings.node.platform_address,
+                settings.zones,
+                settings.node.stream_address.port,
+                settings.lapse_ms,
+            )
+            return _run_node(settings.node, source)
+        case Failure(problems):
+            print_problems(problems)
+    return ExitCode.BAD_CONFIG
+
+
+def _run_node(
+    settings: NodeSettings,
+    source: PlatformSource | None = None,
+) -> ExitCode:
     # Imported here, so that the other commands start quickly.
     from ...node.runtime import Node
 
-    start_logging(sys.stderr)
     try:
-        Node(settings).run()
+        Node(settings, source).run()
     except OSError as error:
         print_error(f'{error}; check the addresses in the settings')
         return ExitCode.FAILED
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from .model import (
+    CallerPolicy,
     Config,
     DetectionPolicy,
     HeaderNames,
@@ -74,6 +75,7 @@
             for name, route in plain['routes'].items()
         },
         headers=HeaderNames(**plain.get('headers', {})),
+        callers=CallerPolicy(**plain.get('callers', {})),
     )
 
 
@@ -119,6 +121,8 @@
         work_class=work_class,
         deadline_ms=plain['deadline_ms'],
         expected_ms=plain.get('expected_ms', expected_ms),
+        target_ms=plain.get('target_ms') or plain['deadline_ms'],
+        priority=plain.get('priority', 0),
     )
 
 
--- a/src/jackdawhead/config/checks.py
+++ b/src/jackdawhead/config/checks.py
@@ -77,12 +77,38 @@
     seen: dict[str, str] = {}
     for name, route in _section(tree, 'routes').items():
         path = f'routes.{name}'
-        service = services.get(route['service'])
+        yield from _check_services_of(tree, path, route, services)
+        target = ' '.join(
+            (
+                route.get('host', ''),
+                route.get('method', ''),
+                route['path_prefix'],
+            )
+        ).strip()
+        rival = seen.get(target)
+        if rival is not None:
+            yield Problem(
+                tree.place_of(path),
+                path,
+                f'matches {target!r} as route {rival!r} does',
+                'keep one of the two',
+            )
+        seen[target] = name
+
+
+def _check_services_of(
+    tree: MergedTree,
+    path: str,
+    route: dict[str, Any],
+    services: dict[str, Any],
+) -> Iterator[Problem]:
+    for name in route.get('split', (route['service'],)):
+        service = services.get(name)
         if service is None:
             yield Problem(
                 tree.place_of(f'{path}.service'),
                 f'{path}.service',
-                f'names the unknown service {route["service"]!r}',
+                f'names the unknown service {name!r}',
                 'declare it under `services`',
             )
         elif route['operation'] not in service['operations']:
@@ -90,18 +116,8 @@
                 tree.place_of(f'{path}.operation'),
                 f'{path}.operation',
                 f'names the unknown operation {route["operation"]!r}',
-                f'declare it in services.{route["service"]}',
+                f'declare it in services.{name}',
             )
-        target = f'{route["method"]} {route["path_prefix"]}'
-        rival = seen.get(target)
-        if rival is not None:
-            yield Problem(
-                tree.place_of(path),
-                path,
-                f'matches {target!r} as route {rival!r} does',
-                'keep one of the two',
-            )
-        seen[target] = name
 
 
 def _check_deadlines(tree: MergedTree) -> Iterator[Problem]:
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -27,6 +27,9 @@
 
     :param idempotent: whether running it twice does no harm.
     :param expected_ms: run time assumed until real work has been seen.
+    :param target_ms: time within which callers want the answer.
+    :param priority: rank when there is room for a part of the work only,
+        0 being the first.
     """
 
     name: str
@@ -34,6 +37,8 @@
     work_class: WorkClass
     deadline_ms: int
     expected_ms: int
+    target_ms: int = 0
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,18 +131,66 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Maps requests to an operation by method and path prefix."""
+    """Maps requests to an operation by host, method and path prefix.
+
+    :param method: HTTP method, empty for any.
+    :param host: host that callers name, empty for any.
+    :param timeout_ms: longest time for an answer, 0 to follow the operation.
+    :param max_attempts: upstreams that one request may be sent to, 0 to
+        follow the service.
+    :param split: services by the share of the requests they get, instead of
+        the one service.
+    """
 
     name: str
     service: str
     operation: str
-    method: str
     path_prefix: str
+    method: str = ''
+    host: str = ''
+    timeout_ms: int = 0
+    max_attempts: int = 0
+    split: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of all services that requests of this route may go to."""
+        return tuple(self.split) or (self.service,)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerPolicy:
+    """What callers may send, and how they are answered.
+
+    :param idle_ms: time after which an unused connection is closed, 0 to
+        follow the node's settings.
+    :param max_body_bytes: largest body, 0 to follow the node's settings.
+    :param quarantined_status: status of requests that crash upstreams.
+    :param fractional_retry_after: whether callers understand a Retry-After
+        of a fraction of a second.
+    """
+
+    idle_ms: int = 0
+    max_body_bytes: int = 0
+    quarantined_status: int = 422
+    fractional_retry_after: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
-    """Names of the headers exchanged with callers and upstreams."""
+    """Names of the headers exchanged with callers and upstreams.
+
+    An empty name switches a header off.
+
+    :param not_run: header by which an upstream proves that it has not run a
+        request, whatever its value.
+    :param instance: tells an upstream which of its starts a request is for.
+    :param caller_service: tells an upstream the service of the VM from which
+        a request comes.
+    :param echoed_id: header of callers that upstreams repeat in the answer
+        to each request.
+    :param seal: header without which a successful answer is not whole.
+    """
 
     request_id: str = 'X-Request-Id'
     outcome: str = 'X-Outcome'
@@ -147,6 +200,11 @@
     draining: str = 'X-Draining'
     node: str = 'X-Served-By'
     ticket: str = 'X-Ticket'
+    not_run: str = ''
+    instance: str = ''
+    caller_service: str = ''
+    echoed_id: str = ''
+    seal: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,9 +219,11 @@
     services: dict[str, Service]
     routes: dict[str, Route]
     headers: HeaderNames = field(default_factory=HeaderNames)
+    callers: CallerPolicy = field(default_factory=CallerPolicy)
 
 
 __all__ = (
+    'CallerPolicy',
     'Config',
     'DetectionPolicy',
     'HeaderNames',
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -6,7 +6,8 @@
 
 _DAY_MS: Final = 86_400_000
 NAME_PATTERN: Final = '^[a-z0-9][a-z0-9_-]{0,62}$'
-_HEADER_PATTERN: Final = '^[A-Za-z0-9][A-Za-z0-9-]{0,62}$'
+_HEADER_PATTERN: Final = '^([A-Za-z0-9][A-Za-z0-9-]{0,62})?$'
+_HOST_PATTERN: Final = '^[a-z0-9.-]{1,253}$'
 _IP_PORT_PATTERN: Final = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
 
 Schema = dict[str, Any]
@@ -46,6 +47,8 @@
         'work_class': {'enum': ['short', 'long']},
         'deadline_ms': _DURATION,
         'expected_ms': _DURATION,
+        'target_ms': _DURATION,
+        'priority': _whole(0, 1000),
     },
     'idempotent',
     'work_class',
@@ -117,12 +120,23 @@
         'operation': _NAME,
         'method': {'enum': ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']},
         'path_prefix': {'type': 'string', 'pattern': '^/'},
+        'host': {'type': 'string', 'pattern': _HOST_PATTERN},
+        'timeout_ms': _DURATION,
+        'max_attempts': _whole(1, 100),
+        'split': {**_named(_whole(0, 1_000_000)), 'minProperties': 1},
     },
     'service',
     'operation',
-    'method',
     'path_prefix',
 )
+_CALLERS: Final = _closed(
+    {
+        'idle_ms': _DURATION,
+        'max_body_bytes': _whole(1, 2**40),
+        'quarantined_status': {'enum': [422, 503]},
+        'fractional_retry_after': _BOOLEAN,
+    }
+)
 _HEADERS: Final = _closed(
     {
         name: _HEADER
@@ -135,6 +149,11 @@
             'draining',
             'node',
             'ticket',
+            'not_run',
+            'instance',
+            'caller_service',
+            'echoed_id',
+            'seal',
         )
     }
 )
@@ -148,6 +167,7 @@
         'services': {**_named(_SERVICE), 'minProperties': 1},
         'routes': {**_named(_ROUTE), 'minProperties': 1},
         'headers': _HEADERS,
+        'callers': _CALLERS,
     },
     'zones',
     'services',
@@ -173,6 +193,9 @@
         'drain_ms': _DURATION,
         'caller_idle_ms': _DURATION,
         'link_idle_ms': _DURATION,
+        'ready_address': _ADDRESS,
+        'service': _NAME,
+        'accept_while_leaving_ms': _whole(0, _DAY_MS),
     },
     'vm',
     'zone',
--- a/src/jackdawhead/config/settings.py
+++ b/src/jackdawhead/config/settings.py
@@ -52,6 +52,12 @@
     :param caller_idle_ms: time after which a caller's unused connection is
         closed.
     :param link_idle_ms: time after which an unused link to a home is closed.
+    :param ready_address: listener that answers 200 to any request while this
+        node takes new work and 503 otherwise, if there shall be one.
+    :param service: service of the upstream beside this node, told to the
+        upstreams that run the requests of its callers.
+    :param accept_while_leaving_ms: time for which callers are still served
+        after SIGTERM, until all know that the node is not ready.
     """
 
     vm: str
@@ -66,6 +72,9 @@
     drain_ms: int = 60_000
     caller_idle_ms: int = 75_000
     link_idle_ms: int = 60_000
+    ready_address: Address | None = None
+    service: str = ''
+    accept_while_leaving_ms: int = 0
 
 
 def load_settings(folder: Path) -> Result[NodeSettings, tuple[Problem, ...]]:
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -135,6 +135,16 @@
     return {'used': router.member_count, **states}
 
 
+def ready_app(node: Node) -> App:
+    """Return a WSGI application that tells any asker whether to send work.
+
+    :param node: the running node.
+    """
+    app = App()
+    app.add_sink(_Ready(node).on_get, prefix='/')
+    return app
+
+
 def admin_app(node: Node) -> App:
     """Return the operators' WSGI application.
 
@@ -150,4 +160,4 @@
     return app
 
 
-__all__ = ('admin_app', 'status_of')
+__all__ = ('admin_app', 'ready_app', 'status_of')
--- a/src/jackdawhead/node/entry/calls.py
+++ b/src/jackdawhead/node/entry/calls.py
@@ -18,6 +18,8 @@
     """A request with what was decided about it.
 
     :param deadline_at_ms: monotonic time.
+    :param caller_service: service of the VM from which it comes.
+    :param max_attempts: upstreams that may run it, 0 to follow the service.
     :param tried: upstreams it was sent to, or that it may have crashed.
     """
 
@@ -27,6 +29,8 @@
     fingerprint: int
     deadline_at_ms: float
     tried: set[str] = field(default_factory=set)
+    caller_service: str = ''
+    max_attempts: int = 0
 
     def left_ms(self) -> float:
         """Return the time left."""
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -8,10 +8,12 @@
 
 from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
+from ...policy.caution import failure_cost_ms, risk_limit
 from ...policy.loads import RoutingQuery, UpstreamLoad
 from ...policy.poison import fingerprint_of
 from ...policy.resend import AttemptEnd, is_resend_safe
 from ...policy.retries import backoff_ms
+from ...policy.split import draw_service
 from ...reasons import Reason
 from .calls import Call
 from .exchanges import Exchanges
@@ -35,6 +37,7 @@
 
     def __init__(self, parts: NodeParts, channels: Channels) -> None:
         self._recorder = parts.recorder
+        self._own_service = parts.board.own_service
         self._routing = parts.routing
         self._pauses = parts.pauses
         self._exchanges = Exchanges(parts, channels)
@@ -55,23 +58,24 @@
         table = self._routing.table
         if table is None:
             return Refused(Outcome.NOT_RUN, Reason.NO_CONFIG, _COME_BACK_MS)
-        route = table.match(request.method, request.path)
+        route = table.match(request.method, request.path, request.host)
         if route is None:
             return Refused(Outcome.NOT_RUN, Reason.NO_ROUTE)
-        router = self._routing.router(route.service)
+        service = draw_service(route, self._routing.rng)
+        router = self._routing.router(service)
         operation = router.service.operations[route.operation]
         deadline_ms = min(
-            operation.deadline_ms,
+            route.timeout_ms or operation.deadline_ms,
             request.deadline_ms or _FAR_FUTURE_MS,
         )
         fingerprint = fingerprint_of(
-            route.service,
+            service,
             request.method,
             request.target,
             request.chunk,
         )
         self._recorder.note_arrival(
-            route.service,
+            service,
             route.operation,
             request.organisation,
             fingerprint,
@@ -83,14 +87,18 @@
             fingerprint,
             monotonic_ms() + deadline_ms,
             router.poison.crashed_upstreams(fingerprint),
+            self._own_service.read(),
+            route.max_attempts,
         )
 
     def _send(self, call: Call) -> Answer:
         call.router.budget.note_first_attempt()
         attempt_number = 1
+        runs = 0
         while True:
             answer = self._attempt(call, attempt_number)
-            if not self._may_resend(call, answer, attempt_number):
+            runs += _end_of(answer).outcome is not Outcome.NOT_RUN
+            if not self._may_resend(call, answer, attempt_number, runs):
                 return answer
             if isinstance(answer, UpstreamAnswer):
                 answer.body.close()
@@ -116,7 +124,11 @@
                 Reason.QUARANTINED,
                 quarantined_ms,
             )
-        query = RoutingQuery(now_ms, frozenset(call.tried))
+        query = RoutingQuery(
+            now_ms,
+            frozenset(call.tried),
+            failure_cost_ms(call.operation),
+        )
         load = call.router.choose(call.operation.name, query)
         if load is None:
             return Refused(
@@ -146,13 +158,26 @@
         )
         load.note_sent()
         try:
-            answer = self._exchanges.run(call, load, may_wait=not is_reserved)
+            answer = self._exchanges.run(
+                call,
+                load,
+                may_wait=not is_reserved,
+                risk_limit=risk_limit(
+                    call.operation, attempt_number, has_others=has_others
+                ),
+            )
         finally:
             load.note_done()
         budget.settle(_end_of(answer), was_reserved=is_reserved)
         return answer
 
-    def _may_resend(self, call: Call, answer: Answer, attempt: int) -> bool:
+    def _may_resend(
+        self,
+        call: Call,
+        answer: Answer,
+        attempt: int,
+        runs: int,
+    ) -> bool:
         if call.left_ms() <= 0:
             return False
         if not call.request.last and not _is_unsent(answer):
@@ -160,7 +185,9 @@
         end = _end_of(answer)
         if not is_resend_safe(end, idempotent=call.operation.idempotent):
             return False
-        return call.router.budget.may_resend(end, attempt)
+        return call.router.budget.may_resend(
+            end, attempt, runs, call.max_attempts
+        )
 
 
 def _end_of(answer: Answer) -> AttemptEnd:
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -11,6 +11,7 @@
 from ...policy.evidence import Sample
 from ...policy.hedging import hedge_after_ms
 from ...policy.loads import RoutingQuery, UpstreamLoad
+from ...policy.spells import RISK_SCALE
 from ...reasons import Reason
 from ...wire.messages import Head, Refusal, Submit
 from .answer_body import AnswerBody, CutAnswerError
@@ -50,6 +51,7 @@
         load: UpstreamLoad,
         *,
         may_wait: bool,
+        risk_limit: int = RISK_SCALE,
     ) -> Answer:
         """Return the answer of an upstream, or why there is none.
 
@@ -59,6 +61,8 @@
         :param call: the request.
         :param load: where it is sent first.
         :param may_wait: whether a busy home may queue it.
+        :param risk_limit: the home refuses it if the risk of a failure is
+            greater, in thousandths.
         """
         channel = self._channels.to(load.home)
         if channel is None:
@@ -67,7 +71,9 @@
             )
         attempt = self._attempts.begin(channel)
         started_ms = monotonic_ms()
-        pump = self._submit(call, load, attempt, may_wait=may_wait)
+        pump = self._submit(
+            call, load, attempt, may_wait=may_wait, risk_limit=risk_limit
+        )
         copy = Copy(attempt, load, started_ms)
         try:
             heard = self._await_first(call, copy)
@@ -136,6 +142,7 @@
         attempt: Attempt,
         *,
         may_wait: bool,
+        risk_limit: int = RISK_SCALE,
     ) -> gevent.Greenlet | None:
         request = call.request
         attempt.channel.send(
@@ -154,6 +161,9 @@
                 request.body_bytes,
                 request.chunk,
                 request.last,
+                request.host,
+                call.caller_service,
+                risk_limit,
             ),
         )
         if request.last:
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -9,7 +9,7 @@
 from falcon import App, Request, Response
 from gevent.pywsgi import Input
 
-from ...config.model import HeaderNames
+from ...config.model import CallerPolicy, HeaderNames
 from ...outcome import Outcome
 from ...reasons import Reason
 from ..home.request_head import HOP_BY_HOP
@@ -35,7 +35,6 @@
     Reason.NO_ROUTE: 404,
     Reason.BODY_TOO_LARGE: 413,
     Reason.BODY_CUT: 400,
-    Reason.QUARANTINED: 422,
     Reason.DEADLINE: 504,
     Reason.TICKET_GONE: 409,
     Reason.TICKET_REFUSED: 400,
@@ -45,6 +44,7 @@
 _NEW_TICKET: Final = 'new'
 _STATUS_UNKNOWN: Final = 502
 _DEFAULT_NAMES: Final = HeaderNames()
+_DEFAULT_POLICY: Final = CallerPolicy()
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +99,7 @@
         if isinstance(answer, UpstreamAnswer):
             self._fill(response, answer, names)
         else:
-            _fill_refusal(response, answer, names)
+            _fill_refusal(response, answer, names, self._policy())
         if self._board.leaving.read():
             response.set_header('Connection', 'close')
 
@@ -107,6 +107,10 @@
         loaded = self._board.config.read().loaded
         return _DEFAULT_NAMES if loaded is None else loaded.config.headers
 
+    def _policy(self) -> CallerPolicy:
+        loaded = self._board.config.read().loaded
+        return _DEFAULT_POLICY if loaded is None else loaded.config.callers
+
     def _dispatch(
         self,
         request: Request,
@@ -115,7 +119,8 @@
     ) -> Answer:
         environ = request.env
         length = request.content_length
-        if (length or 0) > self._settings.max_body_bytes:
+        max_bytes = self._policy().max_body_bytes
+        if (length or 0) > (max_bytes or self._settings.max_body_bytes):
             return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
         try:
             call = _caller_request(environ, names, length)
@@ -137,8 +142,8 @@
         response.status = answer.status
         for name, text in answer.headers:
             response.append_header(name, text)
-        response.set_header(names.outcome, Outcome.RAN.value)
-        response.set_header(names.node, self._settings.vm)
+        _set_header(response, names.outcome, Outcome.RAN.value)
+        _set_header(response, names.node, self._settings.vm)
         whole = answer.body.whole
         if whole is None:
             _stream(response, answer)
@@ -193,17 +198,22 @@
         chunk=chunk,
         last=last,
         read_body=body.read,
+        host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
     )
 
 
 def _end_to_end(environ: dict[str, Any], names: HeaderNames) -> HeaderPairs:
-    own = names.deadline_ms.lower()
+    own = {
+        names.deadline_ms.lower(),
+        names.caller_service.lower(),
+        names.instance.lower(),
+    }
     pairs = []
     for key, text in environ.items():
         if not key.startswith(_HEADER_PREFIX):
             continue
         name = key.removeprefix(_HEADER_PREFIX).replace('_', '-').title()
-        if name.lower() not in HOP_BY_HOP and name.lower() != own:
+        if name.lower() not in HOP_BY_HOP and name.lower() not in own:
             pairs.append([name, text])
     content_type = environ.get('CONTENT_TYPE')
     if content_type:
@@ -223,6 +233,7 @@
 
 
 def _key(header: str) -> str:
+    """Return the key of a header, one that no request has for no name."""
     return _HEADER_PREFIX + header.upper().replace('-', '_')
 
 
@@ -230,17 +241,18 @@
     response: Response,
     refused: Refused,
     names: HeaderNames,
+    policy: CallerPolicy,
 ) -> None:
-    is_not_run = refused.outcome is Outcome.NOT_RUN
-    default = _STATUS_NOT_RUN if is_not_run else _STATUS_UNKNOWN
-    response.status = _STATUS_OF_REASON.get(refused.reason, default)
+    response.status = _status_of(refused, policy)
     response.content_type = falcon.MEDIA_JSON
-    response.set_header(names.outcome, refused.outcome.value)
+    _set_header(response, names.outcome, refused.outcome.value)
     after_ms = refused.retry_after_ms
     if after_ms:
-        after_s = -(-after_ms // _MS_PER_S)
+        whole_s = -(-after_ms // _MS_PER_S)
+        is_exact = policy.fractional_retry_after
+        after_s = after_ms / _MS_PER_S if is_exact else whole_s
         response.set_header('Retry-After', str(after_s))
-        response.set_header(names.retry_after_ms, str(after_ms))
+        _set_header(response, names.retry_after_ms, str(after_ms))
     response.media = {
         'outcome': refused.outcome.value,
         'reason': refused.reason.value,
@@ -248,4 +260,17 @@
     }
 
 
+def _status_of(refused: Refused, policy: CallerPolicy) -> int:
+    if refused.reason is Reason.QUARANTINED:
+        return policy.quarantined_status
+    is_not_run = refused.outcome is Outcome.NOT_RUN
+    default = _STATUS_NOT_RUN if is_not_run else _STATUS_UNKNOWN
+    return _STATUS_OF_REASON.get(refused.reason, default)
+
+
+def _set_header(response: Response, name: str, text: str) -> None:
+    if name:
+        response.set_header(name, text)
+
+
 __all__ = ('CallerApi',)
--- a/src/jackdawhead/node/entry/members.py
+++ b/src/jackdawhead/node/entry/members.py
@@ -41,7 +41,11 @@
             home = homes.home_of(vm)
             used_homes.add(home)
             for service in vm.upstream_ports:
-                member = Member(f'{vm.name}/{service}', vm.zone, home)
+                details = vm.details_of(service)
+                if details.leaving:
+                    continue
+                name = vm.upstream_name(service)
+                member = Member(name, vm.zone, home, details.slots)
                 self._by_service.setdefault(service, []).append(member)
         self._rule.forget(frozenset(used_homes))
 
--- a/src/jackdawhead/node/entry/requests.py
+++ b/src/jackdawhead/node/entry/requests.py
@@ -28,6 +28,7 @@
     :param chunk: first bytes of the body.
     :param last: whether the body ends with them.
     :param read_body: reads further bytes, empty at the end.
+    :param host: host that the caller named, without a port.
     """
 
     method: str
@@ -40,6 +41,7 @@
     chunk: bytes
     last: bool
     read_body: ReadBody
+    host: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/jackdawhead/node/home/answer_reader.py
@@ -0,0 +1,186 @@
+"""Reads the answer to one request off an upstream's connection.
+
+An upstream may send a second answer to an earlier request, or bytes after
+the end of an answer. Answers are told apart by the id that they repeat, and
+a connection that carried anything else is never used again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent.socket import socket as Socket
+
+    from ...wire.messages import HeaderPairs
+
+_FIRST_FINAL_STATUS: Final = 200
+_NO_LENGTH: Final = -1
+_WITHOUT_BODY: Final = frozenset((204, 304))
+
+
+class Answer:
+    """One answer as it comes in.
+
+    :param status: its status.
+    :param headers: all headers, in their order.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: HeaderPairs = []
+        self.body = bytearray()
+        self.has_head = False
+        self.complete = False
+
+    def get(self, name: str) -> str | None:
+        """Return the value of the first header of a name, if any.
+
+        :param name: in any case.
+        """
+        wanted = name.lower()
+        for each, text in self.headers:
+            if each.lower() == wanted:
+                return text
+        return None
+
+    @property
+    def body_bytes(self) -> int:
+        """Length of the body as the headers tell it, -1 if they do not."""
+        length = self.get('Content-Length') or ''
+        return int(length) if length.isdecimal() else _NO_LENGTH
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether the upstream will take another request afterwards."""
+        if (self.get('Connection') or '').lower() == 'close':
+            return False
+        is_chunked = self.get('Transfer-Encoding') is not None
+        has_end = is_chunked or self.body_bytes != _NO_LENGTH
+        return has_end or self.status in _WITHOUT_BODY
+
+
+class _Parser(HTTPResponseParser):
+    """Collects all answers that stand in the bytes of a connection."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__()
+        self.answers: list[Answer] = []
+        self._has_no_body = method == 'HEAD'
+        self._is_value = False
+
+    def _on_status(self, _: str) -> None:
+        """Ignore the words beside the status."""
+
+    def _on_message_begin(self) -> None:
+        self.answers.append(Answer())
+
+    def _on_header_field(self, text: str) -> None:
+        headers = self.answers[-1].headers
+        if self._is_value or not headers:
+            headers.append([text, ''])
+        else:
+            headers[-1][0] += text
+        self._is_value = False
+
+    def _on_header_value(self, text: str) -> None:
+        self.answers[-1].headers[-1][1] += text
+        self._is_value = True
+
+    def _on_headers_complete(self) -> bool:
+        answer = self.answers[-1]
+        answer.status = self.get_code()
+        answer.has_head = True
+        self._is_value = False
+        return self._has_no_body
+
+    def _on_body(self, chunk: bytes) -> None:
+        self.answers[-1].body += chunk
+
+    def _on_message_complete(self) -> None:
+        self.answers[-1].complete = True
+
+
+class AnswerReader:
+    """Reads one answer.
+
+    :param sock: connection on which a request has been sent.
+    :param method: of that request.
+    :param block_bytes: how much to take from the connection at once.
+    """
+
+    def __init__(self, sock: Socket, method: str, block_bytes: int) -> None:
+        self._sock = sock
+        self._block_bytes = block_bytes
+        self._parser = _Parser(method)
+        self._answer = Answer()
+        self._failure: HTTPParseError | None = None
+        self.dropped = 0
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether the body has ended and nothing of it is left to read."""
+        return self._answer.complete and not self._answer.body
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection carried this answer and nothing else."""
+        is_last = self._parser.answers[-1:] == [self._answer]
+        is_clean = self._failure is None and not self.dropped
+        is_whole = self._answer.complete and self._answer.keeps_connection
+        return is_clean and is_last and is_whole
+
+    def read_head(self, is_wanted: Callable[[Answer], bool]) -> Answer:
+        """Return the answer that is wanted, its body still to be read.
+
+        Interim answers and answers to other requests are dropped.
+
+        :param is_wanted: tells by its headers whether an answer is.
+        :raises OSError: if the connection is reset.
+        :raises HTTPParseError: if it ends, or carries something else.
+        """
+        checked = 0
+        while True:
+            for answer in self._parser.answers[checked:]:
+                if not answer.has_head:
+                    break
+                checked += 1
+                if answer.status < _FIRST_FINAL_STATUS:
+                    continue
+                if is_wanted(answer):
+                    self._answer = answer
+                    return answer
+                self.dropped += 1
+            self._feed()
+
+    def read(self) -> bytes:
+        """Return the next bytes of the body, none at its end.
+
+        :raises OSError: if the connection is reset.
+        :raises HTTPParseError: if it ends before the body does.
+        """
+        answer = self._answer
+        while not answer.body and not answer.complete:
+            self._feed()
+        chunk = bytes(answer.body[: self._block_bytes])
+        del answer.body[: self._block_bytes]
+        return chunk
+
+    def _feed(self) -> None:
+        """Take more bytes in; those after the end of an answer do no harm."""
+        if self._failure is not None:
+            raise self._failure
+        received = self._sock.recv(self._block_bytes)
+        try:
+            self._parser.feed(received)
+        except HTTPParseError as failure:
+            self._failure = failure
+        if not received and self._failure is None:
+            self._failure = HTTPParseError('connection closed')
+
+
+__all__ = ('Answer', 'AnswerReader', 'HTTPParseError')
--- a/src/jackdawhead/node/home/connections.py
+++ b/src/jackdawhead/node/home/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -15,10 +16,15 @@
     from gevent.socket import socket as Socket
 
     from ...config.settings import Address
+    from .answer_reader import Answer
 
 _CONNECT_TIMEOUT_MS: Final = 1000
 _PROVED_FOR_MS: Final = 500
 _IDLE_LIFE_MS: Final = 60_000
+# An upstream may close a little before the time that it told.
+_KEEP_MARGIN_MS: Final = 500
+_MS_PER_S: Final = 1000
+_KEEP_ALIVE: Final = re.compile(r'timeout=(\d{1,6})')
 
 
 @dataclass(slots=True)
@@ -27,11 +33,23 @@
 
     :param reused: whether it has carried an answer before.
     :param idle_since_ms: monotonic time of its last answer.
+    :param life_ms: how long it may be idle.
     """
 
     sock: Socket
     reused: bool = False
     idle_since_ms: float = 0
+    life_ms: float = _IDLE_LIFE_MS
+
+    def note_answer(self, answer: Answer) -> None:
+        """Take in how long the upstream keeps an idle connection.
+
+        :param answer: the latest one on this connection.
+        """
+        found = _KEEP_ALIVE.search(answer.get('Keep-Alive') or '')
+        if found is not None:
+            told_ms = _MS_PER_S * int(found.group(1))
+            self.life_ms = min(_IDLE_LIFE_MS, told_ms - _KEEP_MARGIN_MS)
 
     def close(self) -> None:
         """Close it; the upstream sees work on it as cancelled."""
@@ -65,13 +83,13 @@
         :raises OSError: if the upstream does not accept a connection.
         """
         now_ms = monotonic_ms()
-        life_ms = _PROVED_FOR_MS if only_proved else _IDLE_LIFE_MS
         while self._idle:
             connection = self._idle[-1]
-            if now_ms - connection.idle_since_ms > life_ms:
+            idle_ms = now_ms - connection.idle_since_ms
+            if only_proved and idle_ms > _PROVED_FOR_MS:
                 break
             self._idle.pop()
-            if _is_quiet(connection):
+            if idle_ms < connection.life_ms and _is_quiet(connection):
                 return connection
             connection.close()
         self._close_old(now_ms)
@@ -108,7 +126,8 @@
 
     def _close_old(self, now_ms: float) -> None:
         while self._idle:
-            if now_ms - self._idle[0].idle_since_ms <= _IDLE_LIFE_MS:
+            oldest = self._idle[0]
+            if now_ms - oldest.idle_since_ms <= oldest.life_ms:
                 return
             self._idle.popleft().close()
 
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -115,7 +116,8 @@
         elif present.spec != spec:
             present.follow(spec)
         vm = self._board.vm_list.read().vms[name.partition('/')[0]]
-        present.mark_listed_leaving(vm.leaving)
+        details = vm.details_of(spec.service.name)
+        present.mark_listed_leaving(vm.leaving or details.leaving)
 
     def _begin(self, spec: UpstreamSpec, *, is_new: bool) -> HomeUpstream:
         upstream = HomeUpstream(
@@ -140,12 +142,16 @@
             service = config.services.get(service_name)
             if service is None or vm.zone not in service.zones:
                 continue
-            name = f'{vm.name}/{service_name}'
+            details = vm.details_of(service_name)
+            if details.slots:
+                service = replace(service, slots_per_upstream=details.slots)
+            name = vm.upstream_name(service_name)
             specs[name] = UpstreamSpec(
                 name,
                 Address(vm.ip, port),
                 service,
                 config.headers,
+                details.instance,
             )
         return specs
 
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Final
 
 import gevent
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
@@ -15,6 +14,7 @@
 from ...reasons import Reason
 from ...wire.messages import Body, Credit, Head, Message
 from ..credit import CHUNK_BYTES
+from .answer_reader import Answer, AnswerReader, HTTPParseError
 from .request_head import answer_headers, is_chunked, request_head
 
 if TYPE_CHECKING:
@@ -24,6 +24,9 @@
     from .connections import Connection, ConnectionPool
     from .job import Job
 
+_SUCCESS: Final = 2
+_STATUS_CLASS: Final = 100
+_MISDIRECTED: Final = 421
 _UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
 _SERVER_ERROR: Final = 500
@@ -63,6 +66,7 @@
 class Target:
     """Where and how to run a request.
 
+    :param instance: identity of the start that the request is meant for.
     :param expected_ms: expected run time of the operation.
     """
 
@@ -70,17 +74,10 @@
     pool: ConnectionPool
     operation: Operation
     names: HeaderNames
+    instance: str
     expected_ms: float
 
 
-class _Response(HTTPSocketResponse):
-    """An answer that tells whether all of it has been read."""
-
-    def is_exhausted(self) -> bool:
-        """Return whether the body has ended and nothing of it is left."""
-        return self.message_complete and not self._body_buffer
-
-
 class Execution:
     """One run of a request.
 
@@ -147,19 +144,22 @@
         with ExitStack() as stack:
             stack.callback(connection.close)
             self._send(connection)
-            response = self._receive_head(connection)
+            method = self._job.submit.method
+            reader = AnswerReader(connection.sock, method, CHUNK_BYTES)
+            answer = self._receive_head(connection, reader)
             self._job.has_response = True
-            refused = self._refusal_of(response)
+            refused = self._refusal_of(answer)
             if refused is not None:
                 return refused
-            final = self._pass_on(response)
-            if not response.should_close():
+            final = self._pass_on(reader, answer)
+            if reader.is_reusable:
                 stack.pop_all()
+                connection.note_answer(answer)
                 self._target.pool.release(connection)
-        return self._ended(self._ending_of(response), final)
+        return self._ended(self._ending_of(answer), final)
 
-    def _ending_of(self, response: _Response) -> Ending:
-        if response.status_code < _SERVER_ERROR:
+    def _ending_of(self, answer: Answer) -> Ending:
+        if answer.status < _SERVER_ERROR:
             return Ending.SUCCEEDED
         return self._deadline_ending() if self._is_late() else Ending.FAILED
 
@@ -174,7 +174,7 @@
         submit = self._job.submit
         target = self._target
         left_ms = int(self._job.work.deadline_at_ms - monotonic_ms())
-        head = request_head(submit, target.address, target.names, left_ms)
+        head = request_head(submit, target, left_ms)
         self._sent = True
         if submit.last:
             connection.sock.sendall(head + submit.chunk)
@@ -213,64 +213,84 @@
         else:
             connection.sock.sendall(chunk)
 
-    def _receive_head(self, connection: Connection) -> _Response:
-        method = self._job.submit.method
+    def _receive_head(
+        self,
+        connection: Connection,
+        reader: AnswerReader,
+    ) -> Answer:
         if not connection.reused or not self._target.operation.idempotent:
-            return _read_head(connection, method)
+            return reader.read_head(self._is_own)
         with gevent.Timeout(seconds(self._silence_ms()), _SilentError):
-            return _read_head(connection, method)
+            return reader.read_head(self._is_own)
+
+    def _is_own(self, answer: Answer) -> bool:
+        """Tell the answer to this request from one to an earlier request."""
+        name = self._target.names.echoed_id
+        if not name:
+            return True
+        echoed = answer.get(name)
+        return echoed is None or echoed == self._job.header(name)
 
     def _silence_ms(self) -> float:
         return max(_MIN_SILENCE_MS, _SILENCE_FACTOR * self._target.expected_ms)
 
-    def _refusal_of(self, response: _Response) -> Ended | None:
+    def _refusal_of(self, answer: Answer) -> Ended | None:
         """Recognise an upstream's own refusal, a proof of 'not run'.
 
         Its own time-out at the deadline is no answer either, and is told
         like that of this home, whichever comes first.
         """
-        if response.status_code == _GATEWAY_TIMEOUT and self._is_late():
+        if answer.status == _GATEWAY_TIMEOUT and self._is_late():
             return self._refused(self._deadline_ending(), Reason.DEADLINE)
-        if response.status_code != _UNAVAILABLE:
-            return None
         names = self._target.names
-        draining = response.get(names.draining) is not None
-        is_proof = response.get(names.outcome) == Outcome.NOT_RUN.value
-        if not draining and not is_proof:
-            return None
-        avoid_ms = _avoid_ms(response.get('Retry-After'))
-        reason = Reason.DRAINING if draining else Reason.UPSTREAM_REFUSED
+        if answer.status // _STATUS_CLASS == _SUCCESS and names.seal:
+            if answer.get(names.seal) is None:
+                return self._refused(Ending.FAILED, Reason.ANSWER_MALFORMED)
+        if self._target.instance and answer.status == _MISDIRECTED:
+            return self._not_run(Ending.DRAINING, Reason.NO_UPSTREAM)
+        is_proof = bool(names.not_run) and answer.get(names.not_run) is not None
+        if answer.status != _UNAVAILABLE:
+            return self._shed(answer) if is_proof else None
+        draining = bool(names.draining) and bool(answer.get(names.draining))
+        if draining:
+            return self._not_run(Ending.DRAINING, Reason.DRAINING)
+        outcome = answer.get(names.outcome) if names.outcome else None
+        is_proof = is_proof or outcome == Outcome.NOT_RUN.value
+        return self._shed(answer) if is_proof else None
+
+    def _shed(self, answer: Answer) -> Ended:
+        avoid_ms = _avoid_ms(answer.get('Retry-After'))
+        return self._not_run(Ending.SHED, Reason.UPSTREAM_REFUSED, avoid_ms)
+
+    def _not_run(
+        self,
+        ending: Ending,
+        reason: Reason,
+        avoid_ms: int = 0,
+    ) -> Ended:
         final = self._job.refusal(Outcome.NOT_RUN, reason, avoid_ms)
-        ended = self._ended(Ending.DRAINING if draining else Ending.SHED, final)
-        return replace(ended, avoid_ms=avoid_ms)
+        return replace(self._ended(ending, final), avoid_ms=avoid_ms)
 
-    def _pass_on(self, response: _Response) -> Message:
+    def _pass_on(self, reader: AnswerReader, answer: Answer) -> Message:
         """Deliver all of an answer but its last message; return that."""
         request_id = self._job.request_id
-        chunk = self._read(response)
-        length = response.content_length
+        chunk = reader.read()
         message: Message = Head(
             request_id,
-            response.status_code,
-            answer_headers(list(response.items())),
-            -1 if length is None else length,
+            answer.status,
+            answer_headers(answer.headers),
+            answer.body_bytes,
             chunk,
-            response.is_exhausted(),
+            reader.is_exhausted,
         )
-        while not response.is_exhausted():
+        while not reader.is_exhausted:
             self._head_sent = True
             self._job.deliver(message)
             self._wait_for_credit(len(chunk))
-            chunk = self._read(response)
-            message = Body(request_id, chunk, response.is_exhausted())
+            chunk = reader.read()
+            message = Body(request_id, chunk, reader.is_exhausted)
         return message
 
-    def _read(self, response: _Response) -> bytes:
-        chunk: bytes = response.read(CHUNK_BYTES)
-        if not chunk and not response.message_complete:
-            raise HTTPParseError('connection closed in the body')
-        return chunk
-
     def _wait_for_credit(self, byte_count: int) -> None:
         before_ms = monotonic_ms()
         self._job.credit.take(byte_count)
@@ -309,10 +329,6 @@
         return Ended(ending, final, run_ms)
 
 
-def _read_head(connection: Connection, method: str) -> _Response:
-    return _Response(connection.sock, block_size=CHUNK_BYTES, method=method)
-
-
 def _avoid_ms(retry_after: str | None) -> int:
     """Return the time of a Retry-After header in seconds (RFC 9110)."""
     try:
--- a/src/jackdawhead/node/home/job.py
+++ b/src/jackdawhead/node/home/job.py
@@ -53,6 +53,17 @@
         """Identity of the request on its stream."""
         return self.submit.request_id
 
+    def header(self, name: str) -> str | None:
+        """Return the value of a header of the caller's request.
+
+        :param name: in any case.
+        """
+        wanted = name.lower()
+        for each, text in self.submit.headers:
+            if each.lower() == wanted:
+                return text
+        return None
+
     def refusal(
         self,
         outcome: Outcome,
--- a/src/jackdawhead/node/home/request_head.py
+++ b/src/jackdawhead/node/home/request_head.py
@@ -5,9 +5,8 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from ...config.model import HeaderNames
-    from ...config.settings import Address
     from ...wire.messages import HeaderPairs, Submit
+    from .execution import Target
 
 HOP_BY_HOP: Final = frozenset(
     (
@@ -35,19 +34,24 @@
 
 def request_head(
     submit: Submit,
-    address: Address,
-    names: HeaderNames,
+    target: Target,
     deadline_ms: int,
 ) -> bytes:
     """Return request line and headers, with the empty line.
 
+    :param target: the upstream that runs it.
     :param deadline_ms: time left, told to the upstream.
     """
+    names = target.names
     lines = [
         f'{submit.method} {submit.target} HTTP/1.1',
-        f'Host: {address}',
+        f'Host: {submit.host or target.address}',
         f'{names.deadline_ms}: {deadline_ms}',
     ]
+    if names.instance and target.instance:
+        lines.append(f'{names.instance}: {target.instance}')
+    if names.caller_service and submit.caller_service:
+        lines.append(f'{names.caller_service}: {submit.caller_service}')
     lines.extend(f'{name}: {text}' for name, text in submit.headers)
     if is_chunked(submit):
         lines.append('Transfer-Encoding: chunked')
@@ -56,7 +60,7 @@
     return '\r\n'.join((*lines, '', '')).encode('latin-1')
 
 
-def answer_headers(received: list[tuple[str, str]]) -> HeaderPairs:
+def answer_headers(received: HeaderPairs) -> HeaderPairs:
     """Return an answer's end-to-end headers.
 
     :param received: names and values.
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -11,6 +11,7 @@
 from ...audit_kinds import AuditKind
 from ...clock import monotonic_ms
 from ...outcome import Outcome
+from ...policy.spells import RISK_SCALE
 from ...policy.upstream_state import RunEnd, UpstreamState
 from ...policy.work import Verdict
 from ...reasons import Reason
@@ -31,13 +32,15 @@
 class UpstreamSpec:
     """What an upstream is.
 
-    :param name: identity, ``vm/service``.
+    :param name: identity, ``vm/service`` or ``vm/start/service``.
+    :param instance: identity of its start that requests are meant for.
     """
 
     name: str
     address: Address
     service: Service
     headers: HeaderNames
+    instance: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +110,11 @@
         if self.draining:
             job.refuse(Reason.DRAINING)
             return
-        admission = self._state.offer(job.work, monotonic_ms())
+        now_ms = monotonic_ms()
+        if RISK_SCALE * self._state.risk(now_ms) > job.submit.risk_limit:
+            job.refuse(Reason.RISKY)
+            return
+        admission = self._state.offer(job.work, now_ms)
         if admission.verdict is Verdict.START:
             self._start(job)
         elif admission.verdict is Verdict.WAIT:
@@ -204,6 +211,7 @@
             self._pool,
             job.operation,
             self.spec.headers,
+            self.spec.instance,
             self._state.admission.run_times.expected_ms(job.operation.name),
         )
 
--- a/src/jackdawhead/node/membership.py
+++ b/src/jackdawhead/node/membership.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from ..audit import AuditKind
-from ..blackboard import Vm, VmList
+from ..blackboard import UpstreamDetails, Vm, VmList
 from ..config.schema import NAME_PATTERN
 from ..wire.messages import VmNews
 
@@ -21,9 +21,12 @@
     from .links import Link
 
 _MAX_PORT: Final = 65_535
+# No slash, which separates the parts of an upstream's identity.
+_INSTANCE_PATTERN: Final = '^[A-Za-z0-9._:-]{0,128}$'
 _Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 _Ip = Annotated[str, Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
 _Port = Annotated[int, Meta(ge=0, le=_MAX_PORT)]
+_Whole = Annotated[int, Meta(ge=0)]
 
 
 class MembershipController:
@@ -103,6 +106,16 @@
             )
 
 
+class _ListedDetails(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What the platform says of one upstream."""
+
+    instance: Annotated[str, Meta(pattern=_INSTANCE_PATTERN)] = ''
+    born_ms: _Whole = 0
+    slots: _Whole = 0
+    cold_ms: _Whole = 0
+    leaving: bool = False
+
+
 class _ListedVm(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """One VM as the platform gives it."""
 
@@ -112,6 +125,7 @@
     leaving: bool = False
     stream_port: _Port = 0
     upstream_ports: dict[_Name, _Port] = {}
+    details: dict[_Name, _ListedDetails] = {}
 
 
 _DECODER: Final = msgspec.json.Decoder(list[_ListedVm])
@@ -138,6 +152,10 @@
         leaving=listed.leaving,
         stream_port=listed.stream_port,
         upstream_ports=listed.upstream_ports,
+        details={
+            service: UpstreamDetails(**msgspec.structs.asdict(each))
+            for service, each in listed.details.items()
+        },
     )
 
 
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
@@ -34,16 +35,15 @@
     plain: Any
 
 
-class PlatformClient:
-    """Reads and watches values.
+class PlatformSource(ABC):
+    """Where configuration and list of VMs come from.
 
-    :param address: IP number and port of the platform.
+    The attribute ``calls`` counts the calls to the platform.
     """
 
-    def __init__(self, address: Address) -> None:
-        self._address = address
-        self.calls = 0
+    calls: int = 0
 
+    @abstractmethod
     def read(
         self,
         key: str,
@@ -58,6 +58,23 @@
         :returns: the value, nothing if there is no newer one, or why the
             platform did not answer.
         """
+
+
+class PlatformClient(PlatformSource):
+    """Reads and watches values of the project's own platform interface.
+
+    :param address: IP number and port of the platform.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+
+    def read(
+        self,
+        key: str,
+        after: int,
+        wait_ms: int,
+    ) -> Result[Published | None, str]:
         self.calls += 1
         client = HTTPClient(
             self._address.ip,
@@ -84,4 +101,4 @@
     return Success(Published(int(plain['version']), plain['value']))
 
 
-__all__ = ('PlatformClient', 'Published')
+__all__ = ('PlatformClient', 'PlatformSource', 'Published')
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -17,7 +17,7 @@
     from random import Random
 
     from .parts import NodeParts
-    from .platform_client import PlatformClient, Published
+    from .platform_client import PlatformSource, Published
 
 CONFIG_KEY: Final = 'config'
 VMS_KEY: Final = 'vms'
@@ -41,7 +41,7 @@
     def __init__(
         self,
         key: str,
-        client: PlatformClient,
+        client: PlatformSource,
         parts: NodeParts,
         rng: Random,
     ) -> None:
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -14,7 +14,7 @@
 from ..clock import monotonic_ms, seconds
 from ..memory import settle_memory
 from ..wire.messages import DrainNews, PoisonNews
-from .admin import admin_app
+from .admin import admin_app, ready_app
 from .assembly import build_parts
 from .channels import Channels
 from .entry.traffic import Traffic
@@ -28,6 +28,7 @@
 
     from ..config.settings import NodeSettings
     from .links import Link
+    from .platform_client import PlatformSource
 
 _ADMIN_IDLE_S: Final = 30
 _POLL_MS: Final = 20
@@ -39,9 +40,15 @@
     """One process of the fleet: entry and home.
 
     :param settings: addresses, zone and keys.
+    :param platform: source of configuration and VMs, by default the
+        project's own interface at the address of the settings.
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        platform: PlatformSource | None = None,
+    ) -> None:
         self._settings = settings
         self._rng = Random(SystemRandom().random())
         self._stopping = Event()
@@ -59,7 +66,8 @@
         self.parts.membership.broadcast = self._channels.gossip.broadcast
         self.parts.pauses.drop_links = self._channels.drop_links
         self.parts.pauses.refresh = self._channels.catch_up
-        self._platform = PlatformClient(settings.platform_address)
+        self._platform = platform or PlatformClient(settings.platform_address)
+        self.parts.board.own_service.write(settings.service)
         self._callers = caller_server(self.parts, self._channels, self.traffic)
 
     @property
@@ -111,6 +119,7 @@
         )
         admin.start()
         stack.callback(admin.stop, 0)
+        self._start_ready(stack)
         stack.callback(self.parts.home.close)
         self._channels.start(stack)
         self._callers.start()
@@ -122,6 +131,13 @@
         )
         self._spawn_loops(stack)
 
+    def _start_ready(self, stack: ExitStack) -> None:
+        address = self._settings.ready_address
+        if address is not None:
+            ready = QuickServer(address, ready_app(self), _ADMIN_IDLE_S)
+            ready.start()
+            stack.callback(ready.stop, 0)
+
     def _spawn_loops(self, stack: ExitStack) -> None:
         watches = tuple(
             PlatformWatch(key, self._platform, self.parts, self._rng)
@@ -175,8 +191,9 @@
             'asked to stop',
         )
         self._channels.beat()
-        self._callers.close()
         last_ms = monotonic_ms() + self._settings.drain_ms
+        gevent.sleep(seconds(self._settings.accept_while_leaving_ms))
+        self._callers.close()
         quiet_ms = monotonic_ms()
         while monotonic_ms() < last_ms:
             if self._callers.active or self.parts.home.busy:
--- a/src/jackdawhead/node/trace_recorder.py
+++ b/src/jackdawhead/node/trace_recorder.py
@@ -139,7 +139,7 @@
                 self._records.append(
                     MemberRecord(
                         _now_ms(),
-                        f'{vm.name}/{service}',
+                        vm.upstream_name(service),
                         vm.zone,
                         homes.home_of(vm),
                         'leaving' if vm.leaving else 'live',
--- /dev/null
+++ b/src/jackdawhead/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Meets the users' platform: its names, formats and calls."""
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -13,6 +13,9 @@
     from random import Random
 
 _ZONE_COST_MS: Final = 5.0
+# The way there and back between zones, and what its bytes are worth.
+_OTHER_ZONE_MS: Final = 25.0
+_SLIGHT_BLUR: Final = 0.1
 _SAMPLE_SIZE: Final = 3
 _PAIR: Final = 2
 _BLUR: Final = 0.6
@@ -86,6 +89,46 @@
     return load.completion_ms(now_ms) + blur * load.report.run_ms
 
 
+@BALANCERS.register('least-risk')
+class LeastRiskBalancer(Balancer):
+    """Takes the least expected time, a likely failure counted as time too.
+
+    For services whose upstreams fail in spells: which of them is well matters
+    more than where it stands, so all are looked at. A subset bounds them.
+    """
+
+    def choose(
+        self,
+        pool: Pool,
+        query: RoutingQuery,
+        rng: Random,
+    ) -> UpstreamLoad | None:
+        local = least(
+            [each for each in pool.local if each.upstream not in query.tried],
+            partial(_risky_ms, query, rng, 0),
+        )
+        remote = least(
+            [each for each in pool.remote if each.upstream not in query.tried],
+            partial(_risky_ms, query, rng, _OTHER_ZONE_MS),
+        )
+        if local is None or remote is None:
+            return local or remote
+        local_ms = _risky_ms(query, rng, 0, local)
+        remote_ms = _risky_ms(query, rng, _OTHER_ZONE_MS, remote)
+        return local if local_ms <= remote_ms else remote
+
+
+def _risky_ms(
+    query: RoutingQuery,
+    rng: Random,
+    way_ms: float,
+    load: UpstreamLoad,
+) -> float:
+    blur_ms = _SLIGHT_BLUR * rng.random() * load.report.run_ms
+    risk_ms = query.failure_ms * load.risk_now(query.now_ms)
+    return load.completion_ms(query.now_ms) + way_ms + risk_ms + blur_ms
+
+
 @BALANCERS.register('two-choices')
 class TwoChoicesBalancer(Balancer):
     """Takes the one of two random upstreams with fewer requests in flight."""
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from .spells import later_risk
+
 if TYPE_CHECKING:
     from random import Random
 
@@ -42,6 +44,9 @@
     :param stalled_until_ms: monotonic time until which it seems to answer
         nothing.
     :param medians_ms: median run time of each operation, as far as known.
+    :param slots: requests that it runs at once, 0 if the list does not say.
+    :param risk: probability of a spell of failing, as its home has told.
+    :param risk_at_ms: monotonic time at which that was heard.
     """
 
     upstream: str
@@ -55,6 +60,18 @@
     answered_at_ms: float = 0
     stalled_until_ms: float = 0
     medians_ms: dict[str, float] = field(default_factory=dict)
+    slots: int = 0
+    risk: float = 0
+    risk_at_ms: float | None = None
+
+    def risk_now(self, now_ms: float) -> float:
+        """Return the probability that work fails there, 0 if unknown.
+
+        :param now_ms: monotonic time.
+        """
+        if self.risk_at_ms is None:
+            return 0
+        return later_risk(self.risk, now_ms - self.risk_at_ms)
 
     def expected_wait_ms(self, now_ms: float) -> float:
         """Return the expected wait of a request that is sent now.
@@ -173,10 +190,13 @@
 
     :param now_ms: monotonic time.
     :param tried: upstreams that this request has been sent to before.
+    :param failure_ms: cost of a failure, as time that a caller would wait to
+        avoid it.
     """
 
     now_ms: float
     tried: frozenset[str] = field(default_factory=frozenset)
+    failure_ms: float = 0
 
 
 def sample(
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -16,6 +16,8 @@
 
 _PERCENT: Final = 100
 _MAX_REDIRECTS: Final = 5
+_MAX_UNTAKEN: Final = 5
+_PASSED_ON: Final = frozenset((Reason.BUSY, Reason.RISKY))
 _NOT_TAKEN: Final = frozenset(
     (
         Reason.PEER_UNREACHABLE,
@@ -88,24 +90,36 @@
 
         :param end: of the attempt.
         """
-        if was_reserved and end.reason is not Reason.BUSY:
+        if was_reserved and end.reason not in _PASSED_ON:
             self._redirects += 1
 
-    def may_resend(self, end: AttemptEnd, attempt: int) -> bool:
+    def may_resend(
+        self,
+        end: AttemptEnd,
+        attempt: int,
+        runs: int | None = None,
+        max_runs: int = 0,
+    ) -> bool:
         """Return whether one more attempt is within all limits, and pay.
 
         Redirects from busy homes have been paid for by their reservation
-        and do not count as attempts. Work that nobody took, since a link is
-        still being dialled or an upstream drains, may try as many others.
+        and do not count as attempts, nor do those from homes whose upstream
+        is likely to fail, which are bounded by the number of tries. Work
+        that nobody took, since a link is still being dialled or an upstream
+        drains, may try as many others.
 
         :param end: of the attempt before.
         :param attempt: its number, from 1.
+        :param runs: how many of the attempts may have run, all by default.
+        :param max_runs: bound on them, 0 to follow the policy.
         """
-        if end.reason is Reason.BUSY:
+        if end.reason in _PASSED_ON:
             return True
-        is_untaken = end.reason in _NOT_TAKEN
-        limit = _MAX_REDIRECTS if is_untaken else self._policy.max_attempts
-        if attempt >= limit:
+        if end.reason in _NOT_TAKEN:
+            return attempt < _MAX_UNTAKEN and self._try_spend(end.outcome)
+        limit = max_runs or self._policy.max_attempts
+        counted = attempt if runs is None else runs
+        if counted >= limit:
             return False
         return self._try_spend(end.outcome)
 
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -12,6 +12,7 @@
 from .loads import LoadReport, Pool, RoutingQuery, UpstreamLoad
 from .poison import PoisonTable
 from .retries import RetryBudget
+from .spells import RISK_SCALE
 
 if TYPE_CHECKING:
     from random import Random
@@ -28,13 +29,15 @@
 class Member:
     """An upstream of a service, as listed.
 
-    :param name: identity, ``vm/service``.
+    :param name: identity, ``vm/service`` or ``vm/start/service``.
     :param home: VM of the node that owns its slots.
+    :param slots: requests that it runs at once, 0 to follow the service.
     """
 
     name: str
     zone: str
     home: str
+    slots: int = 0
 
 
 class ServiceRouter:
@@ -144,7 +147,7 @@
         if not query.tried:
             return chosen
         if chosen is None or chosen.is_avoided(query.now_ms):
-            again = RoutingQuery(query.now_ms)
+            again = RoutingQuery(query.now_ms, failure_ms=query.failure_ms)
             chosen = self._balancer.choose(pool, again, self._rng)
         return chosen
 
@@ -164,9 +167,11 @@
         load = self._loads.get(status.upstream)
         if load is None:
             return
-        slots = self.service.slots_per_upstream
+        slots = load.slots or self.service.slots_per_upstream
         report = LoadReport(status.wait_ms, status.run_ms, slots, status.free)
         load.note_report(report, now_ms)
+        load.risk = status.risk / RISK_SCALE
+        load.risk_at_ms = now_ms
         if status.avoid_ms:
             load.avoid_until_ms = now_ms + status.avoid_ms
         if status.median_ms:
@@ -281,7 +286,9 @@
             ),
         )
         report = LoadReport(0, run_ms, 1, 1)
-        return UpstreamLoad(member.name, member.zone, member.home, report)
+        return UpstreamLoad(
+            member.name, member.zone, member.home, report, slots=member.slots
+        )
 
     def _members_changed(self) -> None:
         self._detector.replace_members(self.members)
--- /dev/null
+++ b/src/jackdawhead/policy/spells.py
@@ -0,0 +1,70 @@
+"""Probability that an upstream is in a spell of failing.
+
+An upstream may fail most of its work for some seconds, again and again, while
+its health check is good. Shares over a window of outcomes see such a spell
+when half of it is over. A hidden Markov model of two states (Rabiner, 1989)
+needs an outcome or two: each outcome shifts the probability by Bayes' rule,
+and between outcomes it returns to its long-term share.
+"""
+
+from __future__ import annotations
+
+from math import exp
+from typing import Final
+
+# Failures of an upstream that is well, and of one in a spell, as shares of
+# its work: those of the recorded traces of both offices.
+_USUAL_FAILURES: Final = 0.015
+_SPELL_FAILURES: Final = 0.8
+# Lengths of a spell and of the time between two, of the same traces.
+_SPELL_MS: Final = 3000.0
+_BETWEEN_MS: Final = 7000.0
+SPELL_SHARE: Final = _SPELL_MS / (_SPELL_MS + _BETWEEN_MS)
+_RETURN_MS: Final = 1 / (1 / _SPELL_MS + 1 / _BETWEEN_MS)
+RISK_SCALE: Final = 1000
+
+
+def later_risk(risk: float, age_ms: float) -> float:
+    """Return the probability some time after it was known.
+
+    :param risk: what it was, 0 to 1.
+    :param age_ms: time since then.
+    """
+    kept = exp(-max(0, age_ms) / _RETURN_MS)
+    return SPELL_SHARE + (risk - SPELL_SHARE) * kept
+
+
+class SpellEstimate:
+    """Follows the outcomes of one upstream."""
+
+    def __init__(self) -> None:
+        self._risk: float = 0
+        self._at_ms: float | None = None
+
+    def observe(self, now_ms: float, *, ok: bool) -> None:
+        """Take in an outcome.
+
+        :param now_ms: monotonic time of its end.
+        :param ok: whether the upstream did the work.
+        """
+        before = self.risk(now_ms)
+        in_spell = before * _likelihood(_SPELL_FAILURES, ok=ok)
+        well = (1 - before) * _likelihood(_USUAL_FAILURES, ok=ok)
+        self._risk = in_spell / (in_spell + well)
+        self._at_ms = now_ms
+
+    def risk(self, now_ms: float) -> float:
+        """Return the probability of a spell, 0 until anything is known.
+
+        :param now_ms: monotonic time.
+        """
+        if self._at_ms is None:
+            return 0
+        return later_risk(self._risk, now_ms - self._at_ms)
+
+
+def _likelihood(failures: float, *, ok: bool) -> float:
+    return 1 - failures if ok else failures
+
+
+__all__ = ('RISK_SCALE', 'SPELL_SHARE', 'SpellEstimate', 'later_risk')
--- /dev/null
+++ b/src/jackdawhead/policy/split.py
@@ -0,0 +1,27 @@
+"""Draws the service of a request whose route has several."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..config.model import Route
+
+
+def draw_service(route: Route, rng: Random) -> str:
+    """Return the service that a request goes to, in all its attempts.
+
+    :param route: its services get requests by their weights.
+    :param rng: source of randomness.
+    """
+    if not route.split:
+        return route.service
+    names = tuple(route.split)
+    if not any(route.split.values()):
+        return route.service
+    return rng.choices(names, tuple(route.split.values()))[0]
+
+
+__all__ = ('draw_service',)
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -12,6 +12,7 @@
 from .ending import Ending
 from .evidence import CUSUM_SCALE, Sample
 from .evidence_store import EvidenceStore
+from .spells import RISK_SCALE, SpellEstimate
 
 if TYPE_CHECKING:
     from random import Random
@@ -23,6 +24,7 @@
 _MAX_AVOID_MS: Final = 3200
 _DRAIN_FORGOTTEN_MS: Final = 5000
 _SLOW_FACTOR: Final = 2
+_TELLING: Final = frozenset((Ending.SUCCEEDED, Ending.FAILED, Ending.CRASHED))
 
 RecordChange = Callable[[AuditKind, str, str], None]
 
@@ -64,6 +66,7 @@
         rule = ADMISSIONS.find(service.queue.admission).unwrap()
         self.admission = rule(service, rng)
         self._evidence = EvidenceStore(service, is_new=is_new)
+        self._spell = SpellEstimate()
         self._record = record
         self._avoid_until_ms: float = 0
         self._avoid_ms = 0
@@ -157,9 +160,20 @@
             cusum=int(summary.cusum * CUSUM_SCALE),
             avoid_ms=max(0, int(self._avoid_until_ms - now_ms)),
             draining=self.is_draining(now_ms),
+            risk=int(RISK_SCALE * self.risk(now_ms)),
         )
 
+    def risk(self, now_ms: float) -> float:
+        """Return the probability that the upstream is failing, 0 to 1.
+
+        :param now_ms: monotonic time.
+        """
+        return self._spell.risk(now_ms)
+
     def _learn(self, end: RunEnd, now_ms: float) -> bool:
+        if end.ending in _TELLING:
+            is_ok = end.ending is Ending.SUCCEEDED
+            self._spell.observe(now_ms, ok=is_ok)
         match end.ending:
             case Ending.SUCCEEDED | Ending.FAILED:
                 is_ok = end.ending is Ending.SUCCEEDED
--- a/src/jackdawhead/reasons.py
+++ b/src/jackdawhead/reasons.py
@@ -15,6 +15,7 @@
     BODY_CUT = 'request-body-cut'
     OVERLOADED = 'overloaded'
     BUSY = 'busy'
+    RISKY = 'risky'
     DRAINING = 'draining'
     NODE_LEAVING = 'node-leaving'
     UPSTREAM_UNREACHABLE = 'upstream-unreachable'
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-PROTOCOL_VERSION: Final = 4
+PROTOCOL_VERSION: Final = 5
+_NO_LIMIT: Final = 1000
 
 HeaderPairs = list[list[str]]
 _MessageT = TypeVar('_MessageT')
@@ -86,6 +87,10 @@
     :param body_bytes: length of the body, -1 if it is not known.
     :param chunk: first bytes of the body.
     :param last: whether the body ends with this chunk.
+    :param host: host that the caller named.
+    :param caller_service: service of the VM from which the request comes.
+    :param risk_limit: the home refuses the request if the risk of a failure
+        is greater, in thousandths.
     """
 
     request_id: int
@@ -102,6 +107,9 @@
     body_bytes: int
     chunk: bytes
     last: bool
+    host: str = ''
+    caller_service: str = ''
+    risk_limit: int = _NO_LIMIT
 
 
 @_message(5)
@@ -224,6 +232,7 @@
     :param least_ms: least of the last few run times, 0 if unknown.
     :param cusum: evidence for failing, in hundredths.
     :param avoid_ms: time for which it cannot be reached, 0 if it can.
+    :param risk: probability that work fails there now, in thousandths.
     """
 
     upstream: str
@@ -238,6 +247,7 @@
     cusum: int
     avoid_ms: int
     draining: bool
+    risk: int = 0
 
 
 @_message(15)
