Keep rules over a dropped watch, retry within the fleet's budget, spare bytes

Change: watches of 2 s, hedges count as attempts, resends after an upstream's own refusal are paid for as retries, no organisations where no header names them, news of the platform within the zone and as differences, answers weighed by their bytes when another zone is chosen.

--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -122,12 +122,16 @@
             link.send(heartbeat)
 
     def _keep_alive(self, now_ms: float) -> None:
-        """Close silent links, and send a heartbeat on those not in use."""
+        """Close silent links, and send heartbeats.
+
+        A link in use shows life without one, but gossip peers are told each
+        time what is known here.
+        """
         heartbeat = self.gossip.heartbeat()
         for link in self.links():
             if link.is_silent(now_ms):
                 link.close('no heartbeat')
-            elif link.needs_heartbeat(now_ms):
+            elif link.needs_heartbeat(now_ms) or self._dialler.is_peer(link):
                 link.send(heartbeat)
 
     def _close_links(self) -> None:
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -114,6 +114,13 @@
         for vm in self._missing_peers():
             gevent.spawn(self.link_to, vm)
 
+    def is_peer(self, link: Link) -> bool:
+        """Return whether a link leads to a gossip peer.
+
+        :param link: any link.
+        """
+        return link.vm in self._peers
+
     def close_unused(self) -> None:
         """Close links that carried no request for some time.
 
--- a/src/jackdawhead/node/entry/calls.py
+++ b/src/jackdawhead/node/entry/calls.py
@@ -13,13 +13,14 @@
     from .requests import CallerRequest
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Call:
     """A request with what was decided about it.
 
     :param deadline_at_ms: monotonic time.
     :param caller_service: service of the VM from which it comes.
     :param max_attempts: upstreams that may run it, 0 to follow the service.
+    :param runs: attempts so far that may have run.
     :param tried: upstreams it was sent to, or that it may have crashed.
     """
 
@@ -31,6 +32,7 @@
     tried: set[str] = field(default_factory=set)
     caller_service: str = ''
     max_attempts: int = 0
+    runs: int = 0
 
     def left_ms(self) -> float:
         """Return the time left."""
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -94,11 +94,10 @@
     def _send(self, call: Call) -> Answer:
         call.router.budget.note_first_attempt()
         attempt_number = 1
-        runs = 0
         while True:
             answer = self._attempt(call, attempt_number)
-            runs += _end_of(answer).outcome is not Outcome.NOT_RUN
-            if not self._may_resend(call, answer, attempt_number, runs):
+            call.runs += _end_of(answer).outcome is not Outcome.NOT_RUN
+            if not self._may_resend(call, answer, attempt_number):
                 return answer
             if isinstance(answer, UpstreamAnswer):
                 answer.body.close()
@@ -128,6 +127,7 @@
             now_ms,
             frozenset(call.tried),
             failure_cost_ms(call.operation),
+            call.router.way_bytes(call.operation.name),
         )
         load = call.router.choose(call.operation.name, query)
         if load is None:
@@ -176,7 +176,6 @@
         call: Call,
         answer: Answer,
         attempt: int,
-        runs: int,
     ) -> bool:
         if call.left_ms() <= 0:
             return False
@@ -186,7 +185,7 @@
         if not is_resend_safe(end, idempotent=call.operation.idempotent):
             return False
         return call.router.budget.may_resend(
-            end, attempt, runs, call.max_attempts
+            end, attempt, call.runs, call.max_attempts
         )
 
 
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -113,6 +113,7 @@
             return None
         call.tried.add(load.upstream)
         twin = self._attempts.begin(channel, copy.attempt)
+        call.runs += 1
         load.note_sent()
         try:
             self._submit(call, load, twin, may_wait=True)
@@ -130,6 +131,8 @@
         """Choose another upstream; one that was busy before may be free."""
         if call.router.member_count <= 1 or call.left_ms() <= 0:
             return None
+        if call.max_attempts and call.runs + 2 > call.max_attempts:
+            return None
         if not call.router.budget.may_hedge():
             return None
         query = RoutingQuery(monotonic_ms(), frozenset((first,)))
@@ -199,6 +202,10 @@
         load = heard.copy.load
         if isinstance(first, Head):
             load.note_answer(monotonic_ms())
+            answer_bytes = max(first.body_bytes, len(first.chunk))
+            call.router.note_bytes(
+                call.operation.name, call.request.body_bytes + answer_bytes
+            )
         is_ok = is_good(first)
         if is_ok:
             call.router.poison.note_success(call.fingerprint)
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -222,6 +222,8 @@
 
 
 def _organisation(environ: dict[str, Any], names: HeaderNames) -> str:
+    if not names.organisation:
+        return ''
     named = environ.get(_key(names.organisation))
     fallback = environ.get('REMOTE_ADDR', '')
     return str(named or fallback)[:_MAX_ORGANISATION_CHARS]
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -11,6 +11,8 @@
     Heartbeat,
     Message,
     PoisonNews,
+    VmAsk,
+    VmChange,
     VmNews,
 )
 
@@ -20,6 +22,7 @@
     from .links import Link
     from .parts import NodeParts
 
+_PUBLISHED: Final = (ConfigNews, VmNews, VmChange)
 _LEAVING_AVOID_MS: Final = 3000
 
 
@@ -43,18 +46,34 @@
     def broadcast(self, message: Message, source: Link | None = None) -> None:
         """Send news to all linked nodes.
 
+        What the platform publishes is read in each availability zone, so it
+        is passed on within the zone only; a node of another zone that stays
+        behind shows it by its heartbeats.
+
         :param message: the news.
         :param source: link that it came from, which is left out.
         """
+        is_published = isinstance(message, _PUBLISHED)
         for link in self._links():
-            if link is not source:
+            if link is source:
+                continue
+            if not is_published or self._is_near(link):
                 link.send(message)
 
+    def _is_near(self, link: Link) -> bool:
+        vm = self._parts.board.vm_list.read().vms.get(link.vm)
+        return vm is None or vm.zone == self._parts.settings.zone
+
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat of this node."""
         board = self._parts.board
         mark = board.config.read().mark
-        return Heartbeat(mark.version, mark.digest, board.leaving.read())
+        return Heartbeat(
+            mark.version,
+            mark.digest,
+            board.leaving.read(),
+            board.vm_list.read().version,
+        )
 
     def greet(self, link: Link) -> None:
         """Tell a node that has just been linked what is known here.
@@ -65,7 +84,6 @@
             AuditKind.PEER_JOINED, link.vm, f'incarnation {link.incarnation}'
         )
         link.send(self.heartbeat())
-        self._parts.membership.greet(link)
         for news in self._parts.crashes.known():
             link.send(news)
 
@@ -86,6 +104,10 @@
                 self._parts.config.take_news(message, link)
             case VmNews():
                 self._parts.membership.take_news(message, link)
+            case VmChange():
+                self._parts.membership.take_change(message, link)
+            case VmAsk():
+                self._parts.membership.greet(link)
             case _:
                 return False
         return True
@@ -96,6 +118,7 @@
         if beat.leaving:
             self._parts.routing.avoid(link.vm, _LEAVING_AVOID_MS)
         self._parts.config.bring_up_to_date(link)
+        self._parts.membership.bring_up_to_date(link, beat.vm_list_version)
 
 
 __all__ = ('GossipController',)
--- a/src/jackdawhead/node/membership.py
+++ b/src/jackdawhead/node/membership.py
@@ -2,31 +2,25 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Annotated, Final
+from typing import TYPE_CHECKING, Final
 
-import msgspec
-from msgspec import Meta
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from ..audit import AuditKind
-from ..blackboard import UpstreamDetails, Vm, VmList
-from ..config.schema import NAME_PATTERN
-from ..wire.messages import VmNews
+from ..clock import monotonic_ms
+from ..wire.messages import VmAsk, VmNews
+from .list_codec import apply_change, change_of, list_text, parse_vm_list
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..audit import AuditTrail
-    from ..blackboard import Blackboard
+    from ..blackboard import Blackboard, VmList
+    from ..wire.messages import Message, VmChange
     from .links import Link
 
-_MAX_PORT: Final = 65_535
-# No slash, which separates the parts of an upstream's identity.
-_INSTANCE_PATTERN: Final = '^[A-Za-z0-9._:-]{0,128}$'
-_Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
-_Ip = Annotated[str, Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
-_Port = Annotated[int, Meta(ge=0, le=_MAX_PORT)]
-_Whole = Annotated[int, Meta(ge=0)]
+# By then the readers of the other node's zone have passed the list on.
+_SPREAD_MS: Final = 700
 
 
 class MembershipController:
@@ -39,8 +33,8 @@
     def __init__(self, board: Blackboard, audit: AuditTrail) -> None:
         self._board = board
         self._audit = audit
-        self.text = ''
-        self.broadcast: Callable[[VmNews, Link | None], None] | None = None
+        self._accepted_at_ms: float = 0
+        self.broadcast: Callable[[Message, Link | None], None] | None = None
 
     def offer(
         self,
@@ -55,16 +49,11 @@
         :param source: link that it came on, if any.
         :returns: whether it was newer and well formed.
         """
-        current = self._board.vm_list.read()
-        if version <= current.version:
+        if version <= self._board.vm_list.read().version:
             return False
         match parse_vm_list(version, text):
             case Success(vm_list):
-                self._audit_changes(current, vm_list)
-                self.text = text
-                self._board.vm_list.write(vm_list)
-                if self.broadcast is not None:
-                    self.broadcast(VmNews(version, text), source)
+                self._accept(vm_list, source)
                 return True
             case Failure(message):
                 self._audit.record(
@@ -82,14 +71,57 @@
         """
         self.offer(news.version, news.text, link)
 
+    def take_change(self, change: VmChange, link: Link) -> None:
+        """Take in the difference to an earlier list.
+
+        The whole list is asked for if that is not the list known here.
+
+        :param change: versions and what differs.
+        :param link: where it came from.
+        """
+        current = self._board.vm_list.read()
+        if change.version <= current.version:
+            return
+        if change.base != current.version:
+            link.send(VmAsk(current.version))
+            return
+        match apply_change(current, change):
+            case Success(vm_list):
+                self._accept(vm_list, link)
+            case Failure(message):
+                self._audit.record(
+                    AuditKind.CONFIG_REFUSED,
+                    f'VM list {change.version}',
+                    message,
+                )
+
     def greet(self, link: Link) -> None:
-        """Send the list to a node that has just been linked.
+        """Send the list to a node that has an older one.
+
+        :param link: way to the node.
+        """
+        vm_list = self._board.vm_list.read()
+        if vm_list.vms:
+            link.send(VmNews(vm_list.version, list_text(vm_list)))
+
+    def bring_up_to_date(self, link: Link, version: int) -> None:
+        """Send the list to a node that has been behind for a moment.
 
         :param link: way to the node.
+        :param version: of the list that the node has.
         """
-        if self.text:
-            version = self._board.vm_list.read().version
-            link.send(VmNews(version, self.text))
+        current = self._board.vm_list.read()
+        held_ms = monotonic_ms() - self._accepted_at_ms
+        if version < current.version and held_ms > _SPREAD_MS:
+            self.greet(link)
+
+    def _accept(self, vm_list: VmList, source: Link | None) -> None:
+        before = self._board.vm_list.read()
+        self._audit_changes(before, vm_list)
+        self._accepted_at_ms = monotonic_ms()
+        self._board.vm_list.write(vm_list)
+        if self.broadcast is not None:
+            self.broadcast(change_of(before, vm_list), source)
 
     def _audit_changes(self, before: VmList, after: VmList) -> None:
         for name in sorted(after.vms.keys() - before.vms.keys()):
@@ -106,57 +138,4 @@
             )
 
 
-class _ListedDetails(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """What the platform says of one upstream."""
-
-    instance: Annotated[str, Meta(pattern=_INSTANCE_PATTERN)] = ''
-    born_ms: _Whole = 0
-    slots: _Whole = 0
-    cold_ms: _Whole = 0
-    leaving: bool = False
-
-
-class _ListedVm(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """One VM as the platform gives it."""
-
-    name: _Name
-    zone: _Name
-    ip: _Ip
-    leaving: bool = False
-    stream_port: _Port = 0
-    upstream_ports: dict[_Name, _Port] = {}
-    details: dict[_Name, _ListedDetails] = {}
-
-
-_DECODER: Final = msgspec.json.Decoder(list[_ListedVm])
-
-
-def parse_vm_list(version: int, text: str) -> Result[VmList, str]:
-    """Return the typed list.
-
-    :param text: JSON as published by the platform.
-    :returns: the list, or what is wrong with the text.
-    """
-    try:
-        listed = _DECODER.decode(text)
-    except msgspec.DecodeError as error:
-        return Failure(str(error))
-    return Success(VmList(version, {each.name: _vm(each) for each in listed}))
-
-
-def _vm(listed: _ListedVm) -> Vm:
-    return Vm(
-        name=listed.name,
-        zone=listed.zone,
-        ip=listed.ip,
-        leaving=listed.leaving,
-        stream_port=listed.stream_port,
-        upstream_ports=listed.upstream_ports,
-        details={
-            service: UpstreamDetails(**msgspec.structs.asdict(each))
-            for service, each in listed.details.items()
-        },
-    )
-
-
-__all__ = ('MembershipController', 'parse_vm_list')
+__all__ = ('MembershipController',)
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -21,7 +21,10 @@
 
 CONFIG_KEY: Final = 'config'
 VMS_KEY: Final = 'vms'
-_WATCH_MS: Final = 10_000
+# The platform may drop a watch without a word while it changes.
+_WATCH_MS: Final = 2000
+# By then the nodes that start with this one are listed.
+_START_MS: Final = 1500
 _FIRST_BACKOFF_MS: Final = 200
 _MAX_BACKOFF_MS: Final = 5000
 
@@ -69,6 +72,7 @@
 
     def run(self) -> None:
         """Watch for ever."""
+        self._sleep(_START_MS)
         while True:
             self._run_once()
 
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -13,8 +13,11 @@
     from random import Random
 
 _ZONE_COST_MS: Final = 5.0
-# The way there and back between zones, and what its bytes are worth.
-_OTHER_ZONE_MS: Final = 25.0
+# The way there and back between zones, of the offices' sheets.
+_OTHER_ZONE_MS: Final = 8.0
+# The links between zones are costly and lossy; this is what a caller may wait
+# longer so that a large answer stays within the zone.
+_WAY_MS_PER_BYTE: Final = 0.006
 _SLIGHT_BLUR: Final = 0.1
 _SAMPLE_SIZE: Final = 3
 _PAIR: Final = 2
@@ -103,18 +106,19 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
+        way_ms = _OTHER_ZONE_MS + query.way_bytes * _WAY_MS_PER_BYTE
         local = least(
             [each for each in pool.local if each.upstream not in query.tried],
             partial(_risky_ms, query, rng, 0),
         )
         remote = least(
             [each for each in pool.remote if each.upstream not in query.tried],
-            partial(_risky_ms, query, rng, _OTHER_ZONE_MS),
+            partial(_risky_ms, query, rng, way_ms),
         )
         if local is None or remote is None:
             return local or remote
         local_ms = _risky_ms(query, rng, 0, local)
-        remote_ms = _risky_ms(query, rng, _OTHER_ZONE_MS, remote)
+        remote_ms = _risky_ms(query, rng, way_ms, remote)
         return local if local_ms <= remote_ms else remote
 
 
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -192,11 +192,13 @@
     :param tried: upstreams that this request has been sent to before.
     :param failure_ms: cost of a failure, as time that a caller would wait to
         avoid it.
+    :param way_bytes: size of request and answer, as far as known.
     """
 
     now_ms: float
     tried: frozenset[str] = field(default_factory=frozenset)
     failure_ms: float = 0
+    way_bytes: float = 0
 
 
 def sample(
--- a/src/jackdawhead/policy/readers.py
+++ b/src/jackdawhead/policy/readers.py
@@ -18,7 +18,7 @@
     """Return whether a node is one of the readers of its zone.
 
     The readers are chosen by rendezvous hashing over the listed nodes. A
-    node that is not listed reads too, since it may know no other.
+    node that is not listed yet is counted with them.
 
     :param own: VM of the node.
     :param zone: its zone.
@@ -28,7 +28,7 @@
         for vm in vm_list.vms.values()
         if vm.zone == zone and vm.stream_port and not vm.leaving
     ]
-    if own not in nodes:
+    if not nodes:
         return True
     own_weight = _weight(own)
     heavier = sum(1 for node in nodes if _weight(node) > own_weight)
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -7,12 +7,12 @@
 from ..config.model import WorkClass
 from ..outcome import Outcome
 from ..reasons import Reason
+from .resend import AttemptEnd
 
 if TYPE_CHECKING:
     from random import Random
 
     from ..config.model import RetryPolicy
-    from .resend import AttemptEnd
 
 _PERCENT: Final = 100
 _MAX_REDIRECTS: Final = 5
@@ -26,15 +26,16 @@
         Reason.DRAINING,
     )
 )
-_MAX_RETRIES_SAVED: Final = 3.0
+_MAX_RETRIES_SAVED: Final = 2.0
 _MAX_REDIRECTS_SAVED: Final = 20.0
 
 
 class RetryBudget:
     """Token buckets filled by first attempts and emptied by resends.
 
-    Work that may have run is a load on its upstream a second time; work
-    that was refused before it ran is not, and has a bucket of its own.
+    Work that has reached an upstream is a load on it a second time, also if
+    the upstream itself refused it; work that a node refused is not, and has a
+    bucket of its own.
 
     :param policy: resends as shares of first attempts.
     """
@@ -116,19 +117,20 @@
         if end.reason in _PASSED_ON:
             return True
         if end.reason in _NOT_TAKEN:
-            return attempt < _MAX_UNTAKEN and self._try_spend(end.outcome)
+            return attempt < _MAX_UNTAKEN and self._try_spend(end)
         limit = max_runs or self._policy.max_attempts
         counted = attempt if runs is None else runs
         if counted >= limit:
             return False
-        return self._try_spend(end.outcome)
+        return self._try_spend(end)
 
     def may_hedge(self) -> bool:
         """Take a token for a second copy; return whether there was one."""
-        return self._try_spend(Outcome.UNKNOWN)
+        return self._try_spend(AttemptEnd(Outcome.UNKNOWN))
 
-    def _try_spend(self, outcome: Outcome) -> bool:
-        if outcome is Outcome.NOT_RUN:
+    def _try_spend(self, end: AttemptEnd) -> bool:
+        has_arrived = end.reason is Reason.UPSTREAM_REFUSED
+        if end.outcome is Outcome.NOT_RUN and not has_arrived:
             is_allowed = self._redirects >= 1
             self._redirects -= is_allowed
         else:
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -176,11 +176,13 @@
     :param config_version: version of the configuration in force there.
     :param config_digest: leading bits of its digest.
     :param leaving: whether the sender takes no new work.
+    :param vm_list_version: version of the list of VMs there.
     """
 
     config_version: int
     config_digest: int
     leaving: bool
+    vm_list_version: int = 0
 
 
 @_message(11)
@@ -303,6 +305,32 @@
     serial: int
 
 
+@_message(19)
+@dataclass(frozen=True, slots=True)
+class VmChange(Message):
+    """The difference between two lists of VMs, passed on between nodes.
+
+    :param base: version of the earlier list.
+    :param version: version of the later one.
+    :param text: VMs that have changed and names of those gone, as JSON.
+    """
+
+    base: int
+    version: int
+    text: str
+
+
+@_message(20)
+@dataclass(frozen=True, slots=True)
+class VmAsk(Message):
+    """Asks for the whole list of VMs.
+
+    :param version: of the list that the sender has.
+    """
+
+    version: int
+
+
 __all__ = (
     'MESSAGE_CODES',
     'MESSAGE_TYPES',
@@ -325,6 +353,8 @@
     'UpstreamStatus',
     'Submit',
     'TicketSubmit',
+    'VmAsk',
+    'VmChange',
     'VmNews',
     'Welcome',
 )
