Log each decision of a request in one bounded line, watch the store once for both values

Cause: an operator had only counters; each reader held two watches. Change: upstream-chosen, work-offered, run-ended and request-answered lines with the caller's id and the inputs; a token bucket for each event, a bounded buffer drained by a greenlet; one watch of the store, whose revision moves on with changes only.

--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -5,12 +5,13 @@
 import sys
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from contextlib import ExitStack
+from typing import IO, TYPE_CHECKING
 
 from returns.result import Failure, Success
 
 from ...config.settings import NodeSettings, load_settings
-from ...logs import start_logging
+from ...logs import start_bounded_logging
 from ..command import Command, command
 from ..exit_codes import ExitCode
 from ..output import print_error, print_problems
@@ -52,8 +53,7 @@
             return ExitCode.BAD_USAGE
         match load_settings(options.settings):
             case Success(settings):
-                start_logging(sys.stderr)
-                return _run_node(settings)
+                return _run_node(settings, sys.stderr)
             case Failure(problems):
                 print_problems(problems)
         return ExitCode.BAD_CONFIG
@@ -63,7 +63,6 @@
     from ...platform.settings_file import read_settings, settings_path
     from ...platform.source import StoreSource
 
-    start_logging(sys.stdout)
     match read_settings(settings_path()):
         case Success(settings):
             source = StoreSource(
@@ -72,7 +71,7 @@
                 settings.node.stream_address.port,
                 settings.lapse_ms,
             )
-            return _run_node(settings.node, source)
+            return _run_node(settings.node, sys.stdout, source)
         case Failure(problems):
             print_problems(problems)
     return ExitCode.BAD_CONFIG
@@ -80,16 +79,19 @@
 
 def _run_node(
     settings: NodeSettings,
+    log: IO[str],
     source: PlatformSource | None = None,
 ) -> ExitCode:
     # Imported here, so that the other commands start quickly.
     from ...node.runtime import Node
 
-    try:
-        Node(settings, source).run()
-    except OSError as error:
-        print_error(f'{error}; check the addresses in the settings')
-        return ExitCode.FAILED
+    with ExitStack() as stack:
+        start_bounded_logging(log.fileno(), stack)
+        try:
+            Node(settings, source).run()
+        except OSError as error:
+            print_error(f'{error}; check the addresses in the settings')
+            return ExitCode.FAILED
     return ExitCode.OK
 
 
--- a/src/jackdawhead/logs.py
+++ b/src/jackdawhead/logs.py
@@ -4,23 +4,34 @@
 
 import json
 import sys
+from collections.abc import Callable
+from contextlib import ExitStack
 from typing import IO, Any, Final
 
 import eliot
 
+from .clock import monotonic_ms
+from .log_output import BoundedOutput
+from .log_rates import LogRates
+
 _HIDDEN: Final = frozenset(('task_uuid', 'task_level', 'message_type'))
 _QUOTED: Final = frozenset(' "=\n\r\t')
 _PLACES: Final = 3
+_FLUSH_S: Final = 0.2
+
+_rates: Final = LogRates()
+
+WriteLine = Callable[[str], None]
 
 
 class KeyValueDestination:
     """Writes eliot messages as lines of key=value pairs.
 
-    :param out: text stream.
+    :param write_line: takes a line without its end.
     """
 
-    def __init__(self, out: IO[str]) -> None:
-        self._out = out
+    def __init__(self, write_line: WriteLine) -> None:
+        self._write_line = write_line
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write one message.
@@ -34,8 +45,7 @@
             for key, field in message.items()
             if key not in _HIDDEN
         )
-        print(*pairs, file=self._out)  # noqa: WPS421
-        self._out.flush()
+        self._write_line(' '.join(pairs))
 
 
 def start_logging(out: IO[str] | None = None) -> None:
@@ -43,15 +53,40 @@
 
     :param out: text stream, standard error by default.
     """
-    eliot.add_destinations(KeyValueDestination(out or sys.stderr))
+    stream = out or sys.stderr
+
+    def write_line(line: str) -> None:
+        stream.write(f'{line}\n')
+        stream.flush()
+
+    eliot.add_destinations(KeyValueDestination(write_line))
+
+
+def start_bounded_logging(descriptor: int, stack: ExitStack) -> None:
+    """Send all events to a file descriptor, never waiting for its reader.
+
+    :param descriptor: for example that of standard output.
+    :param stack: writes out what is left when it closes.
+    """
+    output = BoundedOutput(descriptor)
+    eliot.add_destinations(KeyValueDestination(output.write))
+    stack.callback(output.flush, _FLUSH_S)
 
 
 def log_event(event: str, **fields: object) -> None:
-    """Log one event.
+    """Log one event, unless there were too many of its name just now.
+
+    A line says how many of the same name were left out before it.
 
     :param event: its name, in kebab-case.
     :param fields: what to say about it.
     """
+    now_ms = monotonic_ms()
+    if not _rates.take(event, now_ms):
+        return
+    dropped = _rates.take_dropped(event, now_ms)
+    if dropped:
+        fields['dropped_before'] = dropped
     eliot.log_message(message_type=event, **fields)
 
 
@@ -64,4 +99,9 @@
     return json.dumps(text, ensure_ascii=False)
 
 
-__all__ = ('KeyValueDestination', 'log_event', 'start_logging')
+__all__ = (
+    'KeyValueDestination',
+    'log_event',
+    'start_bounded_logging',
+    'start_logging',
+)
--- a/src/jackdawhead/node/entry/calls.py
+++ b/src/jackdawhead/node/entry/calls.py
@@ -20,6 +20,7 @@
     :param deadline_at_ms: monotonic time.
     :param caller_service: service of the VM from which it comes.
     :param max_attempts: upstreams that may run it, 0 to follow the service.
+    :param request_id: as the caller names it, for the log.
     :param runs: attempts so far that may have run.
     :param tried: upstreams it was sent to, or that it may have crashed.
     """
@@ -32,7 +33,10 @@
     tried: set[str] = field(default_factory=set)
     caller_service: str = ''
     max_attempts: int = 0
+    request_id: str = ''
     runs: int = 0
+    attempts: int = 0
+    arrived_at_ms: float = field(default_factory=monotonic_ms)
 
     def left_ms(self) -> float:
         """Return the time left."""
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -15,6 +15,7 @@
 from ...policy.retries import backoff_ms
 from ...policy.split import draw_service
 from ...reasons import Reason
+from ..decision_log import log_answer, log_choice
 from .calls import Call
 from .exchanges import Exchanges
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
@@ -37,7 +38,7 @@
 
     def __init__(self, parts: NodeParts, channels: Channels) -> None:
         self._recorder = parts.recorder
-        self._own_service = parts.board.own_service
+        self._board = parts.board
         self._routing = parts.routing
         self._pauses = parts.pauses
         self._exchanges = Exchanges(parts, channels)
@@ -51,7 +52,9 @@
             case Refused() as refused:
                 return refused
             case call:
-                return self._send(call)
+                answer = self._send(call)
+                log_answer(call, answer, self._board)
+                return answer
 
     def _plan(self, request: CallerRequest) -> Call | Refused:
         self._pauses.await_fresh()
@@ -87,8 +90,9 @@
             fingerprint,
             monotonic_ms() + deadline_ms,
             router.poison.crashed_upstreams(fingerprint),
-            self._own_service.read(),
+            self._board.own_service.read(),
             route.max_attempts,
+            request.request_id,
         )
 
     def _send(self, call: Call) -> Answer:
@@ -137,6 +141,8 @@
                 call.router.service.retry.backoff_ms,
             )
         call.tried.add(load.upstream)
+        call.attempts = attempt_number
+        log_choice(call, load, attempt_number)
         has_others = len(call.tried) < call.router.member_count
         return self._attempt_at(
             call, load, attempt_number, has_others=has_others
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -199,6 +199,7 @@
         last=last,
         read_body=body.read,
         host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
+        request_id=environ.get(_key(names.request_id), ''),
     )
 
 
--- a/src/jackdawhead/node/entry/requests.py
+++ b/src/jackdawhead/node/entry/requests.py
@@ -29,6 +29,7 @@
     :param last: whether the body ends with them.
     :param read_body: reads further bytes, empty at the end.
     :param host: host that the caller named, without a port.
+    :param request_id: identity that the caller gave it, for the log.
     """
 
     method: str
@@ -42,6 +43,7 @@
     last: bool
     read_body: ReadBody
     host: str = ''
+    request_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/node/home/job.py
+++ b/src/jackdawhead/node/home/job.py
@@ -34,6 +34,7 @@
         this answer, so that a delay is the upstream's own.
     :param started_ms: monotonic time at which it did.
     :param cancelled: whether the caller no longer waits.
+    :param caller_id: identity that the caller gave the request, for the log.
     """
 
     submit: Submit
@@ -47,6 +48,7 @@
     has_response: bool = False
     started_ms: float = 0
     cancelled: bool = False
+    caller_id: str = ''
 
     @property
     def request_id(self) -> int:
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -15,6 +15,7 @@
 from ...policy.upstream_state import RunEnd, UpstreamState
 from ...policy.work import Verdict
 from ...reasons import Reason
+from ..decision_log import log_admission, log_run
 from .connections import ConnectionPool
 from .execution import Ended, Execution, Target
 
@@ -107,14 +108,18 @@
 
         :param job: the request.
         """
+        job.caller_id = job.header(self.spec.headers.request_id) or ''
         if self.draining:
+            log_admission(job, self._state, Reason.DRAINING.value)
             job.refuse(Reason.DRAINING)
             return
         now_ms = monotonic_ms()
         if RISK_SCALE * self._state.risk(now_ms) > job.submit.risk_limit:
+            log_admission(job, self._state, Reason.RISKY.value)
             job.refuse(Reason.RISKY)
             return
         admission = self._state.offer(job.work, now_ms)
+        log_admission(job, self._state, admission.verdict.value)
         if admission.verdict is Verdict.START:
             self._start(job)
         elif admission.verdict is Verdict.WAIT:
@@ -240,6 +245,7 @@
         self._events.on_end(self.spec.name, job.submit.fingerprint, end)
         if self._state.finish(job.work, end, monotonic_ms()):
             self._drain_changed()
+        log_run(job, ended, self._state)
 
     def _start_waiting(self) -> None:
         while True:
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -23,6 +23,7 @@
 VMS_KEY: Final = 'vms'
 # The platform may drop a watch without a word while it changes.
 _WATCH_MS: Final = 2000
+_GATHER_MS: Final = 200
 # By then the nodes that start with this one are listed.
 _START_MS: Final = 1500
 _FIRST_BACKOFF_MS: Final = 200
@@ -65,6 +66,8 @@
                 self._note_answer()
                 if published is not None:
                     self._offer(published)
+                    # Changes often come a few at a time.
+                    gevent.sleep(seconds(_GATHER_MS if wait_ms else 0))
                 return True
             case Failure(message):
                 self._note_failure(str(message))
--- a/src/jackdawhead/node/upstream_list.py
+++ b/src/jackdawhead/node/upstream_list.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..policy.removals import RemovalHold
+
 
 @dataclass(frozen=True, slots=True)
 class ListedUpstream:
@@ -74,8 +76,67 @@
     return [vms[ip] for ip in sorted(vms)]
 
 
+class ListedUpstreams:
+    """All upstreams that are listed, by the key of their entry.
+
+    :param stream_port: port of the node on each VM.
+    :param hold: tells when a missing entry means that an upstream is gone.
+    """
+
+    def __init__(self, stream_port: int, hold: RemovalHold) -> None:
+        self.hold = hold
+        self._stream_port = stream_port
+        self._upstreams: dict[str, ListedUpstream] = {}
+        self._removed: set[str] = set()
+        self._vms: list[dict[str, Any]] | None = None
+
+    def put(self, key: str, upstream: ListedUpstream) -> str:
+        """Take in an entry.
+
+        :param key: of the entry.
+        :param upstream: what it says.
+        :returns: why it is refused, or nothing.
+        """
+        known = self._upstreams.get(key)
+        if known is not None and upstream.born_ms < known.born_ms:
+            return f'start {upstream.born_ms} is before {known.born_ms}'
+        self._removed.discard(key)
+        self._upstreams[key] = upstream
+        return ''
+
+    def remove(self, key: str) -> None:
+        """Take in that an entry is gone.
+
+        :param key: of the entry.
+        """
+        if key in self._upstreams:
+            self._removed.add(key)
+
+    def keep_only(self, keys: set[str]) -> None:
+        """Take in that there are no other entries than these.
+
+        :param keys: of the entries.
+        """
+        self._removed.update(self._upstreams.keys() - keys)
+
+    def changed_vms(self, now_ms: float) -> list[dict[str, Any]] | None:
+        """Return the list of VMs, or nothing if it is as it was.
+
+        :param now_ms: monotonic time.
+        """
+        if not self.hold.left_ms(now_ms):
+            for gone in self._removed:
+                self._upstreams.pop(gone)
+            self._removed.clear()
+        vms = compose_vms(self._upstreams.values(), self._stream_port)
+        if vms == self._vms:
+            return None
+        self._vms = vms
+        return vms
+
+
 def _age(upstream: ListedUpstream) -> tuple[int, int, str]:
     return upstream.born_ms, upstream.order, upstream.instance
 
 
-__all__ = ('ListedUpstream', 'compose_vms', 'vm_name')
+__all__ = ('ListedUpstream', 'ListedUpstreams', 'compose_vms', 'vm_name')
--- a/src/jackdawhead/platform/source.py
+++ b/src/jackdawhead/platform/source.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
+from gevent.event import AsyncResult
 from returns.result import Failure, Result, Success
 
 from ..clock import monotonic_ms
 from ..logs import log_event
 from ..node.platform_client import PlatformSource, Published
-from ..node.platform_watch import CONFIG_KEY
-from ..node.upstream_list import ListedUpstream, compose_vms
+from ..node.platform_watch import CONFIG_KEY, VMS_KEY
+from ..node.upstream_list import ListedUpstreams
 from ..policy.removals import DEFAULT_RETURN_MS, RemovalHold
 from .document import decode_document
 from .names import CONFIG_ITEM, UPSTREAM_ITEMS
@@ -22,13 +23,16 @@
 
     from ..config.settings import Address
 
-_NO_CHANGE: Final = Success(None)
+_EVERYTHING: Final = ''
 _VERSIONS_PER_REVISION: Final = 2
 
 
 class StoreSource(PlatformSource):
     """Turns what the store holds into values of the project's own interface.
 
+    One watch serves both values: a call that finds another one waiting waits
+    for its answer.
+
     :param address: IP number and port of the store.
     :param zones: regions by availability zone.
     :param stream_port: port of the node on each VM.
@@ -43,8 +47,13 @@
         lapse_ms: float,
     ) -> None:
         self._client = StoreClient(address)
-        self._config = _ConfigValue(self._client, zones)
-        self._vms = _VmsValue(self._client, stream_port, lapse_ms)
+        self._zones = zones
+        self._upstreams = ListedUpstreams(
+            stream_port, RemovalHold(lapse_ms, DEFAULT_RETURN_MS)
+        )
+        self._revision: int | None = None
+        self._polling: AsyncResult | None = None
+        self._pending: dict[str, Published] = {}
 
     @property
     def calls(self) -> int:  # type: ignore[override]
@@ -57,141 +66,103 @@
         after: int,
         wait_ms: int,
     ) -> Result[Published | None, str]:
-        value = self._config if key == CONFIG_KEY else self._vms
-        return value.read(wait_ms)
-
-
-class _ConfigValue:
-    """The configuration, an item of its own."""
-
-    def __init__(self, client: StoreClient, zones: Mapping[str, str]) -> None:
-        self._client = client
-        self._zones = zones
-        self._revision: int | None = None
-
-    def read(self, wait_ms: int) -> Result[Published | None, str]:
-        if self._revision is None:
-            answered = self._client.get(CONFIG_ITEM)
-        else:
-            answered = self._client.watch(CONFIG_ITEM, self._revision, wait_ms)
+        if key not in self._pending:
+            cause = self._poll(wait_ms)
+            if cause:
+                return Failure(cause)
+        return Success(self._pending.pop(key, None))
+
+    def _poll(self, wait_ms: int) -> str:
+        """Ask the store, or wait for the answer to a call before.
+
+        :returns: why there was no answer, or nothing.
+        """
+        if self._polling is not None:
+            cause: str = self._polling.get()
+            return cause
+        self._polling = AsyncResult()
+        cause = 'the call was broken off'
+        try:
+            cause = self._ask(wait_ms)
+        finally:
+            polling, self._polling = self._polling, None
+            polling.set(cause)
+        return cause
+
+    def _ask(self, wait_ms: int) -> str:
+        began_ms = monotonic_ms()
+        hold = self._upstreams.hold
+        answered = self._call(hold.bounded_wait_ms(wait_ms, began_ms))
+        if _is_history_lost(answered):
+            self._revision = None
+            answered = self._call(0)
         match answered:
             case Success(snapshot):
-                self._revision = snapshot.revision
-                return self._latest(snapshot)
+                hold.note_answer(monotonic_ms())
+                self._take(snapshot)
+                return ''
             case Failure(failure):
-                return self._failed(failure)
+                hold.note_failure(began_ms)
+                return str(failure.cause)
         raise AssertionError('a result is a success or a failure')
 
-    def _failed(self, failure: StoreFailure) -> Result[Published | None, str]:
-        if failure.is_history_lost:
-            self._revision = None
-            return _NO_CHANGE
-        return Failure(failure.cause)
-
-    def _latest(self, snapshot: Snapshot) -> Result[Published | None, str]:
-        found = [
-            each
-            for each in snapshot.items
-            if each.key == CONFIG_ITEM and not each.gone
-        ]
-        if not found:
-            return _NO_CHANGE
-        match decode_document(found[-1].value, self._zones):
-            case Success(published):
-                return Success(published)
-            case Failure(cause):
-                log_event('config-refused', subject=CONFIG_ITEM, cause=cause)
-        return _NO_CHANGE
-
-
-class _VmsValue:
-    """The list of VMs, put together from one item for each upstream."""
-
-    def __init__(
-        self,
-        client: StoreClient,
-        stream_port: int,
-        lapse_ms: float,
-    ) -> None:
-        self._client = client
-        self._stream_port = stream_port
-        self._hold = RemovalHold(lapse_ms, DEFAULT_RETURN_MS)
-        self._revision: int | None = None
-        self._upstreams: dict[str, ListedUpstream] = {}
-        self._removed: set[str] = set()
-        self._plain: list[dict[str, Any]] | None = None
-
-    def read(self, wait_ms: int) -> Result[Published | None, str]:
-        began_ms = monotonic_ms()
-        held_ms = self._hold.left_ms(began_ms)
-        if self._removed and held_ms:
-            wait_ms = min(wait_ms, int(held_ms) + 1)
-        answered = self._ask(wait_ms)
-        now_ms = monotonic_ms()
-        if isinstance(answered, Failure):
-            failure: StoreFailure = answered.failure()
-            if not failure.is_history_lost:
-                self._hold.note_failure(began_ms)
-                return Failure(failure.cause)
-            self._revision = None
-            answered = self._ask(wait_ms)
-            if isinstance(answered, Failure):
-                self._hold.note_failure(began_ms)
-                return Failure(answered.failure().cause)
-        self._hold.note_answer(now_ms)
-        self._take(answered.unwrap())
-        return self._publish(monotonic_ms())
-
-    def _ask(self, wait_ms: int) -> Result[Snapshot, StoreFailure]:
+    def _call(self, wait_ms: int) -> Result[Snapshot, StoreFailure]:
         if self._revision is None:
-            return self._client.range(UPSTREAM_ITEMS)
-        return self._client.watch(UPSTREAM_ITEMS, self._revision, wait_ms)
+            return self._client.range(_EVERYTHING)
+        return self._client.watch(_EVERYTHING, self._revision, wait_ms)
 
     def _take(self, snapshot: Snapshot) -> None:
         if self._revision is None:
             present = {each.key for each in snapshot.items}
-            self._removed.update(self._upstreams.keys() - present)
-        self._revision = snapshot.revision
+            self._upstreams.keep_only(present)
+            self._revision = snapshot.revision
         for each in snapshot.items:
-            self._take_item(each)
+            # An answer without changes does not move the revision on: the
+            # store may have held changes back, and tells so later.
+            self._revision = max(self._revision, each.revision)
+            if each.key == CONFIG_ITEM:
+                self._take_config(each)
+            elif each.key.startswith(UPSTREAM_ITEMS):
+                self._take_upstream(each)
+        self._publish_vms(self._revision)
+
+    def _take_config(self, stored: StoredItem) -> None:
+        if stored.gone:
+            return
+        match decode_document(stored.value, self._zones):
+            case Success(published):
+                self._pending[CONFIG_KEY] = published
+            case Failure(cause):
+                log_event('config-refused', subject=stored.key, cause=cause)
 
-    def _take_item(self, stored: StoredItem) -> None:
+    def _take_upstream(self, stored: StoredItem) -> None:
         if stored.gone:
-            self._removed.add(stored.key)
+            self._upstreams.remove(stored.key)
             return
+        cause = ''
         match decode_record(stored):
             case Success(upstream):
-                self._take_upstream(stored.key, upstream)
-            case Failure(cause):
-                self._removed.add(stored.key)
-                log_event('entry-refused', subject=stored.key, cause=cause)
-
-    def _take_upstream(self, key: str, upstream: ListedUpstream) -> None:
-        known = self._upstreams.get(key)
-        if known is not None and upstream.born_ms < known.born_ms:
-            log_event(
-                'entry-refused',
-                subject=key,
-                cause=f'start {upstream.born_ms} is before {known.born_ms}',
-            )
-            return
-        self._removed.discard(key)
-        self._upstreams[key] = upstream
-
-    def _publish(self, now_ms: float) -> Result[Published | None, str]:
-        """Return the list if it is another one than before."""
-        is_holding = self._hold.left_ms(now_ms) > 0
-        if not is_holding:
-            for gone in self._removed:
-                self._upstreams.pop(gone, None)
-            self._removed.clear()
-        plain = compose_vms(self._upstreams.values(), self._stream_port)
-        if plain == self._plain:
-            return _NO_CHANGE
-        self._plain = plain
-        # The list after a hold is another one at the same revision.
-        version = _VERSIONS_PER_REVISION * (self._revision or 0)
-        return Success(Published(version + (not is_holding), plain))
+                cause = self._upstreams.put(stored.key, upstream)
+            case Failure(refusal):
+                cause = str(refusal)
+                self._upstreams.remove(stored.key)
+        if cause:
+            log_event('entry-refused', subject=stored.key, cause=cause)
+
+    def _publish_vms(self, revision: int) -> None:
+        now_ms = monotonic_ms()
+        plain = self._upstreams.changed_vms(now_ms)
+        if plain is not None:
+            # The list after a hold is another one at the same revision.
+            is_final = not self._upstreams.hold.left_ms(now_ms)
+            version = _VERSIONS_PER_REVISION * revision + is_final
+            self._pending[VMS_KEY] = Published(version, plain)
+
+
+def _is_history_lost(answered: Result[Snapshot, StoreFailure]) -> bool:
+    if isinstance(answered, Success):
+        return False
+    return answered.failure().is_history_lost
 
 
 __all__ = ('StoreSource',)
--- a/src/jackdawhead/policy/removals.py
+++ b/src/jackdawhead/policy/removals.py
@@ -42,6 +42,15 @@
         if since_ms is not None and now_ms - since_ms >= self._lapse_ms:
             self._until_ms = now_ms + self._return_ms
 
+    def bounded_wait_ms(self, wait_ms: int, now_ms: float) -> int:
+        """Return how long to wait for changes, so that a hold ends in time.
+
+        :param wait_ms: longest wait.
+        :param now_ms: monotonic time.
+        """
+        left_ms = self.left_ms(now_ms)
+        return min(wait_ms, int(left_ms) + 1) if left_ms else wait_ms
+
     def left_ms(self, now_ms: float) -> float:
         """Return for how long removals are still held back, 0 for not at all.
 
