Try failing upstreams again, tell entries of spells at once, count all resends

Change: a bucket for homes' resends within the same share; trials with repeatable work; a home that sees a spell begin or end tells all entries, and gives back what waits and is not to be put at that risk; 1.5 s of the grace left to close.

--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -23,6 +23,7 @@
     from random import Random
 
     from ..config.settings import NodeSettings
+    from ..wire.messages import UpstreamStatus
 
 
 def build_parts(
@@ -30,6 +31,7 @@
     rng: Random,
     on_drain: Callable[[str, bool], None],
     on_crash: Callable[[str, int, str], None],
+    on_risk: Callable[[UpstreamStatus], None],
 ) -> NodeParts:
     """Return the controllers of a node, which share one blackboard.
 
@@ -38,6 +40,7 @@
     :param on_drain: called when an upstream begins or ends to drain.
     :param on_crash: called when an upstream crashed with a request of this
         node in flight.
+    :param on_risk: called with what all entries should know of an upstream.
     """
     board = Blackboard()
     audit = AuditTrail()
@@ -51,7 +54,9 @@
         audit=audit,
         recorder=recorder,
         attempts=Attempts(),
-        home=HomeController(settings.vm, board, audit, rng, recorder, on_drain),
+        home=HomeController(
+            settings.vm, board, audit, rng, recorder, on_drain, on_risk
+        ),
         routing=routing,
         crashes=CrashNews(routing, audit, on_crash),
         config=ConfigController(board, audit),
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -132,6 +132,7 @@
             frozenset(call.tried),
             failure_cost_ms(call.operation),
             call.router.way_bytes(call.operation.name),
+            call.operation if self._may_try(call) else None,
         )
         load = call.router.choose(call.operation.name, query)
         if load is None:
@@ -148,6 +149,11 @@
             call, load, attempt_number, has_others=has_others
         )
 
+    def _may_try(self, call: Call) -> bool:
+        """Return whether a failure could be made good by another upstream."""
+        has_attempts = call.max_attempts != 1 and call.request.last
+        return has_attempts and call.router.budget.has_retry
+
     def _attempt_at(
         self,
         call: Call,
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -18,6 +18,7 @@
 
     from ...audit import AuditTrail
     from ...blackboard import Blackboard, Vm, VmList
+    from ...wire.messages import UpstreamStatus
     from ..trace_recorder import TraceRecorder
 
 _EXPIRE_EVERY_S: Final = 0.02
@@ -32,6 +33,7 @@
     :param rng: source of randomness.
     :param recorder: records the ends of runs for replay.
     :param on_drain: called when an upstream begins or ends to drain.
+    :param on_risk: called with what all entries should know at once.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         rng: Random,
         recorder: TraceRecorder,
         on_drain: Callable[[str, bool], None],
+        on_risk: Callable[[UpstreamStatus], None],
     ) -> None:
         self._vm = vm
         self._board = board
@@ -49,6 +52,7 @@
         self._rng = rng
         self._recorder = recorder
         self._on_drain = on_drain
+        self._on_risk = on_risk
         self._upstreams: dict[str, HomeUpstream] = {}
         self._waiting = Event()
         self._has_started = False
@@ -125,7 +129,10 @@
             self._audit,
             self._rng,
             HomeEvents(
-                self._on_drain, self._waiting.set, self._recorder.note_end
+                self._on_drain,
+                self._waiting.set,
+                self._recorder.note_end,
+                self._on_risk,
             ),
             is_new=is_new,
         )
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from ...config.model import HeaderNames, Operation
     from ...config.settings import Address
+    from ...policy.retries import HomeResends
     from ...wire.messages import Submit
     from .connections import Connection, ConnectionPool
     from .job import Job
@@ -68,6 +69,7 @@
 
     :param instance: identity of the start that the request is meant for.
     :param expected_ms: expected run time of the operation.
+    :param resends: bounds the resends to the same upstream.
     """
 
     address: Address
@@ -76,6 +78,7 @@
     names: HeaderNames
     instance: str
     expected_ms: float
+    resends: HomeResends
 
 
 class Execution:
@@ -119,9 +122,12 @@
         try:
             return self._exchange(connection)
         except _SilentError:
-            return self._attempt_anew(was_silent=True)
+            if self._target.resends.may_resend():
+                return self._attempt_anew(was_silent=True)
+            return self._refused(Ending.FAILED, Reason.UPSTREAM_SILENT)
         except (OSError, HTTPParseError):
-            if not self._may_resend(connection):
+            is_allowed = self._may_resend(connection)
+            if not is_allowed or not self._target.resends.may_resend():
                 return self._broken()
         return self._attempt_anew(was_silent=False)
 
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -11,6 +11,7 @@
 from ...audit_kinds import AuditKind
 from ...clock import monotonic_ms
 from ...outcome import Outcome
+from ...policy.retries import HomeResends
 from ...policy.spells import RISK_SCALE
 from ...policy.upstream_state import RunEnd, UpstreamState
 from ...policy.work import Verdict
@@ -51,11 +52,13 @@
     :param on_drain: called when it begins or ends to drain.
     :param on_waiting: called when a request has to wait.
     :param on_end: called with upstream, fingerprint and end of each run.
+    :param on_risk: called with what all entries should know at once.
     """
 
     on_drain: Callable[[str, bool], None]
     on_waiting: Callable[[], None]
     on_end: Callable[[str, int, RunEnd], None]
+    on_risk: Callable[[UpstreamStatus], None]
 
 
 class HomeUpstream:
@@ -84,6 +87,7 @@
         self._pool = ConnectionPool(
             spec.address, spec.service.connections_per_upstream
         )
+        self._resends = HomeResends(spec.service.retry)
         self._audit = audit
         self._events = events
         self._waiting: dict[int, Job] = {}
@@ -203,6 +207,7 @@
             self._start_waiting()
             return
         job.running = True
+        self._resends.note_run()
         job.started_ms = monotonic_ms()
         ended: Ended | None = None
         try:
@@ -218,6 +223,7 @@
             self.spec.headers,
             self.spec.instance,
             self._state.admission.run_times.expected_ms(job.operation.name),
+            self._resends,
         )
 
     def _finish(self, job: Job, ended: Ended | None) -> None:
@@ -246,6 +252,10 @@
         if self._state.finish(job.work, end, monotonic_ms()):
             self._drain_changed()
         log_run(job, ended, self._state)
+        if self._state.has_risk_news:
+            self._state.has_risk_news = False
+            self._events.on_risk(self.status(end.operation))
+            self._refuse_risky()
 
     def _start_waiting(self) -> None:
         while True:
@@ -260,6 +270,17 @@
             self._withdraw_waiting(Reason.DRAINING)
         self._events.on_drain(self.spec.name, draining)
 
+    def _refuse_risky(self) -> None:
+        """Give back waiting work that is not to be put at such a risk."""
+        risk = RISK_SCALE * self._state.risk(monotonic_ms())
+        for job in tuple(self._waiting.values()):
+            if risk <= job.submit.risk_limit:
+                continue
+            if self._state.admission.withdraw(job.work):
+                self._waiting.pop(job.work.work_id)
+                log_admission(job, self._state, Reason.RISKY.value)
+                job.refuse(Reason.RISKY)
+
     def _withdraw_waiting(self, reason: Reason) -> None:
         for work in self._state.admission.withdraw_all():
             self._waiting.pop(work.work_id).refuse(reason)
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -28,6 +28,7 @@
 
     from ..config.settings import NodeSettings
     from .links import Link
+    from ..wire.messages import UpstreamStatus
     from .platform_client import PlatformSource
 
 _ADMIN_IDLE_S: Final = 30
@@ -60,6 +61,7 @@
             self._rng,
             self._tell_drain,
             self._tell_crash,
+            self._tell_risk,
         )
         self._channels = Channels(self.parts)
         self.parts.config.broadcast = self._channels.gossip.broadcast
@@ -206,6 +208,10 @@
         self.parts.routing.note_drain(upstream, draining)
         self._channels.gossip.broadcast(DrainNews(upstream, draining))
 
+    def _tell_risk(self, status: UpstreamStatus) -> None:
+        self.parts.routing.note_status(status)
+        self._channels.gossip.broadcast(status)
+
     def _tell_crash(
         self,
         service: str,
--- a/src/jackdawhead/platform/document.py
+++ b/src/jackdawhead/platform/document.py
@@ -29,7 +29,7 @@
     'balancer': 'least-risk',
     'detection': {'detector': 'none'},
     'retry': {
-        'budget_percent': 18,
+        'budget_percent': 12,
         'redirect_percent': 100,
         'max_attempts': 3,
     },
--- a/src/jackdawhead/platform/settings_file.py
+++ b/src/jackdawhead/platform/settings_file.py
@@ -24,7 +24,7 @@
 # had sent by then arrives a moment later.
 _NOTICED_MS: Final = 2600
 # Left of the time before a kill, to close what is open.
-_CLOSING_MS: Final = 600
+_CLOSING_MS: Final = 1500
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..registry import Registry
+from .caution import trial_of
 from .loads import Pool, RoutingQuery, UpstreamLoad, least, sample
 
 if TYPE_CHECKING:
@@ -106,6 +107,15 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
+        if query.trial_operation is not None and not query.tried:
+            trial = trial_of(
+                pool.local + pool.remote,
+                query.trial_operation,
+                query.now_ms,
+                rng,
+            )
+            if trial is not None:
+                return trial
         way_ms = _OTHER_ZONE_MS + query.way_bytes * _WAY_MS_PER_BYTE
         local = least(
             [each for each in pool.local if each.upstream not in query.tried],
--- a/src/jackdawhead/policy/caution.py
+++ b/src/jackdawhead/policy/caution.py
@@ -11,7 +11,11 @@
 from .spells import RISK_SCALE
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
     from ..config.model import Operation
+    from .loads import UpstreamLoad
 
 # A failure of work that can't be repeated is final; a caller would rather
 # wait for several times its target. Repeatable work loses one more run.
@@ -21,6 +25,12 @@
 # has been heard for some time is tried, and far below a fresh failure.
 _CAUTIOUS_LIMIT: Final = 0.4
 _BOLD_LIMIT: Final = 0.7
+# Time after which a fresh failure falls below the bold limit.
+_TRIAL_EVERY_MS: Final = 1200.0
+# Half of the long-term share: what is above has failed not long ago, or has
+# not been heard of since.
+_SUSPECT_RISK: Final = 0.15
+_TRIAL_SHARE: Final = 0.3
 # After as many homes have refused the risk, the next takes the work anyway.
 _CAUTIOUS_TRIES: Final = 4
 
@@ -38,6 +48,39 @@
     return targets * (operation.target_ms or operation.deadline_ms)
 
 
+def trial_of(
+    loads: Iterable[UpstreamLoad],
+    operation: Operation,
+    now_ms: float,
+    rng: Random,
+) -> UpstreamLoad | None:
+    """Return an upstream to find out whether its spell of failing is over.
+
+    Without such trials an upstream that failed would never be chosen again
+    while others are free. Only work that can be repeated is risked, and only
+    a share of it; the home lets one through in a while.
+
+    :param loads: upstreams that may be chosen.
+    :param operation: of the request.
+    :param now_ms: monotonic time.
+    :param rng: source of randomness.
+    """
+    if not operation.idempotent or rng.random() > _TRIAL_SHARE:
+        return None
+    due = [each for each in loads if _is_due(each, now_ms)]
+    return min(due, key=_heard_at_ms, default=None)
+
+
+def _is_due(load: UpstreamLoad, now_ms: float) -> bool:
+    if load.is_avoided(now_ms) or now_ms - _heard_at_ms(load) < _TRIAL_EVERY_MS:
+        return False
+    return load.risk_now(now_ms) > _SUSPECT_RISK
+
+
+def _heard_at_ms(load: UpstreamLoad) -> float:
+    return load.risk_at_ms or 0
+
+
 def risk_limit(operation: Operation, attempt: int, *, has_others: bool) -> int:
     """Return the risk of failure above which a home shall refuse.
 
@@ -52,4 +95,4 @@
     return int(limit * RISK_SCALE)
 
 
-__all__ = ('failure_cost_ms', 'risk_limit')
+__all__ = ('failure_cost_ms', 'risk_limit', 'trial_of')
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -26,7 +26,10 @@
         Reason.DRAINING,
     )
 )
-_MAX_RETRIES_SAVED: Final = 2.0
+# The users' platform allows a fleet some two resends a node beyond the share.
+_MAX_RETRIES_SAVED: Final = 1.5
+_MAX_HOME_RESENDS_SAVED: Final = 1.0
+_HOME_SHARE: Final = 0.2
 _MAX_REDIRECTS_SAVED: Final = 20.0
 
 
@@ -124,6 +127,11 @@
             return False
         return self._try_spend(end)
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether work that may have run could be sent again now."""
+        return self._retries >= 1
+
     def may_hedge(self) -> bool:
         """Take a token for a second copy; return whether there was one."""
         return self._try_spend(AttemptEnd(Outcome.UNKNOWN))
@@ -139,6 +147,31 @@
         return is_allowed
 
 
+class HomeResends:
+    """Token bucket of resends by a home to the same upstream.
+
+    A part of the share that the policy allows is theirs, since they are a
+    load on the upstream like the resends of entries.
+
+    :param policy: resends as shares of first attempts.
+    """
+
+    def __init__(self, policy: RetryPolicy) -> None:
+        self._policy = policy
+        self._tokens = _MAX_HOME_RESENDS_SAVED
+
+    def note_run(self) -> None:
+        """Count a run."""
+        share = _HOME_SHARE * self._policy.budget_percent / _PERCENT
+        self._tokens = min(_MAX_HOME_RESENDS_SAVED, self._tokens + share)
+
+    def may_resend(self) -> bool:
+        """Take a token for a resend; return whether there was one."""
+        is_allowed = self._tokens >= 1
+        self._tokens -= is_allowed
+        return is_allowed
+
+
 def backoff_ms(
     policy: RetryPolicy,
     attempt: int,
@@ -158,4 +191,4 @@
     return rng.random() * policy.backoff_ms * (1 << (attempt - 1))
 
 
-__all__ = ('RetryBudget', 'backoff_ms')
+__all__ = ('HomeResends', 'RetryBudget', 'backoff_ms')
--- a/src/jackdawhead/policy/spells.py
+++ b/src/jackdawhead/policy/spells.py
@@ -22,6 +22,10 @@
 SPELL_SHARE: Final = _SPELL_MS / (_SPELL_MS + _BETWEEN_MS)
 _RETURN_MS: Final = 1 / (1 / _SPELL_MS + 1 / _BETWEEN_MS)
 RISK_SCALE: Final = 1000
+# A failure of an upstream that was well lifts its probability above the
+# first; two successes after a spell take it below the second.
+_SUSPECT_RISK: Final = 0.5
+_CLEARED_RISK: Final = 0.15
 
 
 def later_risk(risk: float, age_ms: float) -> float:
@@ -40,18 +44,27 @@
     def __init__(self) -> None:
         self._risk: float = 0
         self._at_ms: float | None = None
+        self._is_suspect = False
 
-    def observe(self, now_ms: float, *, ok: bool) -> None:
+    def observe(self, now_ms: float, *, ok: bool) -> bool:
         """Take in an outcome.
 
         :param now_ms: monotonic time of its end.
         :param ok: whether the upstream did the work.
+        :returns: whether all who use the upstream should know at once, since
+            a spell seems to have begun or to be over.
         """
         before = self.risk(now_ms)
         in_spell = before * _likelihood(_SPELL_FAILURES, ok=ok)
         well = (1 - before) * _likelihood(_USUAL_FAILURES, ok=ok)
         self._risk = in_spell / (in_spell + well)
         self._at_ms = now_ms
+        was_suspect = self._is_suspect
+        if self._risk >= _SUSPECT_RISK:
+            self._is_suspect = True
+        elif self._risk <= _CLEARED_RISK:
+            self._is_suspect = False
+        return self._is_suspect is not was_suspect
 
     def risk(self, now_ms: float) -> float:
         """Return the probability of a spell, 0 until anything is known.
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -51,6 +51,9 @@
     :param rng: source of randomness.
     :param record: writes a change to the audit trail.
     :param is_new: whether it has joined after this home has started.
+
+    The attribute ``has_risk_news`` is set when all entries should be told its
+    risk of failure at once; whoever tells them clears it.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         self.admission = rule(service, rng)
         self._evidence = EvidenceStore(service, is_new=is_new)
         self._spell = SpellEstimate()
+        self.has_risk_news = False
         self._record = record
         self._avoid_until_ms: float = 0
         self._avoid_ms = 0
@@ -173,7 +177,8 @@
     def _learn(self, end: RunEnd, now_ms: float) -> bool:
         if end.ending in _TELLING:
             is_ok = end.ending is Ending.SUCCEEDED
-            self._spell.observe(now_ms, ok=is_ok)
+            if self._spell.observe(now_ms, ok=is_ok):
+                self._tell_risk(is_ok=is_ok, now_ms=now_ms)
         match end.ending:
             case Ending.SUCCEEDED | Ending.FAILED:
                 is_ok = end.ending is Ending.SUCCEEDED
@@ -188,6 +193,13 @@
                 return self._note_draining(now_ms)
         return False
 
+    def _tell_risk(self, *, is_ok: bool, now_ms: float) -> None:
+        self.has_risk_news = True
+        kind = AuditKind.SPELL_OVER if is_ok else AuditKind.SPELL_BEGUN
+        self._record(
+            kind, self.name, f'risk of failure {self.risk(now_ms):.2f}'
+        )
+
     def _note_reachable(self) -> None:
         if not self._avoid_ms:
             return
