--- /dev/null
+++ b/features/platform/decoding.feature
@@ -0,0 +1,101 @@
+Feature: What the platform publishes is decoded once, and judged whole
+
+  Scenario Outline: The duration <text> has <ms> ms
+    Then the duration "<text>" has <ms> ms
+
+    Examples:
+      | text   | ms   |
+      | 1500ms | 1500 |
+      | 2.5s   | 2500 |
+      | 0ms    | 0    |
+
+  Scenario Outline: <text> is no duration
+    Then the duration "<text>" is refused
+
+    Examples:
+      | text |
+      | 1500 |
+      | -1s  |
+      | 1 s  |
+      | 1m   |
+
+  Scenario Outline: The version <text> is <number>
+    Then the version "<text>" is <number>
+
+    Examples:
+      | text     | number |
+      | 0000000c | 12     |
+      | 00000100 | 256    |
+
+  Scenario Outline: <text> is no version
+    Then the version "<text>" is refused
+
+    Examples:
+      | text      |
+      | c         |
+      | 0000000C  |
+      | 0000000g  |
+
+  Scenario: An entry names an upstream
+    When the entry of "i-1" is decoded
+    Then it is the upstream "i-1" of "desk" at 10.1.0.9:8145, not leaving
+    When the entry of "i-1" is decoded with "state" as "draining"
+    Then it is the upstream "i-1" of "desk" at 10.1.0.9:8145, leaving
+    When the entry of "i-1" is decoded with "colour" as "blue"
+    Then it is the upstream "i-1" of "desk" at 10.1.0.9:8145, not leaving
+
+  Scenario Outline: An entry with <field> as <json> names no upstream
+    When the entry of "i-1" is decoded with "<field>" as <json>
+    Then it is refused
+
+    Examples:
+      | field         | json                |
+      | state         | "sleeping"          |
+      | state         | 1                   |
+      | service       | null                |
+      | service       | ""                  |
+      | address       | "10.1.0.9"          |
+      | address       | "10.1.0.9:99999"    |
+      | address       | "somewhere:80"      |
+      | slots         | "3"                 |
+      | slots         | 0                   |
+      | coldRemaining | 5                   |
+      | coldRemaining | "soon"              |
+      | seq           | 1.5                 |
+      | born          | "1771376890000"     |
+      | zone          | {}                  |
+
+  Scenario: Bytes that are no JSON name no upstream
+    When the bytes "{\"service\":" are decoded as the entry of "i-1"
+    Then it is refused
+
+  Scenario: A configuration becomes files of the project's own format
+    When a configuration with a split route is decoded
+    Then its version is 7
+    And the project's own checks accept it
+    And the route "split" sends 90 of 100 requests to "desk" and 10 to "ledger"
+    And the route "split" allows 1500 ms and 2 attempts
+    And work of kind "non_idempotent" must not be repeated
+    And work of kind "download" may be repeated
+    And callers may be idle for 15000 ms
+
+  Scenario Outline: A configuration that is <fault> is refused
+    When a configuration that is <fault> is decoded
+    Then it is refused
+
+    Examples:
+      | fault           |
+      | cut short       |
+      | without version |
+      | of another type |
+
+  Scenario: The settings file tells addresses, zones and bounds
+    When the settings file of the platform is read
+    Then the node is "10-1-0-38" in zone "basel-a"
+    And it knows the regions of 3 zones
+    And it listens for callers at "10.1.0.38:8147"
+    And it stops within its grace of 6000 ms
+
+  Scenario: A settings file without an address says what is missing
+    When the settings file of the platform is read without "listen.outbound"
+    Then the problem names "listen.outbound"
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -24,7 +24,7 @@
 from jackdawhead.bench.client import Call
 from jackdawhead.bench.load import LoadPlan, run_load
 from jackdawhead.config.settings import Address
-from jackdawhead.node.membership import parse_vm_list
+from jackdawhead.node.list_codec import parse_vm_list
 from jackdawhead.policy.readers import is_reader
 from standins.fleet import call, read_json, wait_until
 
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,473 @@
+"""Steps about what the users' platform publishes."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+from returns.result import Failure, Success
+
+from jackdawhead.clock import monotonic_ms
+from jackdawhead.config.load import load_sources
+from jackdawhead.config.settings import Address
+from jackdawhead.config.sources import SourceFile
+from jackdawhead.platform.translation import decode_document
+from jackdawhead.platform.formats import parse_duration_ms, parse_version
+from jackdawhead.platform.records import decode_record
+from jackdawhead.platform.settings_file import read_settings
+from jackdawhead.platform.source import StoreSource
+from jackdawhead.platform.store_types import StoredItem
+from standins.store import StandInStore
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_ZONES = {'a': 'here', 'b': 'here'}
+_LAPSE_MS = 40.0
+_HOLD_S = 2.3
+_KEY = 'a-shared-key-for-tests-only'
+_SETTINGS = """\
+nodeName=sidecar-basel-a-1
+ip=10.1.0.38
+zone=basel-a
+region=basel
+zones.basel-a=basel
+zones.basel-b=basel
+zones.basel-c=basel
+listen.inbound=10.1.0.38:8146
+listen.outbound=10.1.0.38:8147
+listen.readyAddr=10.1.0.38:8141
+portRange=7380,7395
+seeds=
+heartbeat=1500ms
+bounds=drain=2000ms,grace=6s
+service=desk
+platform.address=10.200.1.7:8142
+something.new=1
+"""
+
+
+def entry_of(number: int, **changes: Any) -> dict[str, Any]:
+    """Return an entry as an upstream writes it."""
+    return {
+        'service': 'desk',
+        'address': f'10.1.0.{number}:8145',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 3,
+        'state': 'ready',
+        'coldRemaining': '0ms',
+        'seq': 4,
+        'born': 1771376890000,
+        **changes,
+    }
+
+
+def resource(kind: str, name: str, **spec: Any) -> dict[str, Any]:
+    """Return one part of a configuration as the operator writes it."""
+    return {'resourceType': kind, 'metadata': {'name': name}, 'spec': spec}
+
+
+def route(prefix: str, kind: str, **spec: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        'host': 'Desk.example',
+        'prefix': prefix,
+        'routeType': kind,
+        'timeout': '1500ms',
+        'targetLatency': '0.8s',
+        'priority': 1,
+        'attempts': 2,
+        **spec,
+    }
+
+
+def document_of(version: str = '00000007') -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    split = [
+        {'service': 'desk', 'weight': 90},
+        {'service': 'ledger', 'weight': 10},
+    ]
+    return {
+        'version': version,
+        'baseVersion': '00000005',
+        'resources': [
+            resource(
+                'routes',
+                'split',
+                **route('/s/', 'non_idempotent', trafficSplit=split),
+            ),
+            resource('routes', 'd', **route('/d/', 'download', service='desk')),
+            resource('services', 'desk', healthPath='/h', maxConnections=330),
+            resource('services', 'ledger', healthPath='/h', protocol='h1'),
+            resource(
+                'limits',
+                '',
+                maxHeaderBytes=16384,
+                maxBodyBytes=67108864,
+                idleTimeout='15000ms',
+            ),
+        ],
+    }
+
+
+@then('the duration "{text}" has {number:d} ms')
+def check_duration(context: Context, text: str, number: int) -> None:
+    """Parse a duration."""
+    assert parse_duration_ms(text) == number
+
+
+@then('the version "{text}" is {number:d}')
+def check_version(context: Context, text: str, number: int) -> None:
+    """Parse a version."""
+    assert parse_version(text) == number
+
+
+@then('the {kind} "{text}" is refused')
+def check_refused_text(context: Context, kind: str, text: str) -> None:
+    """Parse what has another form."""
+    parse = {'duration': parse_duration_ms, 'version': parse_version}[kind]
+    try:
+        parse(text)
+    except ValueError as error:
+        assert text in str(error)
+    else:
+        raise AssertionError(f'{text!r} was accepted')
+
+
+@when('the entry of "{instance}" is decoded')
+def decode_entry(context: Context, instance: str) -> None:
+    """Decode a good entry."""
+    decode(context, instance, json.dumps(entry_of(9)).encode())
+
+
+@when('the entry of "{instance}" is decoded with "{name}" as {text}')
+def decode_changed(
+    context: Context, instance: str, name: str, text: str
+) -> None:
+    """Decode an entry with one field changed."""
+    changed = entry_of(9, **{name: json.loads(text)})
+    decode(context, instance, json.dumps(changed).encode())
+
+
+@when('the bytes "{text}" are decoded as the entry of "{instance}"')
+def decode_bytes(context: Context, text: str, instance: str) -> None:
+    """Decode what is no entry."""
+    decode(context, instance, text.encode())
+
+
+def decode(context: Context, instance: str, value: bytes) -> None:
+    """Decode the entry of an upstream."""
+    stored = StoredItem(f'servers/{instance}', 5, value, 3)
+    context.decoded = decode_record(stored)
+
+
+@then(
+    'it is the upstream "{instance}" of "{service}" at {address}, not leaving'
+)
+def check_staying(
+    context: Context, instance: str, service: str, address: str
+) -> None:
+    """Look at a decoded upstream that takes work."""
+    check_upstream(context, instance, service, address, leaving=False)
+
+
+def check_upstream(
+    context: Context,
+    instance: str,
+    service: str,
+    address: str,
+    *,
+    leaving: bool,
+) -> None:
+    """Look at the decoded upstream."""
+    upstream = context.decoded.unwrap()
+    assert (upstream.instance, upstream.service) == (instance, service)
+    assert f'{upstream.ip}:{upstream.port}' == address
+    assert upstream.leaving is leaving
+
+
+@then('it is the upstream "{instance}" of "{service}" at {address}, leaving')
+def check_leaving(
+    context: Context, instance: str, service: str, address: str
+) -> None:
+    """Look at a decoded upstream that leaves."""
+    check_upstream(context, instance, service, address, leaving=True)
+
+
+@then('it is refused')
+def check_refused(context: Context) -> None:
+    """Look for a reason."""
+    assert isinstance(context.decoded, Failure), context.decoded
+    assert context.decoded.failure()
+
+
+@when('a configuration with a split route is decoded')
+def decode_split(context: Context) -> None:
+    """Decode a good configuration."""
+    body = json.dumps(document_of()).encode()
+    context.decoded = decode_document(body, _ZONES)
+
+
+@when('a configuration that is {fault} is decoded')
+def decode_faulty(context: Context, fault: str) -> None:
+    """Decode a faulty configuration."""
+    plain = document_of()
+    bodies = {
+        'cut short': json.dumps(plain)[:-20],
+        'without version': json.dumps({'resources': plain['resources']}),
+        'of another type': json.dumps([plain]),
+    }
+    context.decoded = decode_document(bodies[fault].encode(), _ZONES)
+
+
+@then('its version is {number:d}')
+def check_document_version(context: Context, number: int) -> None:
+    """Look at the version."""
+    assert context.decoded.unwrap().version == number
+
+
+@then("the project's own checks accept it")
+def check_files(context: Context) -> None:
+    """Load the files as any configuration."""
+    files = context.decoded.unwrap().plain
+    loaded = load_sources(
+        tuple(SourceFile(name, text) for name, text in files.items())
+    )
+    assert isinstance(loaded, Success), loaded
+    context.built = loaded.unwrap().config
+
+
+@then(
+    'the route "{name}" sends {first:d} of 100 requests to "{one}"'
+    ' and {second:d} to "{other}"'
+)
+def check_split(
+    context: Context, name: str, first: int, one: str, second: int, other: str
+) -> None:
+    """Look at the weights."""
+    assert context.built.routes[name].split == {one: first, other: second}
+
+
+@then('the route "{name}" allows {timeout:d} ms and {attempts:d} attempts')
+def check_route(
+    context: Context, name: str, timeout: int, attempts: int
+) -> None:
+    """Look at the bounds of a route."""
+    found = context.built.routes[name]
+    assert (found.timeout_ms, found.max_attempts) == (timeout, attempts)
+    assert found.host == 'desk.example'
+
+
+@then('work of kind "{kind}" {rule} be repeated')
+def check_kind(context: Context, kind: str, rule: str) -> None:
+    """Look at an operation."""
+    operations = context.built.services['desk'].operations
+    found = operations[f'{kind}-1-800']
+    assert found.idempotent is (rule == 'may')
+    assert found.target_ms == 800
+
+
+@then('callers may be idle for {number:d} ms')
+def check_idle(context: Context, number: int) -> None:
+    """Look at the callers' limits."""
+    assert context.built.callers.idle_ms == number
+
+
+@when('the settings file of the platform is read')
+def read_whole(context: Context) -> None:
+    """Read a good settings file."""
+    read_lines(context, _SETTINGS)
+
+
+@when('the settings file of the platform is read without "{name}"')
+def read_part(context: Context, name: str) -> None:
+    """Read a settings file that lacks a field."""
+    kept = [
+        line for line in _SETTINGS.splitlines() if not line.startswith(name)
+    ]
+    read_lines(context, '\n'.join(kept))
+
+
+def read_lines(context: Context, text: str) -> None:
+    """Read a settings file."""
+    os.environ['JACKDAWHEAD_STREAM_KEY'] = _KEY
+    folder = Path(os.environ.get('TMPDIR', '/tmp'))
+    path = folder / f'jackdawhead-settings-{os.getpid()}.conf'
+    context.stack.callback(path.unlink)
+    path.write_text(text)
+    context.read = read_settings(path)
+
+
+@then('the node is "{vm}" in zone "{zone}"')
+def check_node(context: Context, vm: str, zone: str) -> None:
+    """Look at who the node is."""
+    node = context.read.unwrap().node
+    assert (node.vm, node.zone, node.service) == (vm, zone, 'desk')
+
+
+@then('it knows the regions of {number:d} zones')
+def check_zones(context: Context, number: int) -> None:
+    """Look at the zones."""
+    assert len(context.read.unwrap().zones) == number
+
+
+@then('it listens for callers at "{address}"')
+def check_address(context: Context, address: str) -> None:
+    """Look at an address."""
+    assert str(context.read.unwrap().node.caller_address) == address
+
+
+@then('it stops within its grace of {grace:d} ms')
+def check_grace(context: Context, grace: int) -> None:
+    """Look at the times of a stop."""
+    node = context.read.unwrap().node
+    assert node.accept_while_leaving_ms < node.drain_ms < grace
+
+
+@then('the problem names "{field}"')
+def check_problem(context: Context, field: str) -> None:
+    """Look at what is told of a faulty file."""
+    assert field in str(context.read.failure()[0])
+
+
+@given('a store with {count:d} upstreams and a configuration')
+def start_store(context: Context, count: int) -> None:
+    """Start a store and a source that reads it."""
+    context.store = StandInStore()
+    port = context.store.start()
+    context.stack.callback(context.store.stop)
+    context.store.put('op/config', document_of())
+    for number in range(count):
+        context.store.put(f'servers/i-{number}', entry_of(number + 1))
+    context.source = StoreSource(
+        Address('127.0.0.1', port), _ZONES, 7000, _LAPSE_MS
+    )
+    context.known = {}
+
+
+@when('the source is read')
+def read_source(context: Context) -> None:
+    """Read both values as a node does."""
+    for key in ('vms', 'config'):
+        answered = context.source.read(key, 0, 10)
+        assert isinstance(answered, Success), answered
+        if answered.unwrap() is not None:
+            context.known[key] = answered.unwrap()
+
+
+@then('{count:d} upstreams are known')
+def check_known(context: Context, count: int) -> None:
+    """Count the listed upstreams."""
+    found = context.known['vms'].plain
+    assert len(found) == count, found
+
+
+@then('{count:d} upstreams and version {number:d} are known')
+def check_known_version(context: Context, count: int, number: int) -> None:
+    """Count the listed upstreams, and look at the configuration."""
+    check_known(context, count)
+    assert context.known['config'].version == number
+
+
+@then('{count:d} upstreams are known, {leaving:d} of them leaving')
+def check_known_leaving(context: Context, count: int, leaving: int) -> None:
+    """Count the listed upstreams and those that leave."""
+    check_known(context, count)
+    found = [
+        details
+        for vm in context.known['vms'].plain
+        for details in vm['details'].values()
+        if details['leaving']
+    ]
+    assert len(found) == leaving
+
+
+@then('{count:d} calls were made')
+def check_calls(context: Context, count: int) -> None:
+    """Count the calls to the store."""
+    assert context.source.calls == count, context.store.calls
+
+
+@when('an upstream begins to leave')
+def leave(context: Context) -> None:
+    """Write the entry of an upstream that drains."""
+    context.store.put('servers/i-0', entry_of(1, state='draining', seq=5))
+
+
+@when('an upstream is removed')
+def remove_one(context: Context) -> None:
+    """Remove an entry."""
+    context.store.remove('servers/i-0')
+
+
+@when('all upstreams are removed')
+def remove_all(context: Context) -> None:
+    """Remove all entries."""
+    for number in range(3):
+        context.store.remove(f'servers/i-{number}')
+
+
+@when('{count:d} upstreams are back')
+def put_back(context: Context, count: int) -> None:
+    """Write some entries anew."""
+    for number in range(count):
+        context.store.put(f'servers/i-{number}', entry_of(number + 1))
+
+
+@when('the store is down for longer than entries last')
+def go_down(context: Context) -> None:
+    """Let calls fail until entries may have lapsed."""
+    context.store.mode = 'down'
+    end = monotonic_ms() + 2 * _LAPSE_MS
+    while monotonic_ms() < end:
+        assert isinstance(context.source.read('vms', 0, 1), Failure)
+
+
+@when('the store is up again')
+def go_up(context: Context) -> None:
+    """Let calls succeed."""
+    context.store.mode = 'up'
+
+
+@when('the time of the hold passes')
+def await_hold(context: Context) -> None:
+    """Read until removals count again."""
+    end = monotonic_ms() + 1000 * _HOLD_S
+    while monotonic_ms() < end:
+        read_source(context)
+
+
+@when('the store keeps changes from watches')
+def mute(context: Context) -> None:
+    """Answer watches without changes."""
+    context.store.mode = 'mute'
+
+
+@when('the store has lost its history')
+def lose_history(context: Context) -> None:
+    """Answer the next watch that the changes are gone."""
+    context.store.mode = 'lost'
+    context.store.wake()
+
+
+@when('a configuration of version 8 is published')
+def publish_next(context: Context) -> None:
+    """Write the next configuration."""
+    context.store.put('op/config', document_of('00000008'))
+
+
+@when('the entry is written anew by an earlier start that leaves')
+def write_older(context: Context) -> None:
+    """Write an entry of an earlier start."""
+    older = entry_of(1, state='draining', born=1771376889000)
+    context.store.put('servers/i-0', older)
+
+
+@when('an entry is overwritten with bytes that are no JSON')
+def overwrite(context: Context) -> None:
+    """Write what cannot be read."""
+    context.store.put('servers/i-0', b'\xff{')
--- a/src/jackdawhead/audit_kinds.py
+++ b/src/jackdawhead/audit_kinds.py
@@ -12,6 +12,8 @@
     NODE_LEAVING = 'node-leaving'
     CONFIG_ACCEPTED = 'config-accepted'
     CONFIG_REFUSED = 'config-refused'
+    SETTINGS_RELOADED = 'settings-reloaded'
+    SETTINGS_REFUSED = 'settings-refused'
     SPELL_BEGUN = 'spell-begun'
     SPELL_OVER = 'spell-over'
     UPSTREAM_EJECTED = 'upstream-ejected'
--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from ...node.platform_client import PlatformSource
+    from ...node.settings_watch import SettingsWatch
 
 
 @command('node')
@@ -53,17 +54,26 @@
             return ExitCode.BAD_USAGE
         match load_settings(options.settings):
             case Success(settings):
-                return _run_node(settings, sys.stderr)
+                from ...node.settings_watch import SettingsWatch
+
+                watch = SettingsWatch(
+                    settings,
+                    options.settings,
+                    lambda: load_settings(options.settings),
+                )
+                return _run_node(settings, sys.stderr, watch)
             case Failure(problems):
                 print_problems(problems)
         return ExitCode.BAD_CONFIG
 
 
 def _run_on_platform() -> ExitCode:
+    from ...node.settings_watch import SettingsWatch
     from ...platform.settings_file import read_settings, settings_path
     from ...platform.source import StoreSource
 
-    match read_settings(settings_path()):
+    path = settings_path()
+    match read_settings(path):
         case Success(settings):
             source = StoreSource(
                 settings.node.platform_address,
@@ -71,7 +81,12 @@
                 settings.node.stream_address.port,
                 settings.lapse_ms,
             )
-            return _run_node(settings.node, sys.stdout, source)
+            watch = SettingsWatch(
+                settings.node,
+                path,
+                lambda: read_settings(path).map(lambda found: found.node),
+            )
+            return _run_node(settings.node, sys.stdout, watch, source)
         case Failure(problems):
             print_problems(problems)
     return ExitCode.BAD_CONFIG
@@ -80,6 +95,7 @@
 def _run_node(
     settings: NodeSettings,
     log: IO[str],
+    watch: SettingsWatch,
     source: PlatformSource | None = None,
 ) -> ExitCode:
     # Imported here, so that the other commands start quickly.
@@ -88,7 +104,7 @@
     with ExitStack() as stack:
         start_bounded_logging(log.fileno(), stack)
         try:
-            Node(settings, source).run()
+            Node(settings, source, watch).run()
         except OSError as error:
             print_error(f'{error}; check the addresses in the settings')
             return ExitCode.FAILED
--- a/src/jackdawhead/clock.py
+++ b/src/jackdawhead/clock.py
@@ -16,6 +16,14 @@
     return time.monotonic() * _MS_PER_S
 
 
+def boot_ms() -> float:
+    """Return time in milliseconds that goes on while the VM is suspended.
+
+    Monotonic time stands still meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
+
+
 def wall_ms() -> int:
     """Return the time of day in milliseconds since 1970, for people only."""
     return int(time.time() * _MS_PER_S)
@@ -29,4 +37,4 @@
     return duration_ms / _MS_PER_S
 
 
-__all__ = ('Clock', 'monotonic_ms', 'seconds', 'wall_ms')
+__all__ = ('Clock', 'boot_ms', 'monotonic_ms', 'seconds', 'wall_ms')
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -166,6 +166,7 @@
         follow the node's settings.
     :param max_body_bytes: largest body, 0 to follow the node's settings.
     :param quarantined_status: status of requests that crash upstreams.
+    :param expired_status: status of requests that were not run in time.
     :param fractional_retry_after: whether callers understand a Retry-After
         of a fraction of a second.
     """
@@ -173,6 +174,7 @@
     idle_ms: int = 0
     max_body_bytes: int = 0
     quarantined_status: int = 422
+    expired_status: int = 504
     fractional_retry_after: bool = False
 
 
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -134,6 +134,7 @@
         'idle_ms': _DURATION,
         'max_body_bytes': _whole(1, 2**40),
         'quarantined_status': {'enum': [422, 503]},
+        'expired_status': {'enum': [503, 504]},
         'fractional_retry_after': _BOOLEAN,
     }
 )
--- a/src/jackdawhead/node/acceptor.py
+++ b/src/jackdawhead/node/acceptor.py
@@ -7,7 +7,7 @@
 from gevent.server import StreamServer
 
 from ..audit import AuditKind
-from ..clock import monotonic_ms
+from ..clock import boot_ms
 from ..wire.messages import TicketSubmit
 from .home.session import HomeSession
 from .links import AcceptedLink, Link
@@ -80,7 +80,7 @@
         link.ended.wait()
 
     def _receive(self, link: Link, message: Message) -> None:
-        if self._parts.pauses.notice(monotonic_ms()):
+        if self._parts.pauses.notice(boot_ms()):
             return
         if self._gossip.take(link, message):
             return
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -131,7 +131,7 @@
             now_ms,
             frozenset(call.tried),
             failure_cost_ms(call.operation),
-            call.router.way_bytes(call.operation.name),
+            call.router.sizes.usual(call.operation.name),
             call.operation if self._may_try(call) else None,
         )
         load = call.router.choose(call.operation.name, query)
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -203,7 +203,7 @@
         if isinstance(first, Head):
             load.note_answer(monotonic_ms())
             answer_bytes = max(first.body_bytes, len(first.chunk))
-            call.router.note_bytes(
+            call.router.sizes.note(
                 call.operation.name, call.request.body_bytes + answer_bytes
             )
         is_ok = is_good(first)
--- a/src/jackdawhead/node/entry/members.py
+++ b/src/jackdawhead/node/entry/members.py
@@ -9,7 +9,9 @@
 from ...policy.subset import SubsetRule
 
 if TYPE_CHECKING:
-    from ...blackboard import VmList
+    from collections.abc import Iterator
+
+    from ...blackboard import Vm, VmList
     from ...config.model import Service
 
 _UNREACHABLE_MS: Final = 30_000
@@ -40,12 +42,7 @@
                 continue
             home = homes.home_of(vm)
             used_homes.add(home)
-            for service in vm.upstream_ports:
-                details = vm.details_of(service)
-                if details.leaving:
-                    continue
-                name = vm.upstream_name(service)
-                member = Member(name, vm.zone, home, details.slots)
+            for service, member in _members_on(vm, home):
                 self._by_service.setdefault(service, []).append(member)
         self._rule.forget(frozenset(used_homes))
 
@@ -106,4 +103,13 @@
         return bool(due)
 
 
+def _members_on(vm: Vm, home: str) -> Iterator[tuple[str, Member]]:
+    """Yield the upstreams of a VM that take new work, with their services."""
+    for service in vm.upstream_ports:
+        details = vm.details_of(service)
+        if not details.leaving:
+            name = vm.upstream_name(service)
+            yield service, Member(name, vm.zone, home, details.slots)
+
+
 __all__ = ('ServiceMembers',)
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -60,10 +60,6 @@
             if not is_published or self._is_near(link):
                 link.send(message)
 
-    def _is_near(self, link: Link) -> bool:
-        vm = self._parts.board.vm_list.read().vms.get(link.vm)
-        return vm is None or vm.zone == self._parts.settings.zone
-
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat of this node."""
         board = self._parts.board
@@ -112,6 +108,10 @@
                 return False
         return True
 
+    def _is_near(self, link: Link) -> bool:
+        vm = self._parts.board.vm_list.read().vms.get(link.vm)
+        return vm is None or vm.zone == self._parts.settings.zone
+
     def _take_heartbeat(self, link: Link, beat: Heartbeat) -> None:
         link.config_mark = ConfigMark(beat.config_version, beat.config_digest)
         link.heard_heartbeat.set()
--- a/src/jackdawhead/node/home/answer_reader.py
+++ b/src/jackdawhead/node/home/answer_reader.py
@@ -119,6 +119,7 @@
         self._parser = _Parser(method)
         self._answer = Answer()
         self._failure: HTTPParseError | None = None
+        self._checked = 0
         self.dropped = 0
 
     @property
@@ -143,19 +144,15 @@
         :raises OSError: if the connection is reset.
         :raises HTTPParseError: if it ends, or carries something else.
         """
-        checked = 0
         while True:
-            for answer in self._parser.answers[checked:]:
-                if not answer.has_head:
-                    break
-                checked += 1
-                if answer.status < _FIRST_FINAL_STATUS:
-                    continue
-                if is_wanted(answer):
-                    self._answer = answer
-                    return answer
+            answer = self._next_final()
+            if answer is None:
+                self.take_more()
+            elif is_wanted(answer):
+                self._answer = answer
+                return answer
+            else:
                 self.dropped += 1
-            self._feed()
 
     def read(self) -> bytes:
         """Return the next bytes of the body, none at its end.
@@ -165,13 +162,17 @@
         """
         answer = self._answer
         while not answer.body and not answer.complete:
-            self._feed()
+            self.take_more()
         chunk = bytes(answer.body[: self._block_bytes])
-        del answer.body[: self._block_bytes]
+        answer.body = answer.body[self._block_bytes :]
         return chunk
 
-    def _feed(self) -> None:
-        """Take more bytes in; those after the end of an answer do no harm."""
+    def take_more(self) -> None:
+        """Take more bytes in; those after the end of an answer do no harm.
+
+        :raises OSError: if the connection is reset.
+        :raises HTTPParseError: if it had ended, or carried something else.
+        """
         if self._failure is not None:
             raise self._failure
         received = self._sock.recv(self._block_bytes)
@@ -182,5 +183,15 @@
         if not received and self._failure is None:
             self._failure = HTTPParseError('connection closed')
 
+    def _next_final(self) -> Answer | None:
+        """Return the next answer that is not interim, if its head is here."""
+        for answer in self._parser.answers[self._checked :]:
+            if not answer.has_head:
+                return None
+            self._checked += 1
+            if answer.status >= _FIRST_FINAL_STATUS:
+                return answer
+        return None
+
 
 __all__ = ('Answer', 'AnswerReader', 'HTTPParseError')
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -12,27 +12,21 @@
 from ...outcome import Outcome
 from ...policy.ending import Ending, ending_at_deadline
 from ...reasons import Reason
-from ...wire.messages import Body, Credit, Head, Message
+from ...wire.messages import Body, Head, Message
 from ..credit import CHUNK_BYTES
+from .answer_judge import Judgement, avoid_ms_of, judge_answer
 from .answer_reader import Answer, AnswerReader, HTTPParseError
-from .request_head import answer_headers, is_chunked, request_head
+from .request_body import send_body
+from .request_head import answer_headers, request_head
 
 if TYPE_CHECKING:
     from ...config.model import HeaderNames, Operation
     from ...config.settings import Address
     from ...policy.retries import HomeResends
-    from ...wire.messages import Submit
     from .connections import Connection, ConnectionPool
     from .job import Job
 
-_SUCCESS: Final = 2
-_STATUS_CLASS: Final = 100
-_MISDIRECTED: Final = 421
-_UNAVAILABLE: Final = 503
-_GATEWAY_TIMEOUT: Final = 504
 _SERVER_ERROR: Final = 500
-_DEFAULT_AVOID_MS: Final = 100
-_MS_PER_S: Final = 1000
 _SILENCE_FACTOR: Final = 6
 _MIN_SILENCE_MS: Final = 250
 _LATE_MS: Final = 20
@@ -185,39 +179,7 @@
         if submit.last:
             connection.sock.sendall(head + submit.chunk)
             return
-        connection.sock.sendall(head)
-        chunked = is_chunked(submit)
-        self._send_chunk(connection, submit.chunk, chunked)
-        self._send_rest(connection, submit, chunked)
-
-    def _send_rest(
-        self,
-        connection: Connection,
-        submit: Submit,
-        chunked: bool,
-    ) -> None:
-        last = False
-        while not last:
-            message = self._job.body.get()
-            self._send_chunk(connection, message.chunk, chunked)
-            self._job.deliver(Credit(submit.request_id, len(message.chunk)))
-            last = message.last
-        if chunked:
-            connection.sock.sendall(b'0\r\n\r\n')
-
-    def _send_chunk(
-        self,
-        connection: Connection,
-        chunk: bytes,
-        chunked: bool,
-    ) -> None:
-        if not chunk:
-            return
-        if chunked:
-            size = f'{len(chunk):x}\r\n'.encode()
-            connection.sock.sendall(b''.join((size, chunk, b'\r\n')))
-        else:
-            connection.sock.sendall(chunk)
+        send_body(connection.sock, head, self._job)
 
     def _receive_head(
         self,
@@ -241,32 +203,25 @@
         return max(_MIN_SILENCE_MS, _SILENCE_FACTOR * self._target.expected_ms)
 
     def _refusal_of(self, answer: Answer) -> Ended | None:
-        """Recognise an upstream's own refusal, a proof of 'not run'.
-
-        Its own time-out at the deadline is no answer either, and is told
-        like that of this home, whichever comes first.
-        """
-        if answer.status == _GATEWAY_TIMEOUT and self._is_late():
-            return self._refused(self._deadline_ending(), Reason.DEADLINE)
-        names = self._target.names
-        if answer.status // _STATUS_CLASS == _SUCCESS and names.seal:
-            if answer.get(names.seal) is None:
+        """Recognise an answer that is not to be passed on."""
+        target = self._target
+        match judge_answer(
+            answer, target.names, target.instance, is_late=self._is_late()
+        ):
+            case Judgement.LATE:
+                return self._refused(self._deadline_ending(), Reason.DEADLINE)
+            case Judgement.UNSEALED:
                 return self._refused(Ending.FAILED, Reason.ANSWER_MALFORMED)
-        if self._target.instance and answer.status == _MISDIRECTED:
-            return self._not_run(Ending.DRAINING, Reason.NO_UPSTREAM)
-        is_proof = bool(names.not_run) and answer.get(names.not_run) is not None
-        if answer.status != _UNAVAILABLE:
-            return self._shed(answer) if is_proof else None
-        draining = bool(names.draining) and bool(answer.get(names.draining))
-        if draining:
-            return self._not_run(Ending.DRAINING, Reason.DRAINING)
-        outcome = answer.get(names.outcome) if names.outcome else None
-        is_proof = is_proof or outcome == Outcome.NOT_RUN.value
-        return self._shed(answer) if is_proof else None
-
-    def _shed(self, answer: Answer) -> Ended:
-        avoid_ms = _avoid_ms(answer.get('Retry-After'))
-        return self._not_run(Ending.SHED, Reason.UPSTREAM_REFUSED, avoid_ms)
+            case Judgement.OTHER_START:
+                return self._not_run(Ending.DRAINING, Reason.NO_UPSTREAM)
+            case Judgement.DRAINING:
+                return self._not_run(Ending.DRAINING, Reason.DRAINING)
+            case Judgement.SHED:
+                avoid_ms = avoid_ms_of(answer)
+                return self._not_run(
+                    Ending.SHED, Reason.UPSTREAM_REFUSED, avoid_ms
+                )
+        return None
 
     def _not_run(
         self,
@@ -335,12 +290,4 @@
         return Ended(ending, final, run_ms)
 
 
-def _avoid_ms(retry_after: str | None) -> int:
-    """Return the time of a Retry-After header in seconds (RFC 9110)."""
-    try:
-        return int(float(retry_after or '') * _MS_PER_S)
-    except ValueError:
-        return _DEFAULT_AVOID_MS
-
-
 __all__ = ('Ended', 'Ending', 'Execution', 'Target')
--- a/src/jackdawhead/node/pause_watch.py
+++ b/src/jackdawhead/node/pause_watch.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 
 from ..audit import AuditKind
-from ..clock import monotonic_ms, seconds
+from ..clock import boot_ms, seconds
 from .links import SILENCE_MS
 
 if TYPE_CHECKING:
@@ -44,11 +44,11 @@
 
     def run(self) -> None:
         """Watch for ever."""
-        self._last_ms = monotonic_ms()
+        self._last_ms = boot_ms()
         while True:
             gevent.sleep(seconds(_TICK_MS))
-            self.notice(monotonic_ms())
-            self._last_ms = monotonic_ms()
+            self.notice(boot_ms())
+            self._last_ms = boot_ms()
 
     def notice(self, now_ms: float) -> bool:
         """Find out whether this process has just been paused for long.
@@ -78,7 +78,7 @@
 
     def await_fresh(self) -> None:
         """Wait until this node knows what happened in a pause, if any."""
-        self.notice(monotonic_ms())
+        self.notice(boot_ms())
         if not self._fresh.is_set():
             self._fresh.wait(seconds(_REFRESH_MS))
 
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -30,6 +30,7 @@
     from .links import Link
     from ..wire.messages import UpstreamStatus
     from .platform_client import PlatformSource
+    from .settings_watch import SettingsWatch
 
 _ADMIN_IDLE_S: Final = 30
 _POLL_MS: Final = 20
@@ -43,14 +44,17 @@
     :param settings: addresses, zone and keys.
     :param platform: source of configuration and VMs, by default the
         project's own interface at the address of the settings.
+    :param watch: follows changes of the settings, if they may change.
     """
 
     def __init__(
         self,
         settings: NodeSettings,
         platform: PlatformSource | None = None,
+        watch: SettingsWatch | None = None,
     ) -> None:
         self._settings = settings
+        self._watch = watch
         self._rng = Random(SystemRandom().random())
         self._stopping = Event()
         self._started = False
@@ -153,6 +157,9 @@
         ]
         for loop in loops:
             self._spawn(stack, loop)
+        if self._watch is not None:
+            parts = self.parts
+            self._spawn(stack, self._watch.run, parts.board, parts.audit)
         self._spawn(stack, self._settle, watches, stack)
 
     def _spawn(
--- a/src/jackdawhead/platform/records.py
+++ b/src/jackdawhead/platform/records.py
@@ -12,7 +12,7 @@
 from ..node.upstream_list import ListedUpstream
 from .formats import parse_duration_ms
 from .names import UPSTREAM_ITEMS
-from .store import StoredItem
+from .store_types import StoredItem
 
 _MAX_PORT: Final = 65_535
 _LEAVING: Final = 'draining'
--- a/src/jackdawhead/platform/settings_file.py
+++ b/src/jackdawhead/platform/settings_file.py
@@ -71,20 +71,31 @@
 
 
 def _build(fields: dict[str, str]) -> PlatformSettings:
-    bounds = _fields(fields.get('bounds', '').replace(',', '\n'))
-    ip = fields['ip']
-    stream = Address.parse(
-        fields.get('listen.control') or fields['listen.inbound']
+    zones = {
+        name.removeprefix(_ZONE_PREFIX): region
+        for name, region in fields.items()
+        if name.startswith(_ZONE_PREFIX)
+    }
+    zones.setdefault(fields['zone'], fields.get('region', fields['zone']))
+    heartbeat_ms = parse_duration_ms(fields.get('heartbeat', '1500ms'))
+    return PlatformSettings(
+        _node_settings(fields), zones, _LAPSE_INTERVALS * heartbeat_ms
     )
+
+
+def _node_settings(fields: dict[str, str]) -> NodeSettings:
+    ip = fields['ip']
     # The first port of the range; nodes need no other one among themselves.
     admin_port = int(fields['portRange'].partition(',')[0])
-    grace_ms = parse_duration_ms(bounds.get('grace', '6s'))
+    grace_ms = _grace_ms(fields)
     seeds = filter(None, fields.get('seeds', '').split(','))
-    node = NodeSettings(
+    return NodeSettings(
         vm=vm_name(ip),
         zone=fields['zone'],
         caller_address=Address.parse(fields['listen.outbound']),
-        stream_address=stream,
+        stream_address=Address.parse(
+            fields.get('listen.control') or fields['listen.inbound']
+        ),
         admin_address=Address(ip, admin_port),
         platform_address=Address.parse(fields['platform.address']),
         stream_keys=(os.environ[STREAM_KEY_VARIABLE],),
@@ -94,14 +105,12 @@
         service=fields.get('service', ''),
         accept_while_leaving_ms=min(_NOTICED_MS, grace_ms // 2),
     )
-    zones = {
-        name.removeprefix(_ZONE_PREFIX): region
-        for name, region in fields.items()
-        if name.startswith(_ZONE_PREFIX)
-    }
-    zones.setdefault(node.zone, fields.get('region', node.zone))
-    heartbeat_ms = parse_duration_ms(fields.get('heartbeat', '1500ms'))
-    return PlatformSettings(node, zones, _LAPSE_INTERVALS * heartbeat_ms)
+
+
+def _grace_ms(fields: dict[str, str]) -> int:
+    """Return the time between the question to stop and the kill."""
+    bounds = _fields(fields.get('bounds', '').replace(',', '\n'))
+    return parse_duration_ms(bounds.get('grace', '6s'))
 
 
 __all__ = ('PlatformSettings', 'read_settings', 'settings_path')
--- a/src/jackdawhead/platform/source.py
+++ b/src/jackdawhead/platform/source.py
@@ -13,10 +13,11 @@
 from ..node.platform_watch import CONFIG_KEY, VMS_KEY
 from ..node.upstream_list import ListedUpstreams
 from ..policy.removals import DEFAULT_RETURN_MS, RemovalHold
-from .document import decode_document
+from .translation import decode_document
 from .names import CONFIG_ITEM, UPSTREAM_ITEMS
 from .records import decode_record
-from .store import Snapshot, StoreClient, StoredItem, StoreFailure
+from .store import StoreClient
+from .store_types import Snapshot, StoredItem, StoreFailure
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -85,10 +86,15 @@
         try:
             cause = self._ask(wait_ms)
         finally:
-            polling, self._polling = self._polling, None
-            polling.set(cause)
+            self._end_poll(cause)
         return cause
 
+    def _end_poll(self, cause: str) -> None:
+        polling = self._polling
+        self._polling = None
+        if polling is not None:
+            polling.set(cause)
+
     def _ask(self, wait_ms: int) -> str:
         began_ms = monotonic_ms()
         hold = self._upstreams.hold
@@ -113,10 +119,10 @@
 
     def _take(self, snapshot: Snapshot) -> None:
         if self._revision is None:
-            present = {each.key for each in snapshot.items}
+            present = {each.key for each in snapshot.found}
             self._upstreams.keep_only(present)
             self._revision = snapshot.revision
-        for each in snapshot.items:
+        for each in snapshot.found:
             # An answer without changes does not move the revision on: the
             # store may have held changes back, and tells so later.
             self._revision = max(self._revision, each.revision)
--- a/src/jackdawhead/platform/store.py
+++ b/src/jackdawhead/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, TypeVar
 from urllib.parse import quote
 
@@ -14,6 +13,14 @@
 from returns.result import Failure, Result, Success
 
 from ..clock import seconds
+from .store_types import (
+    News,
+    Page,
+    Single,
+    Snapshot,
+    StoreFailure,
+    StoredItem,
+)
 
 if TYPE_CHECKING:
     from gevent.socket import socket as Socket
@@ -36,61 +43,6 @@
 _DecodedT = TypeVar('_DecodedT')
 
 
-class StoredItem(msgspec.Struct, frozen=True):
-    """An item, or the news that it is gone.
-
-    :param revision: of its last change.
-    :param made: revision of its creation.
-    :param gone: whether it was removed.
-    """
-
-    key: str
-    revision: int = 0
-    value: bytes = b''
-    made: int = msgspec.field(default=0, name='createdRev')
-    gone: bool = msgspec.field(default=False, name='deleted')
-
-
-class _Page(msgspec.Struct, frozen=True):
-    at: int = msgspec.field(name='atRev')
-    items: list[StoredItem] = []
-    has_more: bool = msgspec.field(default=False, name='hasMore')
-
-
-class _News(msgspec.Struct, frozen=True):
-    at: int = msgspec.field(name='atRev')
-    events: list[StoredItem] = []
-
-
-class _Single(msgspec.Struct, frozen=True):
-    at: int = msgspec.field(name='atRev')
-    key: str = ''
-    value: bytes = b''
-
-
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """What the store holds.
-
-    :param revision: of the store, at least; later changes may be missing.
-    """
-
-    revision: int
-    items: tuple[StoredItem, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class StoreFailure:
-    """Why a call gave nothing.
-
-    :param is_history_lost: whether the store answered that it no longer has
-        the changes asked for.
-    """
-
-    cause: str
-    is_history_lost: bool = False
-
-
 class _ProbedPool(ConnectionPool):
     """Notices a silent path by keep-alive probes."""
 
@@ -149,17 +101,17 @@
 
         :param prefix: of the keys.
         """
-        items: list[StoredItem] = []
+        found: list[StoredItem] = []
         target = f'/kv-range?prefix={quote(prefix, safe="")}'
         answered = self._call(target, 0).bind(_page)
-        first: _Page | None = None
+        first: Page | None = None
         while isinstance(answered, Success):
             page = answered.unwrap()
             first = first or page
-            items.extend(page.items)
-            if not page.has_more or not page.items:
-                return Success(Snapshot(first.at, tuple(items)))
-            after = quote(page.items[-1].key, safe='')
+            found.extend(page.found)
+            if not page.has_more or not page.found:
+                return Success(Snapshot(first.at, tuple(found)))
+            after = quote(page.found[-1].key, safe='')
             answered = self._call(f'{target}&after={after}', 0).bind(_page)
         return Failure(answered.failure())
 
@@ -207,22 +159,22 @@
 
 
 def _single(body: bytes) -> Result[Snapshot, StoreFailure]:
-    found = _decode(body, _Single)
+    found = _decode(body, Single)
     return found.map(lambda each: Snapshot(each.at, _items_of(each)))
 
 
-def _items_of(single: _Single) -> tuple[StoredItem, ...]:
+def _items_of(single: Single) -> tuple[StoredItem, ...]:
     if not single.key:
         return ()
     return (StoredItem(single.key, single.at, single.value),)
 
 
-def _page(body: bytes) -> Result[_Page, StoreFailure]:
-    return _decode(body, _Page)
+def _page(body: bytes) -> Result[Page, StoreFailure]:
+    return _decode(body, Page)
 
 
 def _news(body: bytes) -> Result[Snapshot, StoreFailure]:
-    found = _decode(body, _News)
+    found = _decode(body, News)
     return found.map(lambda each: Snapshot(each.at, tuple(each.events)))
 
 
@@ -235,4 +187,4 @@
         return Failure(StoreFailure(f'{kind.__name__}: {error}'))
 
 
-__all__ = ('Snapshot', 'StoreClient', 'StoreFailure', 'StoredItem')
+__all__ = ('StoreClient',)
--- a/src/jackdawhead/policy/admissions.py
+++ b/src/jackdawhead/policy/admissions.py
@@ -5,5 +5,12 @@
 from .admission import ADMISSIONS, AdmissionRule
 from .deadline_admission import DeadlineAdmission
 from .fifo_admission import FifoAdmission
+from .target_admission import TargetAdmission
 
-__all__ = ('ADMISSIONS', 'AdmissionRule', 'DeadlineAdmission', 'FifoAdmission')
+__all__ = (
+    'ADMISSIONS',
+    'AdmissionRule',
+    'DeadlineAdmission',
+    'FifoAdmission',
+    'TargetAdmission',
+)
--- a/src/jackdawhead/policy/caution.py
+++ b/src/jackdawhead/policy/caution.py
@@ -21,15 +21,15 @@
 # wait for several times its target. Repeatable work loses one more run.
 _FINAL_FAILURE_TARGETS: Final = 4.0
 _REPEATABLE_FAILURE_TARGETS: Final = 0.5
-# Above the long-term share of spells, so that an upstream of which nothing
-# has been heard for some time is tried, and far below a fresh failure.
-_CAUTIOUS_LIMIT: Final = 0.4
-_BOLD_LIMIT: Final = 0.7
-# Time after which a fresh failure falls below the bold limit.
-_TRIAL_EVERY_MS: Final = 1200.0
-# Half of the long-term share: what is above has failed not long ago, or has
-# not been heard of since.
-_SUSPECT_RISK: Final = 0.15
+# Below that after one failure of a busy upstream.
+_CAUTIOUS_LIMIT: Final = 0.2
+# Below that after a fresh failure of an upstream in a spell.
+_BOLD_LIMIT: Final = 0.9
+# An upstream that fails is tried as often; one that has just done its work
+# again is tried at once, to be sure.
+_TRIAL_EVERY_MS: Final = 1500.0
+_HOPEFUL_RISK: Final = 0.5
+_SUSPECT_RISK: Final = 0.12
 _TRIAL_SHARE: Final = 0.3
 # After as many homes have refused the risk, the next takes the work anyway.
 _CAUTIOUS_TRIES: Final = 4
@@ -72,9 +72,12 @@
 
 
 def _is_due(load: UpstreamLoad, now_ms: float) -> bool:
-    if load.is_avoided(now_ms) or now_ms - _heard_at_ms(load) < _TRIAL_EVERY_MS:
+    if load.is_avoided(now_ms):
         return False
-    return load.risk_now(now_ms) > _SUSPECT_RISK
+    risk = load.risk_now(now_ms)
+    if risk > _HOPEFUL_RISK:
+        return now_ms - _heard_at_ms(load) >= _TRIAL_EVERY_MS
+    return risk > _SUSPECT_RISK
 
 
 def _heard_at_ms(load: UpstreamLoad) -> float:
--- a/src/jackdawhead/policy/run_times.py
+++ b/src/jackdawhead/policy/run_times.py
@@ -48,6 +48,13 @@
         configured = self._operations.get(operation)
         return float(configured.expected_ms) if configured else _UNKNOWN_MS
 
+    @property
+    def learned_ms(self) -> float:
+        """Average of the operations that have been seen, 0 if none has."""
+        if not self._average_ms:
+            return 0
+        return sum(self._average_ms.values()) / len(self._average_ms)
+
     def observe(self, operation: str, run_ms: float) -> None:
         """Take in a run time.
 
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -13,6 +13,7 @@
 from .poison import PoisonTable
 from .retries import RetryBudget
 from .spells import RISK_SCALE
+from .way_sizes import WaySizes
 
 if TYPE_CHECKING:
     from random import Random
@@ -22,8 +23,6 @@
     from ..wire.messages import UpstreamStatus
 
 _EMPTY: Final = Pool()
-# Weight of the latest size in the moving average.
-_BYTES_WEIGHT: Final = 0.1
 _KEPT_UNUSED_MS: Final = 600_000
 
 
@@ -55,6 +54,7 @@
         self.used_at_ms: float = 0
         self.budget = RetryBudget(service.retry)
         self.poison = PoisonTable(service.poison)
+        self.sizes = WaySizes()
         self._zone = zone
         self._rng = rng
         self._balancer = BALANCERS.find(service.balancer).unwrap()()
@@ -63,7 +63,6 @@
         self._draining: set[str] = set()
         self._has_news = False
         self._has_ejections = False
-        self._way_bytes: dict[str, float] = {}
         self._pools: dict[str, Pool] = {}
         self._trials: dict[str, tuple[UpstreamLoad, ...]] = {}
 
@@ -197,24 +196,6 @@
             )
         self.mark_draining(status.upstream, status.draining)
 
-    def note_bytes(self, operation: str, byte_count: int) -> None:
-        """Take in the size of a request and its answer.
-
-        :param operation: its name.
-        :param byte_count: of both together.
-        """
-        known = self._way_bytes.get(operation, byte_count)
-        self._way_bytes[operation] = known + _BYTES_WEIGHT * (
-            byte_count - known
-        )
-
-    def way_bytes(self, operation: str) -> float:
-        """Return the usual size of a request and its answer, 0 if unknown.
-
-        :param operation: its name.
-        """
-        return self._way_bytes.get(operation, 0)
-
     def is_forgettable(self, now_ms: float) -> bool:
         """Return whether nothing is known that would be missed.
 
--- a/src/jackdawhead/policy/spells.py
+++ b/src/jackdawhead/policy/spells.py
@@ -17,15 +17,15 @@
 _USUAL_FAILURES: Final = 0.015
 _SPELL_FAILURES: Final = 0.8
 # Lengths of a spell and of the time between two, of the same traces.
-_SPELL_MS: Final = 3000.0
-_BETWEEN_MS: Final = 7000.0
+_SPELL_MS: Final = 9000.0
+_BETWEEN_MS: Final = 21_000.0
 SPELL_SHARE: Final = _SPELL_MS / (_SPELL_MS + _BETWEEN_MS)
 _RETURN_MS: Final = 1 / (1 / _SPELL_MS + 1 / _BETWEEN_MS)
 RISK_SCALE: Final = 1000
-# A failure of an upstream that was well lifts its probability above the
-# first; two successes after a spell take it below the second.
-_SUSPECT_RISK: Final = 0.5
-_CLEARED_RISK: Final = 0.15
+# A failure of a busy upstream that was well lifts its probability above the
+# first; a success soon after, or two after a spell, take it below the second.
+_SUSPECT_RISK: Final = 0.2
+_CLEARED_RISK: Final = 0.1
 
 
 def later_risk(risk: float, age_ms: float) -> float:
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,160 @@
+"""Stand-in for the store of the users' platform, for tests in one process."""
+
+from __future__ import annotations
+
+import base64
+import json
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import parse_qs
+
+from gevent.event import Event
+
+from jackdawhead.config.settings import Address
+from jackdawhead.node.http_server import QuickServer
+
+from .wsgi import send_json
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_IDLE_S: Final = 600
+_MS_PER_S: Final = 1000
+_PAGE: Final = 50
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """One write or removal."""
+
+    revision: int
+    key: str
+    value: bytes | None
+    made: int
+
+
+class StandInStore:
+    """Keeps items with revisions and answers reads and watches.
+
+    The attribute ``mode`` is ``up``, ``down``, ``lost`` (history is gone) or
+    ``mute`` (changes are kept from watches).
+    """
+
+    def __init__(self) -> None:
+        self.mode = 'up'
+        self.calls: list[str] = []
+        self._revision = 1
+        self._stored: dict[str, _Change] = {}
+        self._history: list[_Change] = []
+        self._changed = Event()
+        self._server = QuickServer(Address('127.0.0.1', 0), self.serve, _IDLE_S)
+
+    def start(self) -> int:
+        """Listen; return the port."""
+        self._server.start()
+        return int(self._server.server_port)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop(0)
+
+    def put(self, key: str, plain: Any) -> None:
+        """Write an item, as JSON unless it is bytes."""
+        value = (
+            plain if isinstance(plain, bytes) else json.dumps(plain).encode()
+        )
+        before = self._stored.get(key)
+        self._revision += 1
+        made = before.made if before else self._revision
+        self._change(_Change(self._revision, key, value, made))
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self._revision += 1
+        self._change(_Change(self._revision, key, None, 0))
+
+    def wake(self) -> None:
+        """Let all watches look at the mode again."""
+        self._changed.set()
+
+    def serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        """Serve one call."""
+        path = environ['PATH_INFO']
+        query = {
+            name: texts[0]
+            for name, texts in parse_qs(
+                environ['QUERY_STRING'], keep_blank_values=True
+            ).items()
+        }
+        self.calls.append(path)
+        if self.mode == 'down':
+            return send_json(start, '503 Down', {})
+        if path == '/kv-range':
+            return self._range(query, start)
+        if path == '/kv-watch':
+            return self._watch(query, start)
+        found = self._stored.get(query['key'])
+        if found is None:
+            return send_json(start, '404 Not Found', {'atRev': self._revision})
+        plain = {**_plain(found), 'atRev': self._revision}
+        return send_json(start, '200 OK', plain)
+
+    def _change(self, change: _Change) -> None:
+        if change.value is None:
+            self._stored.pop(change.key, None)
+        else:
+            self._stored[change.key] = change
+        self._history.append(change)
+        self._changed.set()
+
+    def _range(self, query: dict[str, str], start: Any) -> Iterable[bytes]:
+        keys = sorted(
+            key
+            for key in self._stored
+            if key.startswith(query['prefix']) and key > query.get('after', '')
+        )
+        plain = {
+            'items': [_plain(self._stored[key]) for key in keys[:_PAGE]],
+            'hasMore': len(keys) > _PAGE,
+            'atRev': self._revision,
+        }
+        return send_json(start, '200 OK', plain)
+
+    def _watch(self, query: dict[str, str], start: Any) -> Iterable[bytes]:
+        after = int(query['after'])
+        end = time.monotonic() + int(query['waitMs']) / _MS_PER_S
+        while True:
+            if self.mode == 'lost':
+                self.mode = 'up'
+                return send_json(start, '410 Gone', {'atRev': self._revision})
+            events = [
+                _plain(each)
+                for each in self._history
+                if each.revision > after and self.mode != 'mute'
+            ]
+            left_s = end - time.monotonic()
+            if events or left_s <= 0:
+                plain = {'events': events, 'atRev': self._revision}
+                return send_json(start, '200 OK', plain)
+            self._changed.clear()
+            self._changed.wait(left_s)
+
+
+def _plain(change: _Change) -> dict[str, Any]:
+    if change.value is None:
+        return {
+            'key': change.key,
+            'revision': change.revision,
+            'deleted': True,
+        }
+    return {
+        'key': change.key,
+        'value': base64.b64encode(change.value).decode(),
+        'revision': change.revision,
+        'createdRev': change.made,
+        'lease': 7,
+    }
+
+
+__all__ = ('StandInStore',)
