--- a/features/policy/spells.feature
+++ b/features/policy/spells.feature
@@ -36,6 +36,12 @@
     And 100 requests that cannot be repeated are placed
     Then all go to "failing"
 
+  Scenario: An upstream of which nothing is heard is not feared for it
+    Given a service with upstreams "near" and "far"
+    When "near" was well 20 s ago, and "far" is well now
+    And 100 requests that cannot be repeated are placed
+    Then between 0 and 40 go to "far"
+
   Scenario: A share of repeatable work finds out whether a spell is over
     Given a service with upstreams "well" and "failing"
     When 2 s pass
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -368,6 +368,14 @@
     )
 
 
+@when('"{name}" was well {age:d} s ago, and "{other}" is well now')
+def set_heard(context: Context, name: str, age: int, other: str) -> None:
+    """Tell when the risk of each was heard."""
+    for each, at_ms in ((name, context.now_ms - 1000 * age), (other, None)):
+        context.loads[each].risk = 0.01
+        context.loads[each].risk_at_ms = at_ms or context.now_ms
+
+
 @when('{number:d} requests that {can} be repeated are placed')
 def place(context: Context, number: int, can: str) -> None:
     """Choose upstreams."""
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from .spells import later_risk
+from .spells import SUSPECT_RISK, later_risk
 
 if TYPE_CHECKING:
     from random import Random
@@ -69,10 +69,13 @@
     def risk_now(self, now_ms: float) -> float:
         """Return the probability that work fails there, 0 if unknown.
 
+        A low one does not grow old, since the home tells at once when a
+        spell begins.
+
         :param now_ms: monotonic time.
         """
-        if self.risk_at_ms is None:
-            return 0
+        if self.risk_at_ms is None or self.risk < SUSPECT_RISK:
+            return self.risk
         return later_risk(self.risk, now_ms - self.risk_at_ms)
 
     def expected_wait_ms(self, now_ms: float) -> float:
--- a/src/jackdawhead/policy/spells.py
+++ b/src/jackdawhead/policy/spells.py
@@ -24,7 +24,7 @@
 RISK_SCALE: Final = 1000
 # A failure of a busy upstream that was well lifts its probability above the
 # first; a success soon after, or two after a spell, take it below the second.
-_SUSPECT_RISK: Final = 0.2
+SUSPECT_RISK: Final = 0.2
 _CLEARED_RISK: Final = 0.1
 
 
@@ -60,7 +60,7 @@
         self._risk = in_spell / (in_spell + well)
         self._at_ms = now_ms
         was_suspect = self._is_suspect
-        if self._risk >= _SUSPECT_RISK:
+        if self._risk >= SUSPECT_RISK:
             self._is_suspect = True
         elif self._risk <= _CLEARED_RISK:
             self._is_suspect = False
@@ -80,4 +80,10 @@
     return 1 - failures if ok else failures
 
 
-__all__ = ('RISK_SCALE', 'SPELL_SHARE', 'SpellEstimate', 'later_risk')
+__all__ = (
+    'RISK_SCALE',
+    'SUSPECT_RISK',
+    'SPELL_SHARE',
+    'SpellEstimate',
+    'later_risk',
+)
