--- a/features/policy/budget.feature
+++ b/features/policy/budget.feature
@@ -15,6 +15,10 @@
     Then a request with 1 run of 1 may not run again
     And a request with 1 run of 2 may run again
 
+  Scenario: A crowded service is not asked without end
+    Given a retry budget of 10 of 100 requests
+    Then a request that 5 homes have refused as overloaded is given up
+
   Scenario: Homes resend within a fifth of the share
     Given a retry budget of 10 of 100 requests
     When a home runs 100 requests, each on a connection that breaks
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -479,6 +479,14 @@
     assert allowed is (may == 'may')
 
 
+@then('a request that {number:d} homes have refused as overloaded is given up')
+def check_given_up(context: Context, number: int) -> None:
+    """Ask for one more attempt."""
+    end = AttemptEnd(Outcome.NOT_RUN, Reason.OVERLOADED)
+    assert context.budget.may_resend(end, number - 1, 0, 2)
+    assert not context.budget.may_resend(end, number, 0, 2)
+
+
 @when('a home runs 100 requests, each on a connection that breaks')
 def break_connections(context: Context) -> None:
     """Ask for resends at a home."""
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -123,7 +123,7 @@
             return attempt < _MAX_UNTAKEN and self._try_spend(end)
         limit = max_runs or self._policy.max_attempts
         counted = attempt if runs is None else runs
-        if counted >= limit:
+        if counted >= limit or attempt >= max(limit, _MAX_UNTAKEN):
             return False
         return self._try_spend(end)
 
