Bound the queue by the target from the first moment again; flush all links of a stop at once

Late work takes the slots of work that would be in time, for seconds after a crest. The scenario of the crest goes with it.

--- a/features/policy/admission_by_target.feature
+++ b/features/policy/admission_by_target.feature
@@ -2,20 +2,15 @@
 
   Scenario: In an overload all that is answered is answered in time
     Given 3 slots with the rule "target" and work of 200 ms wanted within 800 ms
-    When 30 requests a second arrive for 20 s
-    Then at least 85 of 100 answers are in time
-    And at least 270 answers are given
+    When 30 requests a second arrive for 6 s
+    Then at least 95 of 100 answers are in time
+    And at least 80 answers are given
     And no refusal came after its request had waited
 
   Scenario: The same overload without the target is answered late
     Given 3 slots with the rule "deadline" and work of 200 ms wanted within 800 ms
-    When 30 requests a second arrive for 20 s
-    Then less than 50 of 100 answers are in time
-
-  Scenario: A crest that passes is answered, late rather than not
-    Given 3 slots with the rule "target" and work of 200 ms wanted within 800 ms
-    When 30 requests a second arrive for 1 s
-    Then none is refused
+    When 30 requests a second arrive for 6 s
+    Then less than 70 of 100 answers are in time
 
   Scenario: Urgent work goes before less urgent work, which is not starved
     Given 3 slots with the rule "target" and work of 200 ms wanted within 800 ms
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -22,7 +22,7 @@
     from .parts import NodeParts
     from .tickets.session import TicketSessions
 
-_FLUSH_MS: Final = 800
+_FLUSH_MS: Final = 500
 _CATCH_UP_MS: Final = 1000
 _CATCH_UP_POLL_MS: Final = 10
 
@@ -135,8 +135,11 @@
                 link.send(heartbeat)
 
     def _close_links(self) -> None:
-        for link in self.links():
-            link.flush(_FLUSH_MS)
+        links = self.links()
+        flushes = [gevent.spawn(link.flush, _FLUSH_MS) for link in links]
+        # All at once: a silent link must not use up the time of a stop.
+        gevent.joinall(flushes, timeout=seconds(_FLUSH_MS))
+        for link in links:
             link.close('node stops')
 
 
--- a/src/jackdawhead/policy/target_admission.py
+++ b/src/jackdawhead/policy/target_admission.py
@@ -26,12 +26,6 @@
 # A queue of this many runs is always allowed, whatever the target.
 _LEAST_WAIT_RUNS: Final = 0.5
 _HALF: Final = 0.5
-# A queue that is above the target for as long stands, until it is below this
-# share of the target.
-_STANDING_MS: Final = 1500.0
-_RELIEF_SHARE: Final = 0.5
-# Late work is taken if a run longer than the average still fits.
-_LATE_RUNS: Final = 1.5
 # Less urgent work lets that of the next rank pass which comes this much later.
 _RANK_MS: Final = 250.0
 # Work with less time left than this share of a run is not begun.
@@ -47,7 +41,6 @@
         super().__init__(service, rng)
         self._queue: list[Work] = []
         self._dropped: list[Work] = []
-        self._long_since_ms: float | None = None
 
     @property
     def waiting(self) -> int:
@@ -59,8 +52,8 @@
             return START
         if not work.may_wait:
             return _BUSY
-        wait_ms = self._wait_of(work)
-        limit_ms = self._limit_ms(work, wait_ms, now_ms)
+        wait_ms = self._wait_of(work, now_ms)
+        limit_ms = self._limit_ms(work, now_ms)
         if wait_ms > limit_ms:
             return Admission(
                 Verdict.REFUSE, self._retry_after_ms(wait_ms - limit_ms)
@@ -125,7 +118,7 @@
             }
         )
 
-    def _wait_of(self, work: Work) -> float:
+    def _wait_of(self, work: Work, now_ms: float) -> float:
         turn = self._turn(work)
         return self._backlog_ms(
             [each for each in self._queue if self._turn(each) <= turn]
@@ -141,37 +134,14 @@
         slots = max(1, self._service.slots_per_upstream)
         return (sum(runs) + sum(halves)) / slots
 
-    def _limit_ms(self, work: Work, wait_ms: float, now_ms: float) -> float:
-        """Return how long work may wait.
-
-        A crest that passes is answered late rather than not at all; once the
-        queue stands, waiting longer makes answers late and no more of them.
-        """
+    def _limit_ms(self, work: Work, now_ms: float) -> float:
         operation = self._service.operations.get(work.operation)
         run_ms = self.run_times.expected_ms(work.operation)
-        left_ms = work.deadline_at_ms - now_ms - _LATE_RUNS * run_ms
+        left_ms = work.deadline_at_ms - now_ms - run_ms
         if operation is None or not operation.target_ms:
             return left_ms
-        target_ms = max(
-            _LEAST_WAIT_RUNS * run_ms,
-            _SPARE_SHARE * operation.target_ms - run_ms,
-        )
-        is_standing = self._note_wait(wait_ms, target_ms, now_ms)
-        return min(left_ms, target_ms) if is_standing else left_ms
-
-    def _note_wait(
-        self,
-        wait_ms: float,
-        target_ms: float,
-        now_ms: float,
-    ) -> bool:
-        """Return whether the queue has been too long for some time."""
-        if wait_ms < _RELIEF_SHARE * target_ms:
-            self._long_since_ms = None
-        elif wait_ms > target_ms and self._long_since_ms is None:
-            self._long_since_ms = now_ms
-        since_ms = self._long_since_ms
-        return since_ms is not None and now_ms - since_ms > _STANDING_MS
+        target_ms = _SPARE_SHARE * operation.target_ms - run_ms
+        return min(left_ms, max(_LEAST_WAIT_RUNS * run_ms, target_ms))
 
     def _is_hopeless(self, work: Work, now_ms: float) -> bool:
         run_ms = self.run_times.expected_ms(work.operation)
