Let work that nobody took go on without a token

Change: attempts that no upstream has taken are bounded by their number alone. Test: failed first (1 attempt instead of 4).

--- a/features/policy/budget.feature
+++ b/features/policy/budget.feature
@@ -10,6 +10,11 @@
     When 100 requests are refused as risky by homes
     Then 100 of them may be sent again
 
+  Scenario: Work that nobody took goes on when all redirects are spent
+    Given a retry budget of 10 of 100 requests
+    And all redirects are spent
+    Then a request whose upstream drains may go to 4 others
+
   Scenario: A route's bound counts the runs, not the refusals
     Given a retry budget of 10 of 100 requests
     Then a request with 1 run of 1 may not run again
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -479,6 +479,26 @@
     assert allowed is (may == 'may')
 
 
+@given('all redirects are spent')
+def spend_redirects(context: Context) -> None:
+    """Reserve redirects until there is none left."""
+    has_left = True
+    while has_left:
+        has_left = context.budget.reserve_redirect(
+            1, WorkClass.SHORT, has_others=True
+        )
+
+
+@then('a request whose upstream drains may go to {number:d} others')
+def check_others(context: Context, number: int) -> None:
+    """Ask for attempts until there is none left."""
+    end = AttemptEnd(Outcome.NOT_RUN, Reason.DRAINING)
+    attempt = 1
+    while context.budget.may_resend(end, attempt, 0, 2):
+        attempt += 1
+    assert attempt - 1 == number, attempt
+
+
 @then('a request that {number:d} homes have refused as overloaded is given up')
 def check_given_up(context: Context, number: int) -> None:
     """Ask for one more attempt."""
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -24,6 +24,7 @@
         Reason.UPSTREAM_UNREACHABLE,
         Reason.NODE_LEAVING,
         Reason.DRAINING,
+        Reason.NO_UPSTREAM,
     )
 )
 # The users' platform allows a fleet some two resends a node beyond the share.
@@ -110,7 +111,7 @@
         and do not count as attempts, nor do those from homes whose upstream
         is likely to fail, which are bounded by the number of tries. Work
         that nobody took, since a link is still being dialled or an upstream
-        drains, may try as many others.
+        drains, may try as many others without a token: it is a load on none.
 
         :param end: of the attempt before.
         :param attempt: its number, from 1.
@@ -120,7 +121,7 @@
         if end.reason in _PASSED_ON:
             return True
         if end.reason in _NOT_TAKEN:
-            return attempt < _MAX_UNTAKEN and self._try_spend(end)
+            return attempt < _MAX_UNTAKEN
         limit = max_runs or self._policy.max_attempts
         counted = attempt if runs is None else runs
         if counted >= limit or attempt >= max(limit, _MAX_UNTAKEN):
