--- a/src/jackdawhead/log_output.py
+++ b/src/jackdawhead/log_output.py
@@ -47,7 +47,7 @@
             self._writer.join(timeout_s)
 
     def close(self) -> None:
-        """Write nothing more; the descriptor may belong to another file then."""
+        """Write nothing more, before the descriptor is another file's."""
         if self._writer is not None:
             self._writer.kill()
 
