--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -440,7 +440,7 @@
 @given('a retry budget of {percent:d} of 100 requests')
 def make_budget(context: Context, percent: int) -> None:
     """Make a budget."""
-    context.policy = RetryPolicy(percent, 100, 3, 0)
+    context.policy = RetryPolicy(percent, 100, 3, 0, 1, 20)
     context.budget = RetryBudget(context.policy)
 
 
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -33,6 +33,8 @@
     'redirect_percent': 50,
     'max_attempts': 3,
     'backoff_ms': 20,
+    'saved_resends': 3,
+    'home_percent': 100,
 }
 _DETECTION_DEFAULTS: Final = {
     'detector': 'peers',
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -64,12 +64,17 @@
         first attempts.
     :param redirect_percent: the same for work that was refused unrun.
     :param max_attempts: attempts for one request, the first included.
+    :param saved_resends: resends that an entry or a home may save up.
+    :param home_percent: resends by the homes themselves, as a share of the
+        budget; all are allowed from 100 on.
     """
 
     budget_percent: int
     redirect_percent: int
     max_attempts: int
     backoff_ms: int
+    saved_resends: int = 3
+    home_percent: int = 100
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -68,6 +68,8 @@
         'redirect_percent': _PERCENT,
         'max_attempts': _whole(1, 10),
         'backoff_ms': _whole(0, _DAY_MS),
+        'saved_resends': _whole(1, 1000),
+        'home_percent': _PERCENT,
     }
 )
 _DETECTION: Final = _closed(
--- a/src/jackdawhead/platform/translation.py
+++ b/src/jackdawhead/platform/translation.py
@@ -35,6 +35,10 @@
         'budget_percent': 12,
         'redirect_percent': 100,
         'max_attempts': 3,
+        # The platform allows a fleet some two resends a node and service
+        # beyond the share.
+        'saved_resends': 2,
+        'home_percent': 15,
     },
     'poison': {'max_crashes': 3},
 }
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -27,10 +27,6 @@
         Reason.NO_UPSTREAM,
     )
 )
-# The users' platform allows a fleet some two resends a node beyond the share.
-_MAX_RETRIES_SAVED: Final = 1.5
-_MAX_HOME_RESENDS_SAVED: Final = 1.0
-_HOME_SHARE: Final = 0.2
 _MAX_REDIRECTS_SAVED: Final = 20.0
 
 
@@ -46,7 +42,9 @@
 
     def __init__(self, policy: RetryPolicy) -> None:
         self._policy = policy
-        self._retries = _MAX_RETRIES_SAVED if policy.budget_percent else 0
+        self._retries = float(policy.saved_resends)
+        if not policy.budget_percent:
+            self._retries = 0
         self._redirects = _MAX_REDIRECTS_SAVED
 
     def replace_policy(self, policy: RetryPolicy) -> None:
@@ -59,7 +57,7 @@
     def note_first_attempt(self) -> None:
         """Count a request that was sent for the first time."""
         self._retries = min(
-            _MAX_RETRIES_SAVED,
+            self._policy.saved_resends,
             self._retries + self._policy.budget_percent / _PERCENT,
         )
         self._redirects = min(
@@ -159,15 +157,18 @@
 
     def __init__(self, policy: RetryPolicy) -> None:
         self._policy = policy
-        self._tokens = _MAX_HOME_RESENDS_SAVED
+        self._tokens: float = 1
 
     def note_run(self) -> None:
         """Count a run."""
-        share = _HOME_SHARE * self._policy.budget_percent / _PERCENT
-        self._tokens = min(_MAX_HOME_RESENDS_SAVED, self._tokens + share)
+        policy = self._policy
+        share = policy.budget_percent * policy.home_percent / _PERCENT**2
+        self._tokens = min(1, self._tokens + share)
 
     def may_resend(self) -> bool:
         """Take a token for a resend; return whether there was one."""
+        if self._policy.home_percent >= _PERCENT:
+            return True
         is_allowed = self._tokens >= 1
         self._tokens -= is_allowed
         return is_allowed
