--- a/features/fleet/live_path.feature
+++ b/features/fleet/live_path.feature
@@ -30,3 +30,14 @@
       | draining         | 4   | 5  |
       | node-leaving     | 4   | 5  |
       | overloaded       | 2   | 3  |
+
+  Scenario Outline: Work that cannot be repeated is not sent on a path cut <direction>
+    Given a link to a home behind a relay, both sending heartbeats
+    Then the path is proved for work that cannot be repeated
+    When the path is cut <direction>
+    Then such work is not sent once that was a moment ago
+
+    Examples: one direction at a time
+      | direction |
+      | forward   |
+      | backward  |
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -37,6 +37,7 @@
 _BEAT_S = 0.02
 _RUN_MS = 1.0
 _LEFT_MS = 5000.0
+_PROOF_LIFE_S = 0.4
 
 
 def ignore(link: Link, event: Message | str) -> None:
@@ -107,6 +108,22 @@
     assert heard.first.reason == reason, heard
 
 
+@then('the path is proved for work that cannot be repeated')
+def check_proved(context: Context) -> None:
+    """Ask the home."""
+    assert LivePaths(str).is_proved(context.link)
+    context.proved_at_ms = monotonic_ms()
+
+
+@then('such work is not sent once that was a moment ago')
+def check_not_proved(context: Context) -> None:
+    """Ask the home again when the earlier answer no longer counts."""
+    silent: list[str] = []
+    gevent.sleep(_PROOF_LIFE_S)
+    assert not LivePaths(silent.append).is_proved(context.link)
+    assert silent == ['home']
+
+
 def load() -> UpstreamLoad:
     """Return an upstream whose short work takes a millisecond."""
     return UpstreamLoad('home', 'home', 'zone', LoadReport(0, _RUN_MS, 1, 1))
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -26,6 +26,10 @@
 
     vm: str
 
+    @property
+    def proved_at_ms(self) -> float:
+        """Monotonic time of the last answer to a ping."""
+
     def ping(self) -> int:
         """Ask the home for an answer at once; return the serial number."""
 
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -69,6 +69,10 @@
             return Refused(
                 Outcome.NOT_RUN, Reason.PEER_UNREACHABLE, _COME_BACK_MS
             )
+        if not call.operation.idempotent and not self._paths.is_proved(channel):
+            return Refused(
+                Outcome.NOT_RUN, Reason.PEER_UNREACHABLE, _COME_BACK_MS
+            )
         attempt = self._attempts.begin(channel)
         started_ms = monotonic_ms()
         pump = self._submit(
--- a/src/jackdawhead/node/entry/live_path.py
+++ b/src/jackdawhead/node/entry/live_path.py
@@ -19,7 +19,9 @@
 _MIN_PATIENCE_MS: Final = 250
 _PATIENCE_FACTOR: Final = 8
 _PONG_MS: Final = 250
-_PONG_POLL_MS: Final = 10
+_PONG_POLL_MS: Final = 5
+# A path that is cut just after it was proved costs what was sent meanwhile.
+_PROVED_FOR_MS: Final = 300
 _GRACE_MS: Final = 50
 
 
@@ -48,6 +50,17 @@
         self._on_silent(channel.vm)
         return False
 
+    def is_proved(self, channel: Channel) -> bool:
+        """Return whether both directions of a path have just been open.
+
+        Work that cannot be repeated is lost on a path that has gone silent,
+        so the home is asked first, unless it was a moment ago.
+
+        :param channel: way to the home.
+        """
+        age_ms = monotonic_ms() - channel.proved_at_ms
+        return age_ms < _PROVED_FOR_MS or self.is_open(channel)
+
     def watch(self, channel: Channel) -> None:
         """Check a path without holding up the request.
 
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -61,6 +61,7 @@
         self.ended = Event()
         self._identity = identity
         self._nonce = new_nonce()
+        self.proved_at_ms: float = 0
         self._pinged = 0
         self._answered = 0
         self._on_message = on_message
@@ -143,6 +144,7 @@
                 self.send(Pong(serial))
             case Pong(serial=serial) if self.vm:
                 self._answered = serial
+                self.proved_at_ms = self.heard_at_ms
                 self._on_message(self, message)
             case _ if self.vm:
                 self._on_message(self, message)
--- a/src/jackdawhead/node/local_channel.py
+++ b/src/jackdawhead/node/local_channel.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..clock import monotonic_ms
 from ..wire.messages import (
     Body,
     Credit,
@@ -32,6 +33,11 @@
         self._parts = parts
         self._session = HomeSession(parts.home, parts.board, self._receive)
 
+    @property
+    def proved_at_ms(self) -> float:
+        """Monotonic time at which the home was reached, which is now."""
+        return monotonic_ms()
+
     def ping(self) -> int:
         """Return the serial number of a ping, which is never sent."""
         return 0
