--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from ..audit import AuditKind
-from ..clock import seconds
+from ..clock import monotonic_ms, seconds
 from ..config.sources import SourceFile
 from ..policy.readers import fallback_ms, is_reader
 
@@ -25,7 +25,7 @@
 _WATCH_MS: Final = 2000
 _GATHER_MS: Final = 200
 # By then the nodes that start with this one are listed.
-_START_MS: Final = 1500
+_START_MS: Final = 3000
 _FIRST_BACKOFF_MS: Final = 200
 _MAX_BACKOFF_MS: Final = 5000
 
@@ -66,8 +66,6 @@
                 self._note_answer()
                 if published is not None:
                     self._offer(published)
-                    # Changes often come a few at a time.
-                    gevent.sleep(seconds(_GATHER_MS if wait_ms else 0))
                 return True
             case Failure(message):
                 self._note_failure(str(message))
@@ -83,8 +81,13 @@
         if not self._is_reader():
             self._sleep(fallback_ms(self._parts.board.vm_list.read()))
             self.read_once()
-        elif not self.read_once(_WATCH_MS):
+            return
+        began_ms = monotonic_ms()
+        if not self.read_once(_WATCH_MS):
             self._sleep(self._backoff_ms)
+        elif monotonic_ms() - began_ms < _WATCH_MS - _GATHER_MS:
+            # Changes often come a few at a time.
+            gevent.sleep(seconds(_GATHER_MS))
 
     def _is_reader(self) -> bool:
         settings = self._parts.settings
