--- /dev/null
+++ b/features/fleet/settings.feature
@@ -0,0 +1,12 @@
+Feature: A running node follows its settings
+
+  Scenario: SIGHUP and changed files are followed without a stop
+    Given a fleet of 1 nodes before "registry-desk"
+    When node 1 gets SIGHUP
+    Then node 1 records "settings-reloaded" with "nothing has changed"
+    When the settings of node 1 name the service "registry-desk"
+    Then node 1 records "settings-reloaded" with "changed: service"
+    When the settings of node 1 name the service "No Name"
+    Then node 1 records "settings-refused" with "service"
+    When callers send 20 lookups to all nodes
+    Then every lookup has the whole answer to its own request
