--- a/src/jackdawhead/bench/client.py
+++ b/src/jackdawhead/bench/client.py
@@ -101,9 +101,10 @@
     def _head(self, call: Call) -> bytes:
         lines = [
             f'{call.method} {call.target} HTTP/1.1',
-            f'Host: {self._address}',
             f'Content-Length: {len(call.body)}',
         ]
+        if 'Host' not in call.headers:
+            lines.append(f'Host: {self._address}')
         lines.extend(f'{name}: {text}' for name, text in call.headers.items())
         return '\r\n'.join((*lines, '', '')).encode('latin-1')
 
