Let homes refuse a risk only where the balancer weighs it

Cause: the limit on the risk of failure went to homes under every balancer. Ruled out: the order of headers in the load tool. Change: the limit is the balancer least-risk's.

--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -8,11 +8,13 @@
 
 from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
+from ...policy.balancers import RISK_BALANCER
 from ...policy.caution import failure_cost_ms, risk_limit
 from ...policy.loads import RoutingQuery, UpstreamLoad
 from ...policy.poison import fingerprint_of
 from ...policy.resend import AttemptEnd, is_resend_safe
 from ...policy.retries import backoff_ms
+from ...policy.spells import RISK_SCALE
 from ...policy.split import draw_service
 from ...reasons import Reason
 from ..decision_log import log_answer, log_choice
@@ -149,6 +151,21 @@
             call, load, attempt_number, has_others=has_others
         )
 
+    def _risk_limit(
+        self,
+        call: Call,
+        attempt: int,
+        *,
+        has_others: bool,
+    ) -> int:
+        """Return the risk above which a home shall refuse.
+
+        Where a detector ejects instead, it needs the outcomes.
+        """
+        if call.router.service.balancer != RISK_BALANCER:
+            return RISK_SCALE
+        return risk_limit(call.operation, attempt, has_others=has_others)
+
     def _may_try(self, call: Call) -> bool:
         """Return whether a failure could be made good by another upstream."""
         has_attempts = call.max_attempts != 1 and call.request.last
@@ -174,8 +191,8 @@
                 call,
                 load,
                 may_wait=not is_reserved,
-                risk_limit=risk_limit(
-                    call.operation, attempt_number, has_others=has_others
+                risk_limit=self._risk_limit(
+                    call, attempt_number, has_others=has_others
                 ),
             )
         finally:
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -20,6 +20,7 @@
 # longer so that a large answer stays within the zone.
 _WAY_MS_PER_BYTE: Final = 0.006
 _SLIGHT_BLUR: Final = 0.1
+RISK_BALANCER: Final = 'least-risk'
 _SAMPLE_SIZE: Final = 3
 _PAIR: Final = 2
 _BLUR: Final = 0.6
@@ -93,7 +94,7 @@
     return load.completion_ms(now_ms) + blur * load.report.run_ms
 
 
-@BALANCERS.register('least-risk')
+@BALANCERS.register(RISK_BALANCER)
 class LeastRiskBalancer(Balancer):
     """Takes the least expected time, a likely failure counted as time too.
 
@@ -193,4 +194,4 @@
         return None
 
 
-__all__ = ('BALANCERS', 'Balancer')
+__all__ = ('BALANCERS', 'RISK_BALANCER', 'Balancer')
