Take out a call to the store that nothing uses

Found by reading the change again: the item call, its decoder and type were left from the time before one watch served both values. A 404, which only that call could get, is a failure like any other status now.

--- a/src/jackdawhead/platform/store.py
+++ b/src/jackdawhead/platform/store.py
@@ -16,7 +16,6 @@
 from .store_types import (
     News,
     Page,
-    Single,
     Snapshot,
     StoreFailure,
     StoredItem,
@@ -28,7 +27,6 @@
     from ..config.settings import Address
 
 _OK: Final = 200
-_NOT_FOUND: Final = 404
 _GONE: Final = 410
 _CALL_MS: Final = 2000
 # A path that has gone silent shows within this time, also during a long wait.
@@ -85,14 +83,6 @@
         self._address = address
         self.calls = 0
 
-    def get(self, key: str) -> Result[Snapshot, StoreFailure]:
-        """Return one item, or none if there is no such item.
-
-        :param key: its key.
-        """
-        answered = self._call(f'/kv-key?key={quote(key, safe="")}', 0)
-        return answered.bind(_single)
-
     def range(self, prefix: str) -> Result[Snapshot, StoreFailure]:
         """Return all items whose keys begin with a prefix.
 
@@ -153,22 +143,11 @@
     response = client.get(target)
     body: bytes = response.read(_MAX_BODY_BYTES)
     status = response.status_code
-    if status in {_OK, _NOT_FOUND}:
+    if status == _OK:
         return Success(body)
     return Failure(StoreFailure(f'status {status}', status == _GONE))
 
 
-def _single(body: bytes) -> Result[Snapshot, StoreFailure]:
-    found = _decode(body, Single)
-    return found.map(lambda each: Snapshot(each.at, _items_of(each)))
-
-
-def _items_of(single: Single) -> tuple[StoredItem, ...]:
-    if not single.key:
-        return ()
-    return (StoredItem(single.key, single.at, single.value),)
-
-
 def _page(body: bytes) -> Result[Page, StoreFailure]:
     return _decode(body, Page)
 
--- a/src/jackdawhead/platform/store_types.py
+++ b/src/jackdawhead/platform/store_types.py
@@ -37,14 +37,6 @@
     events: list[StoredItem] = []
 
 
-class Single(msgspec.Struct, frozen=True):
-    """One item, without a key if there is none."""
-
-    at: int = msgspec.field(name='atRev')
-    key: str = ''
-    value: bytes = b''
-
-
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """What the store holds.
@@ -68,4 +60,4 @@
     is_history_lost: bool = False
 
 
-__all__ = ('News', 'Page', 'Single', 'Snapshot', 'StoreFailure', 'StoredItem')
+__all__ = ('News', 'Page', 'Snapshot', 'StoreFailure', 'StoredItem')
