--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -11,7 +11,7 @@
 from features.steps.spread_steps import statuses
 from jackdawhead.blackboard import Vm, VmList
 from jackdawhead.policy.homes import HomeMap
-from jackdawhead.policy.service_router import Member
+from jackdawhead.policy.member_loads import Member
 from jackdawhead.policy.subset import SubsetRule
 from standins.fleet import wait_until
 
--- a/src/jackdawhead/node/entry/members.py
+++ b/src/jackdawhead/node/entry/members.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ...policy.homes import HomeMap
-from ...policy.service_router import Member
+from ...policy.member_loads import Member
 from ...policy.subset import SubsetRule
 
 if TYPE_CHECKING:
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from .balancers import BALANCERS
@@ -10,6 +9,7 @@
 from .evidence import CUSUM_SCALE, Sample, Summary
 from .detectors import DETECTORS
 from .loads import LoadReport, Pool, RoutingQuery, UpstreamLoad
+from .member_loads import MemberLoads
 from .poison import PoisonTable
 from .retries import RetryBudget
 from .spells import RISK_SCALE
@@ -20,27 +20,13 @@
 
     from ..config.model import Service
     from .detection import Detector
+    from .member_loads import Member
     from ..wire.messages import UpstreamStatus
 
 _EMPTY: Final = Pool()
 _KEPT_UNUSED_MS: Final = 600_000
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
-    """An upstream of a service, as listed.
-
-    :param name: identity, ``vm/service`` or ``vm/start/service``.
-    :param home: VM of the node that owns its slots.
-    :param slots: requests that it runs at once, 0 to follow the service.
-    """
-
-    name: str
-    zone: str
-    home: str
-    slots: int = 0
-
-
 class ServiceRouter:
     """Chooses upstreams of one service, and learns from what comes back.
 
@@ -59,8 +45,7 @@
         self._rng = rng
         self._balancer = BALANCERS.find(service.balancer).unwrap()()
         self._detector = _detector_of(service)
-        self._loads: dict[str, UpstreamLoad] = {}
-        self._draining: set[str] = set()
+        self._members = MemberLoads()
         self._has_news = False
         self._has_ejections = False
         self._pools: dict[str, Pool] = {}
@@ -69,12 +54,12 @@
     @property
     def members(self) -> frozenset[str]:
         """Listed upstreams that take new work, ejected ones included."""
-        return frozenset(self._loads.keys() - self._draining)
+        return self._members.names
 
     @property
     def member_count(self) -> int:
         """Number of members, without walking them."""
-        return len(self._loads) - len(self._draining)
+        return len(self._members)
 
     def replace_service(
         self,
@@ -116,15 +101,8 @@
 
         :param draining: whether it takes no new work.
         """
-        if upstream not in self._loads:
-            return
-        if draining == (upstream in self._draining):
-            return
-        if draining:
-            self._draining.add(upstream)
-        else:
-            self._draining.discard(upstream)
-        self._members_changed()
+        if self._members.mark_draining(upstream, draining):
+            self._members_changed()
 
     def choose(
         self,
@@ -158,7 +136,7 @@
 
         :param upstream: its identity.
         """
-        return self._loads.get(upstream)
+        return self._members.find(upstream)
 
     def note_status(self, status: UpstreamStatus, now_ms: float) -> None:
         """Take in what a home says of an upstream.
@@ -166,7 +144,7 @@
         :param status: load and evidence.
         :param now_ms: monotonic time.
         """
-        load = self._loads.get(status.upstream)
+        load = self._members.find(status.upstream)
         if load is None:
             return
         slots = load.slots or self.service.slots_per_upstream
@@ -228,8 +206,8 @@
         :param health: the state; ``WELL`` counts those with no other.
         """
         states = [
-            {self._detector.health(name, each) for each in self._pools}
-            for name in self._loads
+            {self._detector.health(load.upstream, each) for each in self._pools}
+            for load in self._members.listed
         ]
         if health is Health.WELL:
             return sum(1 for found in states if found == {Health.WELL})
@@ -241,9 +219,7 @@
         :param home: VM of the home.
         :param until_ms: monotonic time.
         """
-        for load in self._loads.values():
-            if load.home == home:
-                load.avoid_until_ms = until_ms
+        self._members.avoid_home(home, until_ms)
 
     def tick(self, now_ms: float) -> tuple[HealthChange, ...]:
         """Judge the upstreams anew.
@@ -260,44 +236,16 @@
         return changes
 
     def _follow(self, members: tuple[Member, ...]) -> bool:
-        """Take over the members; return whether any came, left or moved."""
-        named = {each.name: each for each in members}
-        gone = self._loads.keys() - named.keys()
-        for name in gone:
-            self._loads.pop(name)
-        self._draining -= gone
-        new = [each for each in named.values() if not self._has(each)]
-        for member in new:
-            self._loads[member.name] = self._new_load(member)
-        return bool(gone or new)
-
-    def _has(self, member: Member) -> bool:
-        present = self._loads.get(member.name)
-        return present is not None and present.home == member.home
-
-    def _new_load(self, member: Member) -> UpstreamLoad:
-        """Return the load of an upstream of which nothing is known.
-
-        It counts as one slot that is no faster than the slowest upstream
-        known, so that its share grows with its own reports.
-        """
-        run_ms = max(
-            (load.report.run_ms for load in self._loads.values()),
-            default=min(
-                each.expected_ms for each in self.service.operations.values()
-            ),
-        )
-        report = LoadReport(0, run_ms, 1, 1)
-        return UpstreamLoad(
-            member.name, member.zone, member.home, report, slots=member.slots
-        )
+        operations = self.service.operations.values()
+        expected_ms = min(each.expected_ms for each in operations)
+        return self._members.follow(members, expected_ms)
 
     def _members_changed(self) -> None:
         self._detector.replace_members(self.members)
         self._rebuild_pools()
 
     def _rebuild_pools(self) -> None:
-        members = [self._loads[name] for name in sorted(self.members)]
+        members = self._members.taking_work()
         self._has_ejections = False
         for operation in self.service.operations:
             well = []
@@ -344,4 +292,4 @@
     return DETECTORS.find(service.detection.detector).unwrap()(service)
 
 
-__all__ = ('Member', 'ServiceRouter')
+__all__ = ('ServiceRouter',)
--- a/src/jackdawhead/policy/subset.py
+++ b/src/jackdawhead/policy/subset.py
@@ -8,7 +8,7 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from .service_router import Member
+    from .member_loads import Member
 
 _LOCAL_SHARE: Final = 2 / 3
 _HASH_BITS: Final = 64
--- a/src/jackdawhead/replay/engine.py
+++ b/src/jackdawhead/replay/engine.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from ..policy.service_router import Member
+from ..policy.member_loads import Member
 from ..trace.records import ArrivalRecord, MemberRecord, PathRecord
 from .behaviour import RecordedBehaviour
 from .entries import ReplayEntry
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-from itertools import count
 from typing import TYPE_CHECKING, Final
 
 from ..outcome import Outcome
-from ..policy.detection import Health
 from ..policy.evidence import Sample
 from ..policy.hedging import hedge_after_ms
 from ..policy.loads import RoutingQuery, UpstreamLoad
-from ..policy.resend import AttemptEnd, is_resend_safe
+from ..policy.resend import is_resend_safe
 from ..policy.retries import backoff_ms
-from ..policy.service_router import Member, ServiceRouter
-from ..policy.work import Work
+from ..policy.member_loads import Member
+from ..policy.service_router import ServiceRouter
 from ..reasons import Reason
 from .homes import HomeAnswer, HomeJob, ReplayUpstream, Shared
+from .outcomes import end_of, finished, healthy_share
 from .requests import ReplayCopy, ReplayRequest
-from .result import Finished, HealthyShare, SeenChange
+from .result import SeenChange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,8 +28,6 @@
 _OTHER_ZONE_MS: Final = 2.5
 _CUT_AVOID_MS: Final = 500
 
-_work_ids: Final = count(1)
-
 
 class ReplayEntry:
     """One entry with the routing state that a live one would keep.
@@ -105,7 +102,9 @@
                     SeenChange(now_ms, self.node, change)
                 )
             if changes:
-                self._note_share(router, now_ms)
+                self._shared.result.shares.append(
+                    healthy_share(router, self.node, now_ms)
+                )
 
     def arrive(self, arrival: ArrivalRecord) -> None:
         """Take a request.
@@ -165,7 +164,7 @@
         upstream = self._upstreams[load.upstream]
         hop_ms = self._hop_ms(load.upstream)
         job = HomeJob(
-            self._work_of(request, copy.sent_ms + hop_ms),
+            request.work(copy.sent_ms + hop_ms),
             request.arrival.fingerprint,
             request.attempts > 1 or len(request.copies) > 1,
             lambda answer: timeline.after(
@@ -270,7 +269,7 @@
     def _end_attempt(self, request: ReplayRequest, answer: HomeAnswer) -> None:
         policy = request.router.service.retry
         now_ms = self._shared.timeline.now_ms
-        end = _end_of(answer)
+        end = end_of(answer)
         request.router.budget.settle(end, was_reserved=request.is_reserved)
         request.is_reserved = False
         may_resend = (
@@ -288,48 +287,11 @@
 
     def _finish(self, request: ReplayRequest, answer: HomeAnswer) -> None:
         now_ms = self._shared.timeline.now_ms
-        spent_ms = now_ms - request.arrived_ms
-        self._shared.result.finished.append(
-            Finished(
-                request.router.service.name,
-                request.operation,
-                request.arrival.organisation,
-                request.arrived_ms,
-                now_ms,
-                max(0, spent_ms - answer.run_ms),
-                request.attempts + request.hedges,
-                answer.outcome,
-                answer.reason,
-                answer.is_good,
-            )
-        )
-
-    def _work_of(self, request: ReplayRequest, arrived_ms: float) -> Work:
-        return Work(
-            next(_work_ids),
-            request.operation.name,
-            request.operation.work_class,
-            request.arrival.organisation,
-            arrived_ms,
-            request.deadline_at_ms,
-            not request.is_reserved,
-        )
+        self._shared.result.finished.append(finished(request, answer, now_ms))
 
     def _hop_ms(self, upstream: str) -> float:
         is_own = self._zones.get(upstream) == self._zone
         return _OWN_ZONE_MS if is_own else _OTHER_ZONE_MS
 
-    def _note_share(self, router: ServiceRouter, now_ms: float) -> None:
-        members = max(1, router.member_count)
-        share = router.count_of(Health.WELL) / members
-        self._shared.result.shares.append(
-            HealthyShare(now_ms, self.node, router.service.name, share)
-        )
-
-
-def _end_of(answer: HomeAnswer) -> AttemptEnd:
-    is_error = answer.reason is None and not answer.is_good
-    return AttemptEnd(answer.outcome, answer.reason, is_error)
-
 
 __all__ = ('ReplayEntry',)
--- a/src/jackdawhead/replay/requests.py
+++ b/src/jackdawhead/replay/requests.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from itertools import count
+from typing import TYPE_CHECKING, Final
+
+from ..policy.work import Work
 
 if TYPE_CHECKING:
     from ..config.model import Operation
@@ -12,6 +15,8 @@
     from ..trace.records import ArrivalRecord
     from .homes import HomeJob
 
+_work_ids: Final = count(1)
+
 
 @dataclass(slots=True, eq=False)
 class ReplayCopy:
@@ -50,5 +55,20 @@
         """Virtual time at which it is given up."""
         return self.arrived_ms + self.operation.deadline_ms
 
+    def work(self, arrived_ms: float) -> Work:
+        """Return the work of one sending, with an id of its own.
+
+        :param arrived_ms: virtual time of its arrival at the home.
+        """
+        return Work(
+            next(_work_ids),
+            self.operation.name,
+            self.operation.work_class,
+            self.arrival.organisation,
+            arrived_ms,
+            self.deadline_at_ms,
+            not self.is_reserved,
+        )
+
 
 __all__ = ('ReplayCopy', 'ReplayRequest')
--- a/standins/capacity_process.py
+++ b/standins/capacity_process.py
@@ -18,7 +18,8 @@
 from jackdawhead.node.list_codec import parse_vm_list
 from jackdawhead.policy.homes import HomeMap
 from jackdawhead.policy.loads import RoutingQuery
-from jackdawhead.policy.service_router import Member, ServiceRouter
+from jackdawhead.policy.member_loads import Member
+from jackdawhead.policy.service_router import ServiceRouter
 from jackdawhead.wire.messages import UpstreamStatus
 
 _IP: Final = '127.0.0.1'
