--- a/features/policy/spells.feature
+++ b/features/policy/spells.feature
@@ -42,6 +42,32 @@
     And 100 requests that cannot be repeated are placed
     Then all go to "failing"
 
+  Scenario: Repeatable work waits for a well upstream as long as it is in time
+    Given a service with upstreams "well" and "failing"
+    When "well" has a wait of 450 ms
+    And 100 requests that can be repeated are placed
+    Then none goes to "failing"
+    When "well" has a wait of 2 s
+    And 100 requests that can be repeated are placed
+    Then all go to "failing"
+
+  Scenario: A second copy is not sent where it is likely to fail
+    Given a service with upstreams "well" and "failing"
+    Then a second copy may be sent to "well"
+    And no second copy may be sent to "failing"
+
+  Scenario: An upstream that was only busy may be chosen again
+    Given a service with upstreams "well" and "failing"
+    When a request finds "well" busy
+    And "well" has a wait of 300 ms
+    Then it goes to "well" next, and may wait there
+
+  Scenario: An upstream that refused the risk is not asked again
+    Given a service with upstreams "well" and "failing"
+    When a request finds "failing" risky
+    And "well" has a wait of 30 s
+    Then it goes to "well" next, and is sent on if that is busy
+
   Scenario: An upstream of which nothing is heard is not feared for it
     Given a service with upstreams "near" and "far"
     When "near" was well 20 s ago, and "far" is well now
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -27,6 +27,7 @@
 from jackdawhead.policy.admissions import ADMISSIONS
 from jackdawhead.policy.balancers import BALANCERS
 from jackdawhead.policy.caution import failure_cost_ms, risk_limit
+from jackdawhead.policy.hedging import may_hedge_at
 from jackdawhead.policy.loads import (
     LoadReport,
     Pool,
@@ -37,6 +38,7 @@
 from jackdawhead.policy.retries import HomeResends, RetryBudget
 from jackdawhead.policy.spells import SpellEstimate
 from jackdawhead.policy.split import draw_service
+from jackdawhead.policy.tries import Tries
 from jackdawhead.policy.work import Verdict, Work
 from jackdawhead.reasons import Reason
 
@@ -408,6 +410,49 @@
     )
 
 
+@when('a request finds "{name}" {reason}')
+def find_upstream(context: Context, name: str, reason: str) -> None:
+    """Send a request that the home of an upstream refuses."""
+    context.tries = Tries(set())
+    context.tries.note_sent(name)
+    context.tries.note_refused(name, Reason(reason))
+
+
+@then('it goes to "{name}" next, and may wait there')
+def check_waits(context: Context, name: str) -> None:
+    """Choose again."""
+    assert choose_again(context) == name
+    assert context.tries.was_busy(name)
+
+
+@then('it goes to "{name}" next, and is sent on if that is busy')
+def check_sent_on(context: Context, name: str) -> None:
+    """Choose again."""
+    assert choose_again(context) == name
+    assert not context.tries.was_busy(name)
+
+
+def choose_again(context: Context) -> str:
+    """Return the upstream of the next attempt."""
+    query = RoutingQuery(
+        context.now_ms, context.tries.excluded, failure_cost_ms(_ONCE)
+    )
+    load = context.balancer.choose(context.pool, query, context.rng)
+    return str(load.upstream)
+
+
+@then('a second copy may be sent to "{name}"')
+def check_copy(context: Context, name: str) -> None:
+    """Ask for a second copy."""
+    assert may_hedge_at(context.loads[name], context.now_ms)
+
+
+@then('no second copy may be sent to "{name}"')
+def check_no_copy(context: Context, name: str) -> None:
+    """Ask for a second copy."""
+    assert not may_hedge_at(context.loads[name], context.now_ms)
+
+
 @then('none goes to "{name}"')
 def check_none(context: Context, name: str) -> None:
     """Look at the choices."""
--- a/src/jackdawhead/node/entry/calls.py
+++ b/src/jackdawhead/node/entry/calls.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from ...config.model import Operation
     from ...policy.service_router import ServiceRouter
+    from ...policy.tries import Tries
     from .requests import CallerRequest
 
 
@@ -22,7 +23,7 @@
     :param max_attempts: upstreams that may run it, 0 to follow the service.
     :param request_id: as the caller names it, for the log.
     :param runs: attempts so far that may have run.
-    :param tried: upstreams it was sent to, or that it may have crashed.
+    :param tries: upstreams it was sent to, or that it may have crashed.
     """
 
     request: CallerRequest
@@ -30,7 +31,7 @@
     operation: Operation
     fingerprint: int
     deadline_at_ms: float
-    tried: set[str] = field(default_factory=set)
+    tries: Tries
     caller_service: str = ''
     max_attempts: int = 0
     request_id: str = ''
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -16,6 +16,7 @@
 from ...policy.retries import backoff_ms
 from ...policy.spells import RISK_SCALE
 from ...policy.split import draw_service
+from ...policy.tries import Tries
 from ...reasons import Reason
 from ..decision_log import log_answer, log_choice
 from .calls import Call
@@ -91,7 +92,7 @@
             operation,
             fingerprint,
             monotonic_ms() + deadline_ms,
-            router.poison.crashed_upstreams(fingerprint),
+            Tries(router.poison.crashed_upstreams(fingerprint)),
             self._board.own_service.read(),
             route.max_attempts,
             request.request_id,
@@ -131,7 +132,7 @@
             )
         query = RoutingQuery(
             now_ms,
-            frozenset(call.tried),
+            call.tries.excluded,
             failure_cost_ms(call.operation),
             call.router.sizes.usual(call.operation.name),
             call.operation if self._may_try(call) else None,
@@ -143,10 +144,10 @@
                 Reason.NO_UPSTREAM,
                 call.router.service.retry.backoff_ms,
             )
-        call.tried.add(load.upstream)
+        call.tries.note_sent(load.upstream)
         call.attempts = attempt_number
         log_choice(call, load, attempt_number)
-        has_others = len(call.tried) < call.router.member_count
+        has_others = len(call.tries) < call.router.member_count
         return self._attempt_at(
             call, load, attempt_number, has_others=has_others
         )
@@ -162,10 +163,13 @@
 
         Where a detector ejects instead, it needs the outcomes.
         """
-        if call.router.service.balancer != RISK_BALANCER:
+        if not self._weighs_risk(call):
             return RISK_SCALE
         return risk_limit(call.operation, attempt, has_others=has_others)
 
+    def _weighs_risk(self, call: Call) -> bool:
+        return call.router.service.balancer == RISK_BALANCER
+
     def _may_try(self, call: Call) -> bool:
         """Return whether a failure could be made good by another upstream."""
         has_attempts = call.max_attempts != 1 and call.request.last
@@ -180,7 +184,10 @@
         has_others: bool,
     ) -> Answer:
         budget = call.router.budget
-        is_reserved = call.request.last and budget.reserve_redirect(
+        may_redirect = call.request.last and not call.tries.was_busy(
+            load.upstream
+        )
+        is_reserved = may_redirect and budget.reserve_redirect(
             attempt_number,
             call.operation.work_class,
             has_others=has_others,
@@ -198,6 +205,8 @@
         finally:
             load.note_done()
         budget.settle(_end_of(answer), was_reserved=is_reserved)
+        if isinstance(answer, Refused) and self._weighs_risk(call):
+            call.tries.note_refused(load.upstream, answer.reason)
         return answer
 
     def _may_resend(
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -8,8 +8,9 @@
 
 from ...clock import monotonic_ms
 from ...outcome import Outcome
+from ...policy.caution import failure_cost_ms
 from ...policy.evidence import Sample
-from ...policy.hedging import hedge_after_ms
+from ...policy.hedging import hedge_after_ms, may_hedge_at
 from ...policy.loads import RoutingQuery, UpstreamLoad
 from ...policy.spells import RISK_SCALE
 from ...reasons import Reason
@@ -80,7 +81,7 @@
         )
         copy = Copy(attempt, load, started_ms)
         try:
-            heard = self._await_first(call, copy)
+            heard = self._await_first(call, copy, risk_limit)
         except BaseException:
             self._attempts.cancel(attempt)
             _kill(pump)
@@ -91,7 +92,12 @@
         _kill(pump)
         return self._refused(heard.copy.attempt, heard.first)
 
-    def _await_first(self, call: Call, copy: Copy) -> Heard:
+    def _await_first(
+        self,
+        call: Call,
+        copy: Copy,
+        risk_limit: int,
+    ) -> Heard:
         attempt = copy.attempt
         if not call.operation.idempotent or not call.request.last:
             return Heard(copy, attempt.first(call.left_ms() + _GRACE_MS))
@@ -103,24 +109,29 @@
                 return Heard(copy, first)
             self._paths.watch(attempt.channel)
             self._routing.note_overdue(copy.load, copy.sent_ms, monotonic_ms())
-            heard = self._hedge(call, copy)
+            heard = self._hedge(call, copy, risk_limit)
             if heard is not None:
                 return heard
         first = self._paths.first(attempt, copy.run_ms, call.left_ms())
         return Heard(copy, first)
 
-    def _hedge(self, call: Call, copy: Copy) -> Heard | None:
+    def _hedge(
+        self,
+        call: Call,
+        copy: Copy,
+        risk_limit: int,
+    ) -> Heard | None:
         """Send a second copy and return the better answer, if one may."""
         load = self._hedge_target(call, copy.load.upstream)
         channel = self._channels.to(load.home) if load else None
         if load is None or channel is None:
             return None
-        call.tried.add(load.upstream)
+        call.tries.note_sent(load.upstream)
         twin = self._attempts.begin(channel, copy.attempt)
         call.runs += 1
         load.note_sent()
         try:
-            self._submit(call, load, twin, may_wait=True)
+            self._submit(call, load, twin, may_wait=True, risk_limit=risk_limit)
             copies = (copy, Copy(twin, load, monotonic_ms()))
             return Race(
                 self._attempts, self._paths, copies, call.left_ms()
@@ -137,10 +148,16 @@
             return None
         if call.max_attempts and call.runs + 2 > call.max_attempts:
             return None
-        if not call.router.budget.may_hedge():
+        now_ms = monotonic_ms()
+        query = RoutingQuery(
+            now_ms, frozenset((first,)), failure_cost_ms(call.operation)
+        )
+        load = call.router.choose(call.operation.name, query)
+        if load is None or load.upstream == first:
+            return None
+        if not may_hedge_at(load, now_ms):
             return None
-        query = RoutingQuery(monotonic_ms(), frozenset((first,)))
-        return call.router.choose(call.operation.name, query)
+        return load if call.router.budget.may_hedge() else None
 
     def _submit(
         self,
--- a/src/jackdawhead/policy/caution.py
+++ b/src/jackdawhead/policy/caution.py
@@ -18,9 +18,10 @@
     from .loads import UpstreamLoad
 
 # A failure of work that can't be repeated is final; a caller would rather
-# wait for several times its target. Repeatable work loses one more run.
+# wait for several times its target. Repeatable work loses a run, and a resend
+# of which there are few: it waits as long as the answer is still in time.
 _FINAL_FAILURE_TARGETS: Final = 4.0
-_REPEATABLE_FAILURE_TARGETS: Final = 0.5
+_REPEATABLE_FAILURE_TARGETS: Final = 1.0
 # Below that after one failure of a busy upstream.
 _CAUTIOUS_LIMIT: Final = 0.2
 # Below that after a fresh failure of an upstream in a spell.
--- a/src/jackdawhead/policy/hedging.py
+++ b/src/jackdawhead/policy/hedging.py
@@ -13,6 +13,8 @@
 _RUN_FACTOR: Final = 4
 _UNKNOWN_FACTOR: Final = 2
 _LEAST_MS: Final = 50
+# A copy that is likelier to fail than not costs a resend for nothing.
+_MOST_RISK: Final = 0.5
 
 
 def hedge_after_ms(
@@ -39,4 +41,13 @@
     return max(_LEAST_MS, _RUN_FACTOR * median_ms + wait_ms)
 
 
-__all__ = ('hedge_after_ms',)
+def may_hedge_at(load: UpstreamLoad, now_ms: float) -> bool:
+    """Return whether a second copy may be sent to an upstream.
+
+    :param load: the upstream.
+    :param now_ms: monotonic time.
+    """
+    return load.risk_now(now_ms) <= _MOST_RISK
+
+
+__all__ = ('hedge_after_ms', 'may_hedge_at')
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -6,7 +6,7 @@
 
 from ..outcome import Outcome
 from ..policy.evidence import Sample
-from ..policy.hedging import hedge_after_ms
+from ..policy.hedging import hedge_after_ms, may_hedge_at
 from ..policy.loads import RoutingQuery, UpstreamLoad
 from ..policy.resend import is_resend_safe
 from ..policy.retries import backoff_ms
@@ -194,6 +194,8 @@
         load = router.choose(request.operation.name, query)
         if load is None or load.home in self._cut_homes:
             return
+        if not may_hedge_at(load, now_ms):
+            return
         request.tried.add(load.upstream)
         request.hedges += 1
         request.is_reserved = False
