--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak of the real programs under faults from outside."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -293,7 +293,7 @@
         )
         process = subprocess.Popen(
             [sys.executable, '-m', module, *arguments],
-            stdout=subprocess.PIPE,
+            stdout=errors if log else subprocess.PIPE,
             stderr=errors,
             cwd=_ROOT,
         )
