Leaving nodes wait for callers' open connections, and five sixths of the grace

Change: drain_idle_ms, 3 s by default, in which callers' unused connections are waited for; every answer asks to close them. On the platform the drain lasts five sixths of the grace and a moment. Ruled out: counting the reset as allowed, since callers were not told before.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -326,6 +326,7 @@
     """Look at the times of a stop."""
     node = context.read.unwrap().node
     assert node.accept_while_leaving_ms < node.drain_ms < grace
+    assert node.drain_ms > grace * 5 / 6, node.drain_ms
 
 
 @then('the problem names "{field}"')
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -199,6 +199,7 @@
         'ready_address': _ADDRESS,
         'service': _NAME,
         'accept_while_leaving_ms': _whole(0, _DAY_MS),
+        'drain_idle_ms': _whole(0, _DAY_MS),
     },
     'vm',
     'zone',
--- a/src/jackdawhead/config/settings.py
+++ b/src/jackdawhead/config/settings.py
@@ -58,6 +58,8 @@
         upstreams that run the requests of its callers.
     :param accept_while_leaving_ms: time for which callers are still served
         after SIGTERM, until all know that the node is not ready.
+    :param drain_idle_ms: longest wait at a stop for callers to close their
+        unused connections, which they are asked to with their next answer.
     """
 
     vm: str
@@ -75,6 +77,7 @@
     ready_address: Address | None = None
     service: str = ''
     accept_while_leaving_ms: int = 0
+    drain_idle_ms: int = 3000
 
 
 def load_settings(folder: Path) -> Result[NodeSettings, tuple[Problem, ...]]:
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -34,10 +34,13 @@
     def handle(self) -> None:
         """Serve one connection, until it is idle for too long."""
         self.socket.settimeout(self.server.idle_timeout_s)
+        self.server.connections += 1
         try:
             super().handle()
         except TimeoutError:
             self.socket.close()
+        finally:
+            self.server.connections -= 1
 
     def handle_one_response(self) -> None:
         """Serve one request and count it while it is in progress."""
@@ -81,7 +84,8 @@
     :param application: WSGI application.
     :param idle_timeout_s: time after which a slow caller is shed.
 
-    The attribute ``active`` is the number of requests in progress.
+    The attribute ``active`` is the number of requests in progress, and
+    ``connections`` that of open connections.
     """
 
     handler_class = QuickHandler
@@ -100,6 +104,7 @@
         )
         self.idle_timeout_s = idle_timeout_s
         self.active = 0
+        self.connections = 0
 
 
 __all__ = ('SOCKET_KEY', 'QuickServer')
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -203,14 +203,28 @@
         last_ms = monotonic_ms() + self._settings.drain_ms
         gevent.sleep(seconds(self._settings.accept_while_leaving_ms))
         self._callers.close()
-        quiet_ms = monotonic_ms()
+        closed_ms = monotonic_ms()
+        quiet_ms = closed_ms
         while monotonic_ms() < last_ms:
-            if self._callers.active or self.parts.home.busy:
+            if self._is_in_use(closed_ms):
                 quiet_ms = monotonic_ms()
             if monotonic_ms() - quiet_ms > _LINGER_MS:
                 return
             gevent.sleep(seconds(_POLL_MS))
 
+    def _is_in_use(self, closed_ms: float) -> bool:
+        """Return whether a request is in progress, or may still come in.
+
+        :param closed_ms: monotonic time at which the listener was closed.
+        """
+        if self._callers.active or self.parts.home.busy:
+            return True
+        idle_ms = monotonic_ms() - closed_ms
+        return (
+            self._callers.connections > 0
+            and idle_ms < self._settings.drain_idle_ms
+        )
+
     def _tell_drain(self, upstream: str, draining: bool) -> None:
         self.parts.routing.note_drain(upstream, draining)
         self._channels.gossip.broadcast(DrainNews(upstream, draining))
--- a/src/jackdawhead/platform/settings_file.py
+++ b/src/jackdawhead/platform/settings_file.py
@@ -23,8 +23,10 @@
 # Two questions a second apart without a 200 take a node out; what callers
 # had sent by then arrives a moment later.
 _NOTICED_MS: Final = 2600
-# Left of the time before a kill, to close what is open.
-_CLOSING_MS: Final = 1500
+# Work in progress has all but the last sixth of the time before a kill, and
+# a moment more; what is left is for closing.
+_CLOSING_PART: Final = 6
+_MOMENT_MS: Final = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +102,12 @@
         platform_address=Address.parse(fields['platform.address']),
         stream_keys=(os.environ[STREAM_KEY_VARIABLE],),
         seed_addresses=tuple(Address.parse(each) for each in seeds),
-        drain_ms=max(_CLOSING_MS, grace_ms - _CLOSING_MS),
+        drain_ms=grace_ms - grace_ms // _CLOSING_PART + _MOMENT_MS,
         ready_address=Address.parse(fields['listen.readyAddr']),
         service=fields.get('service', ''),
         accept_while_leaving_ms=min(_NOTICED_MS, grace_ms // 2),
+        # Callers there are told by the readiness listener before.
+        drain_idle_ms=0,
     )
 
 
