--- a/features/path/failures.feature
+++ b/features/path/failures.feature
@@ -63,3 +63,7 @@
     And node 1 follows configuration 1
     When a caller sends GET "/cultivars/rosa-alba" to node 1
     Then the status is 200
+
+  Scenario: A node that stops answers once more on a connection that is kept
+    When a caller sends on a kept connection 1 s after node 2 is told to stop
+    Then its answer is whole and asks to close the connection
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -182,6 +182,30 @@
     gevent.joinall(context.senders)
 
 
+@when(
+    'a caller sends on a kept connection {pause:d} s after node {position:d}'
+    ' is told to stop'
+)
+def send_while_leaving(context: Context, pause: int, position: int) -> None:
+    """Use a connection, send SIGTERM, and use the connection again."""
+    node = context.fleet.nodes[node_at(context, position)]
+    client = CallerClient(Address(_IP, node.caller_port), _TIMEOUT_S)
+    context.stack.callback(client.close)
+    lookup = Call('GET', '/cultivars/kept')
+    client.send(lookup)
+    node.process.terminate()
+    gevent.sleep(pause)
+    context.kept_reply = client.send(lookup)
+
+
+@then('its answer is whole and asks to close the connection')
+def check_kept_reply(context: Context) -> None:
+    """Look at the answer of a node that is leaving."""
+    reply = context.kept_reply
+    assert reply.status == 200, reply
+    assert reply.headers.get('connection') == 'close', reply
+
+
 @then('node {position:d} exits with {code:d}')
 def check_exit(context: Context, position: int, code: int) -> None:
     """Compare the exit code of a node."""
