Import only the command that is called

Change: commands are imported by the first word; without a known word all are. Ruled out: leaving out libraries of the node itself (settings are checked with jsonschema, listeners are falcon's): they are in use.

--- a/src/jackdawhead/cli/run.py
+++ b/src/jackdawhead/cli/run.py
@@ -6,7 +6,7 @@
 import sys
 from typing import TYPE_CHECKING, Final
 
-from .commands import COMMANDS
+from .commands import load_commands
 from .exit_codes import ExitCode
 from .parser import build_parser
 
@@ -22,7 +22,8 @@
     :param arguments: words after the program's name.
     :returns: the exit code of the process.
     """
-    options = build_parser(COMMANDS).parse_args(arguments)
+    commands = load_commands(arguments[0] if arguments else '')
+    options = build_parser(commands).parse_args(arguments)
     try:
         return int(options.run(options))
     except KeyboardInterrupt:
