Do not eject an upstream for failures that it has left behind

Change: piled-up evidence counts only with more errors than the peers have now. Ruled out: the run time (its cause would be told as such).

--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -27,6 +27,7 @@
 from jackdawhead.policy.admissions import ADMISSIONS
 from jackdawhead.policy.balancers import BALANCERS
 from jackdawhead.policy.caution import failure_cost_ms, risk_limit
+from jackdawhead.policy.evidence import Summary
 from jackdawhead.policy.hedging import may_hedge_at
 from jackdawhead.policy.loads import (
     LoadReport,
@@ -38,6 +39,7 @@
 from jackdawhead.policy.retries import HomeResends, RetryBudget
 from jackdawhead.policy.spells import SpellEstimate
 from jackdawhead.policy.split import draw_service
+from jackdawhead.policy.suspicion import Norm, Suspicion, suspect
 from jackdawhead.policy.tries import Tries
 from jackdawhead.policy.work import Verdict, Work
 from jackdawhead.reasons import Reason
@@ -52,6 +54,7 @@
 _SEED = 7
 _AT_ONCE_MS = 0.001
 _START_MS = 1_000_000
+_MUCH_EVIDENCE = 100.0
 _QUARTER = 0.25
 _DEADLINE_MS = 1500.0
 _OPERATIONS = {'urgent': 1, 'other': 2}
@@ -617,3 +620,34 @@
 def check_part(context: Context, least: int, most: int) -> None:
     """Look at the share."""
     assert least <= context.drawn['second'] <= most, context.drawn
+
+
+@given('peers without errors and a run time of {run:d} ms')
+def make_norm(context: Context, run: int) -> None:
+    """Make the norm of a service."""
+    context.norm = Norm(0, run)
+
+
+def judge(context: Context, errors: int, number: int) -> Suspicion:
+    """Judge an upstream whose cumulated evidence is beyond the limit."""
+    summary = Summary(number, errors / number, 20, _MUCH_EVIDENCE)
+    policy = DetectionPolicy('peers', 4000, 8, 30, 3, 5000, 60_000, 5000)
+    return suspect(summary, context.norm, policy)
+
+
+@then(
+    'an upstream with {errors:d} errors of {number:d} and old evidence of'
+    ' failing is not suspect'
+)
+def check_not_suspect(context: Context, errors: int, number: int) -> None:
+    """Judge it."""
+    assert not judge(context, errors, number).severity
+
+
+@then(
+    'an upstream with {errors:d} errors of {number:d} and fresh evidence of'
+    ' failing is suspect'
+)
+def check_suspect(context: Context, errors: int, number: int) -> None:
+    """Judge it."""
+    assert judge(context, errors, number).severity
--- a/src/jackdawhead/policy/suspicion.py
+++ b/src/jackdawhead/policy/suspicion.py
@@ -76,8 +76,12 @@
     """
     if summary.count >= policy.min_samples:
         excess = summary.error_share - norm.error_share
+        # Evidence that has piled up says nothing of one that is well now.
+        is_failing = excess > 0
         has_changed = summary.cusum - norm.cusum >= _CUSUM_LIMIT
-        if has_changed or excess * _PERCENT >= policy.error_percent:
+        if (
+            is_failing and has_changed
+        ) or excess * _PERCENT >= policy.error_percent:
             return Suspicion(1 + excess, _error_cause(summary, norm))
     slowest_ms = max(summary.run_ms, summary.least_ms)
     if exceeds(slowest_ms, norm, policy):
