Soak: count an upstream's leaving from when the store can tell it

Change: if the store is down or stale when an upstream is listed as leaving, the 3 s count from the store's return; an outage later changes nothing. Ruled out: a longer bound.

--- a/soak/world.py
+++ b/soak/world.py
@@ -43,6 +43,8 @@
         self._spots = HELVETIA.spots(self._service)[:node_count]
         self._files = config_files(HELVETIA.folder)
         self._version = 0
+        self._store_faults: list[tuple[float, float]] = []
+        self._store_left_s: float | None = None
         self._began_s = time.monotonic()
         self._began_at = time.time()
 
@@ -134,12 +136,25 @@
         self.fleet.publish_vms()
 
     def note_left(self, upstream: str, from_s: float) -> None:
-        """Keep that an upstream was listed as leaving until now."""
-        leaving = Leaving(upstream, from_s, self.now_s)
+        """Keep that an upstream was listed as leaving until now.
+
+        If the store could not tell it then, nodes can know it from when the
+        store is back.
+        """
+        known_s = from_s
+        for left_s, back_s in self._store_faults:
+            if left_s <= from_s < back_s:
+                known_s = back_s
+        leaving = Leaving(upstream, known_s, self.now_s)
         self.evidence.leavings.append(leaving)
 
     def set_store(self, mode: str) -> None:
         """Let the platform be ``up``, ``down`` or ``stale``."""
+        if mode != 'up':
+            self._store_left_s = self.now_s
+        elif self._store_left_s is not None:
+            self._store_faults.append((self._store_left_s, self.now_s))
+            self._store_left_s = None
         call(
             self.fleet.platform_port,
             'POST',
