Callers' test client drops connections that the server has closed

Change: the client looks whether an idle connection was closed, as HTTP clients do; planned stops are given 6 s in a plan. Ruled out: leaving such errors out of the check.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,8 +12,10 @@
 _RATE: Final = 1.1
 _SHORTEST_S: Final = 0.4
 _LONGEST_S: Final = 4.0
-# Work may still reach an upstream that leaves for 3 s, so it leaves longer.
-_LEAVING_S: Final = 6.0
+# Work may still reach an upstream that leaves for 3 s, so it leaves longer; a
+# node that stops waits as long for its callers' unused connections.
+_LONG_S: Final = 6.0
+_LONG_KINDS: Final = frozenset(('upstream-leaves', 'node-stopped'))
 _FIRST_S: Final = 1.0
 # Between two faults of one VM, so that a planned stop ends before the next.
 _APART_S: Final = 1.0
@@ -72,8 +74,8 @@
     elif concerns == UPSTREAM:
         target = rng.choice(upstreams)
     for_s = rng.uniform(_SHORTEST_S, _LONGEST_S)
-    if kind == 'upstream-leaves':
-        for_s = _LEAVING_S
+    if kind in _LONG_KINDS:
+        for_s = _LONG_S
     from_s = rng.uniform(_FIRST_S, max(_FIRST_S, length_s - for_s))
     return Planned(kind, target, from_s, min(length_s, from_s + for_s))
 
--- a/src/jackdawhead/bench/client.py
+++ b/src/jackdawhead/bench/client.py
@@ -9,6 +9,7 @@
 from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 
+from ..node.entry.caller_watch import has_hung_up
 from ..wire.stream import set_no_delay
 
 if TYPE_CHECKING:
@@ -68,7 +69,7 @@
         :raises geventhttpclient.response.HTTPParseError: if the answer is
             cut or malformed.
         """
-        sock = self._idle.pop() if self._idle else self._connect()
+        sock = self._open_idle() or self._connect()
         try:
             sock.sendall(self._head(call) + call.body)
             response = HTTPSocketResponse(
@@ -92,6 +93,15 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _open_idle(self) -> Socket | None:
+        """Return an idle connection that the server has not closed."""
+        while self._idle:
+            sock = self._idle.pop()
+            if not has_hung_up(sock):
+                return sock
+            sock.close()
+        return None
+
     def _connect(self) -> Socket:
         target = (self._address.ip, self._address.port)
         sock = socket.create_connection(target, self._timeout_s)
