Readers ask a lost store once a second

Change: readers that know the list wait 1 s at most; nodes without a list, all of which ask, still wait up to 5 s. Ruled out: news between nodes (none knew); a longer bound of the check.

--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -12,6 +12,7 @@
 
 from behave import given, then, when
 
+from jackdawhead.blackboard import VmList
 from jackdawhead.config.model import (
     DetectionPolicy,
     Operation,
@@ -35,6 +36,7 @@
     RoutingQuery,
     UpstreamLoad,
 )
+from jackdawhead.policy.readers import retry_ms
 from jackdawhead.policy.resend import AttemptEnd
 from jackdawhead.policy.retries import HomeResends, RetryBudget
 from jackdawhead.policy.spells import SpellEstimate
@@ -651,3 +653,22 @@
 def check_suspect(context: Context, errors: int, number: int) -> None:
     """Judge it."""
     assert judge(context, errors, number).severity
+
+
+@given('a reader that knows {what} list of VMs')
+def make_reader(context: Context, what: str) -> None:
+    """Make a list of one VM, or none."""
+    vms = {'a': None} if what == 'the' else {}
+    context.vm_list = VmList(1, vms)
+
+
+@then('it asks again {wait:d} ms after its first failure')
+def check_first_retry(context: Context, wait: int) -> None:
+    """Look at the first wait."""
+    assert retry_ms(1, context.vm_list) == wait
+
+
+@then('it asks again {wait:d} ms after {failures:d} failures')
+def check_retry(context: Context, wait: int, failures: int) -> None:
+    """Look at a later wait."""
+    assert retry_ms(failures, context.vm_list) == wait
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -11,7 +11,7 @@
 from ..audit import AuditKind
 from ..clock import monotonic_ms, seconds
 from ..config.sources import SourceFile
-from ..policy.readers import fallback_ms, is_reader
+from ..policy.readers import fallback_ms, is_reader, retry_ms
 
 if TYPE_CHECKING:
     from random import Random
@@ -26,8 +26,6 @@
 _GATHER_MS: Final = 200
 # By then the nodes that start with this one are listed.
 _START_MS: Final = 3000
-_FIRST_BACKOFF_MS: Final = 200
-_MAX_BACKOFF_MS: Final = 5000
 
 
 class PlatformWatch:
@@ -53,7 +51,7 @@
         self._client = client
         self._parts = parts
         self._rng = rng
-        self._backoff_ms = 0
+        self._failures = 0
 
     def read_once(self, wait_ms: int = 0) -> bool:
         """Read the value and offer it to its controller.
@@ -84,7 +82,8 @@
             return
         began_ms = monotonic_ms()
         if not self.read_once(_WATCH_MS):
-            self._sleep(self._backoff_ms)
+            vm_list = self._parts.board.vm_list.read()
+            self._sleep(retry_ms(self._failures, vm_list))
         elif monotonic_ms() - began_ms < _WATCH_MS - _GATHER_MS:
             # Changes often come a few at a time.
             gevent.sleep(seconds(_GATHER_MS))
@@ -109,8 +108,8 @@
             self._parts.membership.offer(published.version, text)
 
     def _note_answer(self) -> None:
-        if self._backoff_ms:
-            self._backoff_ms = 0
+        if self._failures:
+            self._failures = 0
             self._parts.audit.record(
                 AuditKind.PLATFORM_BACK,
                 self._key,
@@ -118,14 +117,13 @@
             )
 
     def _note_failure(self, message: str) -> None:
-        if not self._backoff_ms:
+        if not self._failures:
             self._parts.audit.record(
                 AuditKind.PLATFORM_LOST,
                 self._key,
                 message,
             )
-        doubled_ms = max(_FIRST_BACKOFF_MS, 2 * self._backoff_ms)
-        self._backoff_ms = min(_MAX_BACKOFF_MS, doubled_ms)
+        self._failures += 1
 
     def _sleep(self, duration_ms: float) -> None:
         gevent.sleep(seconds(duration_ms) * (0.5 + self._rng.random()))
--- a/src/jackdawhead/policy/readers.py
+++ b/src/jackdawhead/policy/readers.py
@@ -12,6 +12,12 @@
 _READERS_PER_ZONE: Final = 2
 _LEAST_FALLBACK_MS: Final = 20_000
 _FALLBACK_PER_NODE_MS: Final = 1000
+_FIRST_RETRY_MS: Final = 200
+_MOST_DOUBLINGS: Final = 10
+# An outage may end for a moment only; two readers a zone are no load.
+_LAST_RETRY_MS: Final = 1000
+# Nodes that know no list do not know the readers, so all of them ask.
+_LAST_UNLISTED_RETRY_MS: Final = 5000
 
 
 def is_reader(own: str, zone: str, vm_list: VmList) -> bool:
@@ -44,8 +50,19 @@
     return max(_LEAST_FALLBACK_MS, nodes * _FALLBACK_PER_NODE_MS)
 
 
+def retry_ms(failures: int, vm_list: VmList) -> int:
+    """Return how long a reader waits before it asks again, doubled each time.
+
+    :param failures: calls in a row that have failed, from 1.
+    :param vm_list: as known here, empty if unknown.
+    """
+    last_ms = _LAST_RETRY_MS if vm_list.vms else _LAST_UNLISTED_RETRY_MS
+    doublings = min(failures - 1, _MOST_DOUBLINGS)
+    return min(last_ms, _FIRST_RETRY_MS << doublings)
+
+
 def _weight(node: str) -> int:
     return xxhash.xxh3_64_intdigest(f'reader|{node}'.encode())
 
 
-__all__ = ('fallback_ms', 'is_reader')
+__all__ = ('fallback_ms', 'is_reader', 'retry_ms')
