A node that asks its peers waits for those that it is dialling

The tick that closed the links had begun to dial the peers again, so that the question found nobody left to dial, waited for none and counted as answered. Change: peers that are being dialled are waited for like the others. Ruled out: the bound of 1.5 s (the answer came earlier); the load alone.

--- a/features/fleet/live_path.feature
+++ b/features/fleet/live_path.feature
@@ -41,3 +41,8 @@
       | direction |
       | forward   |
       | backward  |
+
+  Scenario: A node that asks its peers waits for those that it is dialling
+    Given a node that has begun to dial its peers
+    When it asks its peers what it has missed
+    Then it is linked to them and has heard what they know
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from unittest.mock import MagicMock
 
 import gevent
 from behave import given, then, when
@@ -10,11 +11,13 @@
 from gevent.server import StreamServer
 
 from features.steps.fleet_steps import start_relay
+from jackdawhead.blackboard import Blackboard, Vm, VmList
 from jackdawhead.clock import monotonic_ms
 from jackdawhead.config.model import RetryPolicy
 from jackdawhead.node.entry.attempts import Attempts
 from jackdawhead.node.entry.live_path import LivePaths
 from jackdawhead.node.entry.race import Copy, Race
+from jackdawhead.node.dialler import Dialler
 from jackdawhead.node.identity import new_identity
 from jackdawhead.node.links import (
     QUIET_MS,
@@ -35,6 +38,7 @@
 _IP = '127.0.0.1'
 _KEYS = ('a-shared-key-for-tests-only',)
 _BEAT_S = 0.02
+_LATE_S = 0.05
 _RUN_MS = 1.0
 _LEFT_MS = 5000.0
 _PROOF_LIFE_S = 0.4
@@ -75,6 +79,46 @@
     gevent.spawn(beat, context.link)
 
 
+@given('a node that has begun to dial its peers')
+def begin_dials(context: Context) -> None:
+    """Start a peer that is slow to answer, and a node's dial of it."""
+
+    def accept_late(sock: socket.socket, peer: tuple[str, int]) -> None:
+        gevent.sleep(_LATE_S)
+        accept(sock, peer)
+
+    server = StreamServer((_IP, 0), accept_late)
+    server.start()
+    context.stack.callback(server.stop, 0)
+    parts = MagicMock()
+    parts.identity = new_identity('entry', _KEYS)
+    parts.board = Blackboard()
+    gossip = MagicMock()
+    gossip.take.side_effect = lambda link, _: link.heard_heartbeat.set()
+    context.dialler = Dialler(parts, gossip)
+    vms = {
+        'entry': Vm('entry', 'a', _IP, False, 1, {}),
+        'home': Vm('home', 'a', _IP, False, server.server_port, {}),
+    }
+    parts.board.vm_list.write(VmList(1, vms))
+    context.dialler.keep_peers()
+    gevent.sleep(0)
+
+
+@when('it asks its peers what it has missed')
+def ask_peers(context: Context) -> None:
+    """Ask, with time enough."""
+    context.dialler.dial_peers(_LEFT_MS)
+
+
+@then('it is linked to them and has heard what they know')
+def check_linked(context: Context) -> None:
+    """Look at the links."""
+    links = context.dialler.links
+    assert [link.vm for link in links] == ['home'], links
+    assert all(link.heard_heartbeat.is_set() for link in links)
+
+
 @when('the path is cut {direction}')
 def cut_path(context: Context, direction: str) -> None:
     """Hold back what goes to the home, or what comes from it."""
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -94,9 +94,12 @@
     def dial_peers(self, timeout_ms: float) -> None:
         """Link to the gossip peers and wait for what they know.
 
+        Those that are being dialled already are waited for, too.
+
         :param timeout_ms: longest wait.
         """
-        dials = [gevent.spawn(self.link_to, vm) for vm in self._missing_peers()]
+        unlinked = [vm for vm in self._peers if vm not in self._links]
+        dials = [gevent.spawn(self.link_to, vm) for vm in unlinked]
         gevent.joinall(dials, timeout=seconds(timeout_ms))
         waits = [link.heard_heartbeat for link in self.links]
         gevent.wait(waits, timeout=seconds(timeout_ms))
