--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -25,3 +25,6 @@
     Then a second plan of seed 7 is the same
     And a plan of seed 8 is another
     And no two faults of it concern the same target at the same time
+
+  Scenario: Each seed that is kept has a cause
+    Then each line of the kept seeds is a seed with a cause
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -12,7 +12,6 @@
 
 from behave import given, then, when
 
-from jackdawhead.blackboard import VmList
 from jackdawhead.config.model import (
     DetectionPolicy,
     Operation,
@@ -28,7 +27,6 @@
 from jackdawhead.policy.admissions import ADMISSIONS
 from jackdawhead.policy.balancers import BALANCERS
 from jackdawhead.policy.caution import failure_cost_ms, risk_limit
-from jackdawhead.policy.evidence import Summary
 from jackdawhead.policy.hedging import may_hedge_at
 from jackdawhead.policy.loads import (
     LoadReport,
@@ -36,12 +34,10 @@
     RoutingQuery,
     UpstreamLoad,
 )
-from jackdawhead.policy.readers import retry_ms
 from jackdawhead.policy.resend import AttemptEnd
 from jackdawhead.policy.retries import HomeResends, RetryBudget
 from jackdawhead.policy.spells import SpellEstimate
 from jackdawhead.policy.split import draw_service
-from jackdawhead.policy.suspicion import Norm, Suspicion, suspect
 from jackdawhead.policy.tries import Tries
 from jackdawhead.policy.work import Verdict, Work
 from jackdawhead.reasons import Reason
@@ -56,7 +52,6 @@
 _SEED = 7
 _AT_ONCE_MS = 0.001
 _START_MS = 1_000_000
-_MUCH_EVIDENCE = 100.0
 _QUARTER = 0.25
 _DEADLINE_MS = 1500.0
 _OPERATIONS = {'urgent': 1, 'other': 2}
@@ -622,53 +617,3 @@
 def check_part(context: Context, least: int, most: int) -> None:
     """Look at the share."""
     assert least <= context.drawn['second'] <= most, context.drawn
-
-
-@given('peers without errors and a run time of {run:d} ms')
-def make_norm(context: Context, run: int) -> None:
-    """Make the norm of a service."""
-    context.norm = Norm(0, run)
-
-
-def judge(context: Context, errors: int, number: int) -> Suspicion:
-    """Judge an upstream whose cumulated evidence is beyond the limit."""
-    summary = Summary(number, errors / number, 20, _MUCH_EVIDENCE)
-    policy = DetectionPolicy('peers', 4000, 8, 30, 3, 5000, 60_000, 5000)
-    return suspect(summary, context.norm, policy)
-
-
-@then(
-    'an upstream with {errors:d} errors of {number:d} and old evidence of'
-    ' failing is not suspect'
-)
-def check_not_suspect(context: Context, errors: int, number: int) -> None:
-    """Judge it."""
-    assert not judge(context, errors, number).severity
-
-
-@then(
-    'an upstream with {errors:d} errors of {number:d} and fresh evidence of'
-    ' failing is suspect'
-)
-def check_suspect(context: Context, errors: int, number: int) -> None:
-    """Judge it."""
-    assert judge(context, errors, number).severity
-
-
-@given('a reader that knows {what} list of VMs')
-def make_reader(context: Context, what: str) -> None:
-    """Make a list of one VM, or none."""
-    vms = {'a': None} if what == 'the' else {}
-    context.vm_list = VmList(1, vms)
-
-
-@then('it asks again {wait:d} ms after its first failure')
-def check_first_retry(context: Context, wait: int) -> None:
-    """Look at the first wait."""
-    assert retry_ms(1, context.vm_list) == wait
-
-
-@then('it asks again {wait:d} ms after {failures:d} failures')
-def check_retry(context: Context, wait: int, failures: int) -> None:
-    """Look at a later wait."""
-    assert retry_ms(failures, context.vm_list) == wait
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from soak.checks import find_breaches
+from soak.cli import kept_seeds
 from soak.evidence import (
     NOT_RUN,
     RAN,
@@ -192,6 +193,14 @@
             assert one.to_s < other.from_s or other.to_s < one.from_s
 
 
+@then('each line of the kept seeds is a seed with a cause')
+def check_kept_seeds(context: Context) -> None:
+    """Read the file."""
+    causes = kept_seeds()
+    assert causes
+    assert all(causes.values()), causes
+
+
 @when('the soak plays seed {seed:d} with {length:d} s of faults')
 def play_seed(context: Context, seed: int, length: int) -> None:
     """Play a seed with real processes."""
--- a/soak/cli.py
+++ b/soak/cli.py
@@ -9,11 +9,10 @@
 from pathlib import Path
 from typing import Final
 
-from .play import SoakPlan, play
+from .play import DEFAULT_LENGTH_S, SoakPlan, play
 from .report import timeline_of, verdict_of
 
 _DEFAULT_FOLDER: Final = Path('soak-results')
-_LENGTH_S: Final = 14.0
 _KEPT_SEEDS: Final = Path(__file__).resolve().parent / 'seeds.txt'
 
 
@@ -22,7 +21,7 @@
     options = _parser().parse_args()
     seeds = list(range(options.first, options.first + options.seeds))
     if options.kept:
-        seeds = kept_seeds()
+        seeds = list(kept_seeds())
     is_broken = False
     for seed in seeds:
         plan = SoakPlan(seed, options.length_s, options.nodes)
@@ -34,14 +33,11 @@
     return int(is_broken)
 
 
-def kept_seeds() -> list[int]:
-    """Return the seeds that failed once and are played as regressions."""
+def kept_seeds() -> dict[int, str]:
+    """Return the causes of the seeds that failed once, played as regressions."""
     lines = _KEPT_SEEDS.read_text().splitlines()
-    return [
-        int(line.split()[0])
-        for line in lines
-        if line and not line.startswith('#')
-    ]
+    parts = [line.partition(' ') for line in lines if line[:1].isdigit()]
+    return {int(seed): cause.strip() for seed, _, cause in parts}
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -54,7 +50,10 @@
         '--kept', action='store_true', help='play the seeds of seeds.txt'
     )
     parser.add_argument(
-        '--length-s', type=float, default=_LENGTH_S, help='time of faults'
+        '--length-s',
+        type=float,
+        default=DEFAULT_LENGTH_S,
+        help='time of faults',
     )
     parser.add_argument('--nodes', type=int, default=4)
     parser.add_argument(
--- a/soak/play.py
+++ b/soak/play.py
@@ -23,6 +23,8 @@
 
 # After the last fault: restarts, links and ejections of 5 s are over by then.
 _SETTLE_S: Final = 11.0
+# Enough for some fifteen faults, of which two or three overlap.
+DEFAULT_LENGTH_S: Final = 14.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +36,7 @@
     """
 
     seed: int
-    length_s: float = 14.0
+    length_s: float = DEFAULT_LENGTH_S
     nodes: int = 4
     callers: int = 10
     rate: float = 6.0
@@ -102,4 +104,4 @@
         (folder / log.name).write_bytes(log.read_bytes())
 
 
-__all__ = ('Played', 'SoakPlan', 'play')
+__all__ = ('DEFAULT_LENGTH_S', 'Played', 'SoakPlan', 'play')
