--- a/soak/cli.py
+++ b/soak/cli.py
@@ -34,7 +34,7 @@
 
 
 def kept_seeds() -> dict[int, str]:
-    """Return the causes of the seeds that failed once, played as regressions."""
+    """Return the causes of the seeds that failed once, by seed."""
     lines = _KEPT_SEEDS.read_text().splitlines()
     parts = [line.partition(' ') for line in lines if line[:1].isdigit()]
     return {int(seed): cause.strip() for seed, _, cause in parts}
