Take out what the platform's work wrote twice

Cause: read again as a whole, the change held one loop over headers twice (a request's and an answer's), two looks at whether a connection is still open, a second decoding of every route of a configuration, defaults that no caller uses, and a log set-up that nothing calls any more. An empty answer of the store made a node compose and compare the whole list of VMs, every 2 s, though nothing had been put or removed. The replay still paid for a second copy before it knew where it could go, which the live entry no longer does. Change: wire/header_pairs and sockets hold the shared parts; routes are decoded once; the list is composed when an entry has changed, or a held removal is due; the replay pays as the entry does.

--- a/src/jackdawhead/bench/client.py
+++ b/src/jackdawhead/bench/client.py
@@ -9,7 +9,7 @@
 from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 
-from ..node.entry.caller_watch import has_hung_up
+from ..sockets import has_hung_up
 from ..wire.stream import set_no_delay
 
 if TYPE_CHECKING:
--- a/src/jackdawhead/logs.py
+++ b/src/jackdawhead/logs.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import json
-import sys
 from collections.abc import Callable
 from contextlib import ExitStack
-from typing import IO, Any, Final
+from typing import Any, Final
 
 import eliot
 
@@ -48,20 +47,6 @@
         self._write_line(' '.join(pairs))
 
 
-def start_logging(out: IO[str] | None = None) -> None:
-    """Send all events to a stream.
-
-    :param out: text stream, standard error by default.
-    """
-    stream = out or sys.stderr
-
-    def write_line(line: str) -> None:
-        stream.write(f'{line}\n')
-        stream.flush()
-
-    eliot.add_destinations(KeyValueDestination(write_line))
-
-
 def start_bounded_logging(descriptor: int, stack: ExitStack) -> None:
     """Send all events to a file descriptor, never waiting for its reader.
 
@@ -104,5 +89,4 @@
     'KeyValueDestination',
     'log_event',
     'start_bounded_logging',
-    'start_logging',
 )
--- a/src/jackdawhead/node/entry/caller_watch.py
+++ b/src/jackdawhead/node/entry/caller_watch.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, Final
 
 import gevent
-from gevent import socket
+
+from ...sockets import has_hung_up
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -46,21 +47,4 @@
         watcher.close()
 
 
-def has_hung_up(sock: Socket) -> bool:
-    """Return whether the other side has closed a connection.
-
-    :param sock: the connection; nothing is taken out of it.
-    """
-    timeout = sock.gettimeout()
-    sock.settimeout(0)
-    try:
-        return not sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        sock.settimeout(timeout)
-
-
-__all__ = ('CallerGoneError', 'has_hung_up', 'watch_caller')
+__all__ = ('CallerGoneError', 'watch_caller')
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -209,12 +209,7 @@
             call.tries.note_refused(load.upstream, answer.reason)
         return answer
 
-    def _may_resend(
-        self,
-        call: Call,
-        answer: Answer,
-        attempt: int,
-    ) -> bool:
+    def _may_resend(self, call: Call, answer: Answer, attempt: int) -> bool:
         if call.left_ms() <= 0:
             return False
         if not call.request.last and not _is_unsent(answer):
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -12,7 +12,6 @@
 from ...policy.evidence import Sample
 from ...policy.hedging import hedge_after_ms, may_hedge_at
 from ...policy.loads import RoutingQuery, UpstreamLoad
-from ...policy.spells import RISK_SCALE
 from ...reasons import Reason
 from ...wire.messages import Head, Refusal, Submit
 from .answer_body import AnswerBody, CutAnswerError
@@ -52,7 +51,7 @@
         load: UpstreamLoad,
         *,
         may_wait: bool,
-        risk_limit: int = RISK_SCALE,
+        risk_limit: int,
     ) -> Answer:
         """Return the answer of an upstream, or why there is none.
 
@@ -166,7 +165,7 @@
         attempt: Attempt,
         *,
         may_wait: bool,
-        risk_limit: int = RISK_SCALE,
+        risk_limit: int,
     ) -> gevent.Greenlet | None:
         request = call.request
         attempt.channel.send(
--- a/src/jackdawhead/node/home/answer_reader.py
+++ b/src/jackdawhead/node/home/answer_reader.py
@@ -11,6 +11,8 @@
 
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
+from ...wire.header_pairs import first_header
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -42,11 +44,7 @@
 
         :param name: in any case.
         """
-        wanted = name.lower()
-        for each, text in self.headers:
-            if each.lower() == wanted:
-                return text
-        return None
+        return first_header(self.headers, name)
 
     @property
     def body_bytes(self) -> int:
--- a/src/jackdawhead/node/home/connections.py
+++ b/src/jackdawhead/node/home/connections.py
@@ -10,6 +10,7 @@
 from gevent import socket
 
 from ...clock import monotonic_ms, seconds
+from ...sockets import is_quiet
 from ...wire.stream import set_no_delay
 
 if TYPE_CHECKING:
@@ -89,7 +90,7 @@
             if only_proved and idle_ms > _PROVED_FOR_MS:
                 break
             self._idle.pop()
-            if idle_ms < connection.life_ms and _is_quiet(connection):
+            if idle_ms < connection.life_ms and is_quiet(connection.sock):
                 return connection
             connection.close()
         self._close_old(now_ms)
@@ -132,19 +133,4 @@
             self._idle.popleft().close()
 
 
-def _is_quiet(connection: Connection) -> bool:
-    """Return whether the upstream has neither closed nor sent anything."""
-    sock = connection.sock
-    sock.settimeout(0)
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    finally:
-        sock.settimeout(None)
-    return False
-
-
 __all__ = ('Connection', 'ConnectionPool')
--- a/src/jackdawhead/node/home/job.py
+++ b/src/jackdawhead/node/home/job.py
@@ -9,6 +9,7 @@
 from gevent.queue import SimpleQueue
 
 from ...outcome import Outcome
+from ...wire.header_pairs import first_header
 from ...wire.messages import Message, Refusal
 from ..credit import CreditGate
 
@@ -60,11 +61,7 @@
 
         :param name: in any case.
         """
-        wanted = name.lower()
-        for each, text in self.submit.headers:
-            if each.lower() == wanted:
-                return text
-        return None
+        return first_header(self.submit.headers, name)
 
     def refusal(
         self,
--- a/src/jackdawhead/node/upstream_list.py
+++ b/src/jackdawhead/node/upstream_list.py
@@ -89,6 +89,7 @@
         self._upstreams: dict[str, ListedUpstream] = {}
         self._removed: set[str] = set()
         self._vms: list[dict[str, Any]] | None = None
+        self._has_changed = True
 
     def put(self, key: str, upstream: ListedUpstream) -> str:
         """Take in an entry.
@@ -102,6 +103,7 @@
             return f'start {upstream.born_ms} is before {known.born_ms}'
         self._removed.discard(key)
         self._upstreams[key] = upstream
+        self._has_changed = self._has_changed or upstream != known
         return ''
 
     def remove(self, key: str) -> None:
@@ -127,7 +129,11 @@
         if not self.hold.left_ms(now_ms):
             for gone in self._removed:
                 self._upstreams.pop(gone)
+                self._has_changed = True
             self._removed.clear()
+        if not self._has_changed:
+            return None
+        self._has_changed = False
         vms = compose_vms(self._upstreams.values(), self._stream_port)
         if vms == self._vms:
             return None
--- a/src/jackdawhead/platform/translation.py
+++ b/src/jackdawhead/platform/translation.py
@@ -15,7 +15,7 @@
 from .names import HEADERS
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
 # Routes are spread over files, so that a change is read only where it is.
 _ROUTE_FILES: Final = 16
@@ -64,18 +64,24 @@
 
 
 def _files(document: Document, zones: Mapping[str, str]) -> dict[str, str]:
-    routes = {
-        name: _route(msgspec.json.decode(spec, type=RouteSpec))
+    specs = {
+        name: msgspec.json.decode(spec, type=RouteSpec)
         for name, spec in document.specs('routes').items()
     }
-    files = {'10-general.yaml': json.dumps(_general(document, zones))}
+    operations = _operations(specs.values())
+    general = _general(document, zones, operations)
+    files = {'10-general.yaml': json.dumps(general)}
+    routes = {name: _route(spec) for name, spec in specs.items()}
     for number, part in _spread(routes).items():
         files[f'20-routes-{number:02}.yaml'] = json.dumps({'routes': part})
     return files
 
 
-def _general(document: Document, zones: Mapping[str, str]) -> dict[str, Any]:
-    operations = _operations(document)
+def _general(
+    document: Document,
+    zones: Mapping[str, str],
+    operations: dict[str, Any],
+) -> dict[str, Any]:
     return {
         'zones': {name: {'region': region} for name, region in zones.items()},
         'headers': HEADERS,
@@ -89,15 +95,14 @@
     }
 
 
-def _operations(document: Document) -> dict[str, Any]:
+def _operations(routes: Iterable[RouteSpec]) -> dict[str, Any]:
     """Return the kinds of work of all routes.
 
     Routes whose work is alike share an operation, so that what is learned
     of it outlives a change of the routes.
     """
     operations: dict[str, Any] = {}
-    for raw in document.specs('routes').values():
-        spec = msgspec.json.decode(raw, type=RouteSpec)
+    for spec in routes:
         target_ms = max(1, parse_duration_ms(spec.target))
         operation = operations.setdefault(
             _operation_name(spec),
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -188,13 +188,13 @@
         copy.load.note_overdue(copy.sent_ms, now_ms)
         if router.member_count <= 1:
             return
-        if now_ms >= request.deadline_at_ms or not router.budget.may_hedge():
+        if now_ms >= request.deadline_at_ms:
             return
         query = RoutingQuery(now_ms, frozenset((copy.load.upstream,)))
         load = router.choose(request.operation.name, query)
         if load is None or load.home in self._cut_homes:
             return
-        if not may_hedge_at(load, now_ms):
+        if not may_hedge_at(load, now_ms) or not router.budget.may_hedge():
             return
         request.tried.add(load.upstream)
         request.hedges += 1
--- /dev/null
+++ b/src/jackdawhead/wire/header_pairs.py
@@ -0,0 +1,24 @@
+"""Looks headers up in the form in which messages carry them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .base import HeaderPairs
+
+
+def first_header(headers: HeaderPairs, name: str) -> str | None:
+    """Return the value of the first header of a name, if any.
+
+    :param headers: names and values.
+    :param name: in any case.
+    """
+    wanted = name.lower()
+    for each, text in headers:
+        if each.lower() == wanted:
+            return text
+    return None
+
+
+__all__ = ('first_header',)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -23,8 +23,8 @@
 
 from jackdawhead.config.settings import Address
 from jackdawhead.memory import settle_memory
-from jackdawhead.node.entry.caller_watch import has_hung_up
 from jackdawhead.node.http_server import SOCKET_KEY, QuickServer
+from jackdawhead.sockets import has_hung_up
 
 from .behaviour import Behaviour
 from .wsgi import send_json
