One entry that cannot be understood no longer holds up a configuration

Cause: the adapter decoded the whole document against one type, so a single route of a kind it did not know (upload) refused every version for ever, and all nodes answered 503. Ruled out: naming the new kind alone, since the next unknown word would do the same. Refused entries are audited, counted and shown by the status command.

--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -169,9 +169,7 @@
 @when('node {position:d} is killed')
 def kill_node(context: Context, position: int) -> None:
     """End a node without warning."""
-    node = context.fleet.nodes[node_at(context, position)]
-    node.process.kill()
-    node.process.wait()
+    context.fleet.kill_node(node_at(context, position))
     gevent.joinall(getattr(context, 'senders', []))
 
 
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -46,15 +46,7 @@
     """Start a small fleet before one service of a site."""
     site, service = site_of(service_name)
     fleet.start_platform()
-    spots = site.spots(service)[:count]
-    fleet.start_upstreams(
-        service.name,
-        spots,
-        service.slots,
-        service.behaviour(**behaviour),
-    )
-    for vm, zone in spots:
-        fleet.start_node(vm, zone)
+    fleet.start_service(service, site.spots(service)[:count], **behaviour)
     for number in range(entries):
         fleet.start_node(f'entry-{number}', site.zones[0])
     fleet.publish_vms()
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -18,7 +18,7 @@
 from features.steps.spread_steps import restart
 from jackdawhead.bench.client import Call, CallerClient
 from jackdawhead.config.settings import Address
-from standins.fleet import call
+from standins.fleet import call, crash_upstream
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -64,9 +64,7 @@
 def kill_and_start(context: Context, position: int) -> None:
     """Kill a node under load, then start it anew."""
     vm = node_at(context, position)
-    process = context.fleet.nodes[vm].process
-    process.kill()
-    process.wait()
+    context.fleet.kill_node(vm)
     gevent.sleep(1)
     restart(context, vm)
     gevent.sleep(1)
@@ -79,13 +77,10 @@
 
 
 @when('meanwhile upstream {position:d} crashes')
-def crash_upstream(context: Context, position: int) -> None:
+def crash_at(context: Context, position: int) -> None:
     """Crash an upstream by a request sent to it directly."""
     spot = list(context.fleet.upstreams.values())[position - 1]
-    try:
-        call(spot.port, 'GET', '/cultivars/poison')
-    except (OSError, HTTPParseError):
-        return
+    crash_upstream(spot.port)
 
 
 def run_counts(context: Context) -> Counter[str]:
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -15,7 +15,7 @@
 from jackdawhead.bench.client import Call, CallerClient
 from jackdawhead.config.settings import Address
 from jackdawhead.node.http_server import QuickServer
-from standins.fleet import Fleet, wait_until
+from standins.fleet import Fleet, end_process, wait_until
 from standins.store import StandInStore
 
 if TYPE_CHECKING:
@@ -104,17 +104,10 @@
         env=variables,
         stdout=subprocess.DEVNULL,
     )
-    context.stack.callback(end_node, context.node)
+    context.stack.callback(end_process, context.node)
     wait_until(lambda: readiness(context) == 200, 'the node is ready')
 
 
-def end_node(node: subprocess.Popen[bytes]) -> None:
-    """End the node that this scenario has started."""
-    if node.poll() is None:
-        node.kill()
-    node.wait()
-
-
 def readiness(context: Context) -> int:
     """Return the status of the listener for readiness, 0 if there is none."""
     try:
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -9,7 +9,7 @@
 from behave import then, when
 
 from features.steps.fleet_steps import node_at
-from standins.fleet import call, config_files, read_json, wait_until
+from standins.fleet import config_files, read_json, wait_until
 from standins.sites import HELVETIA
 
 if TYPE_CHECKING:
@@ -162,28 +162,20 @@
     """Put the first publication back, as a restored platform would."""
     files = own_files()
     context.fleet.publish('config', files, version=1)
-    set_mode(context, 'stale')
+    context.fleet.set_platform_mode('stale')
 
 
 @when('the platform goes down')
 def stop_platform(context: Context) -> None:
     """Let the platform answer with errors."""
-    set_mode(context, 'down')
-
-
-def set_mode(context: Context, mode: str) -> None:
-    """Change how the platform behaves."""
-    port = context.fleet.platform_port
-    call(port, 'POST', '/_control/mode', f'{{"mode": "{mode}"}}')
+    context.fleet.set_platform_mode('down')
 
 
 def restart(context: Context, vm: str, **extra: Any) -> None:
     """Stop a node and start it again with the same addresses."""
-    node = context.fleet.nodes[vm]
-    if node.process.poll() is None:
+    if context.fleet.nodes[vm].process.poll() is None:
         context.fleet.stop_node(vm)
-    ports = (node.caller_port, node.stream_port, node.admin_port)
-    context.fleet.start_node(vm, node.zone, ports, **extra)
+    context.fleet.start_again(vm, **extra)
 
 
 @when('node {position:d} is restarted')
--- a/soak/faults/upstream.py
+++ b/soak/faults/upstream.py
@@ -4,9 +4,7 @@
 
 from typing import ClassVar, Final
 
-from geventhttpclient.response import HTTPParseError
-
-from standins.fleet import call
+from standins.fleet import crash_upstream
 
 from .base import FAULTS, UPSTREAM, Fault
 
@@ -67,12 +65,7 @@
     concerns = UPSTREAM
 
     def begin(self) -> None:
-        port = self._world.fleet.upstreams[self._target].port
-        try:
-            call(port, 'GET', '/cultivars/poison')
-        except (OSError, HTTPParseError):
-            # The crash takes the connection with it.
-            return
+        crash_upstream(self._world.fleet.upstreams[self._target].port)
 
 
 @FAULTS.register('upstream-leaves')
--- a/soak/faults/vm.py
+++ b/soak/faults/vm.py
@@ -17,7 +17,7 @@
     """A node ends at once and is started anew."""
 
     def begin(self) -> None:
-        self._world.kill(self._target)
+        self._world.fleet.kill_node(self._target)
 
     def end(self) -> None:
         self._world.start_again(self._target)
--- a/soak/world.py
+++ b/soak/world.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import signal
 import time
 from contextlib import ExitStack
@@ -11,7 +10,7 @@
 import gevent
 from geventhttpclient.response import HTTPParseError
 
-from standins.fleet import Fleet, call, config_files, read_json
+from standins.fleet import Fleet, config_files, read_json
 from standins.relay import Relay
 from standins.sites import HELVETIA
 
@@ -71,14 +70,7 @@
         """Start everything and wait until it serves."""
         self.fleet.place = self._place
         self.fleet.start_platform()
-        self.fleet.start_upstreams(
-            self._service.name,
-            self._spots,
-            self._service.slots,
-            self._service.behaviour(),
-        )
-        for vm, zone in self._spots:
-            self.fleet.start_node(vm, zone)
+        self.fleet.start_service(self._service, self._spots)
         self.fleet.publish_vms()
         self.change_config()
         self.fleet.await_ready()
@@ -96,12 +88,6 @@
         """Return the node of a VM, the latest of its starts."""
         return self.fleet.nodes[vm]
 
-    def kill(self, vm: str) -> None:
-        """End a node at once."""
-        process = self.node(vm).process
-        process.kill()
-        process.wait()
-
     def stop(self, vm: str) -> None:
         """Ask a node to stop and wait for its end."""
         process = self.node(vm).process
@@ -115,12 +101,9 @@
         )
 
     def start_again(self, vm: str) -> None:
-        """Start a node anew with the same addresses."""
-        node = self.node(vm)
-        if node.process.poll() is None:
-            self.kill(vm)
-        ports = (node.caller_port, node.stream_port, node.admin_port)
-        self.fleet.start_node(vm, node.zone, ports)
+        """Start a node anew, after ending it if it still runs."""
+        self.fleet.kill_node(vm)
+        self.fleet.start_again(vm)
 
     def signal(self, vm: str, number: signal.Signals) -> None:
         """Send a signal to a node."""
@@ -155,12 +138,7 @@
         elif self._store_left_s is not None:
             self._store_faults.append((self._store_left_s, self.now_s))
             self._store_left_s = None
-        call(
-            self.fleet.platform_port,
-            'POST',
-            '/_control/mode',
-            json.dumps({'mode': mode}),
-        )
+        self.fleet.set_platform_mode(mode)
 
     def change_config(self) -> None:
         """Publish a newer configuration."""
--- a/src/jackdawhead/audit_kinds.py
+++ b/src/jackdawhead/audit_kinds.py
@@ -12,6 +12,7 @@
     NODE_LEAVING = 'node-leaving'
     CONFIG_ACCEPTED = 'config-accepted'
     CONFIG_REFUSED = 'config-refused'
+    CONFIG_ENTRY_REFUSED = 'config-entry-refused'
     SETTINGS_RELOADED = 'settings-reloaded'
     SETTINGS_REFUSED = 'settings-refused'
     SPELL_BEGUN = 'spell-begun'
--- a/src/jackdawhead/cli/commands/operators.py
+++ b/src/jackdawhead/cli/commands/operators.py
@@ -138,6 +138,8 @@
         f'VM list {status["vm_list_version"]}, '
         f'{len(status["links"])} linked nodes',
     )
+    for problem in status['config_refused']:
+        print(f'refused: {problem}')
     _print_rows(
         status['services'],
         ('service', 'members', 'well', 'ejected', 'trial'),
--- a/src/jackdawhead/config/checks.py
+++ b/src/jackdawhead/config/checks.py
@@ -171,6 +171,8 @@
 
 def _problem(tree: MergedTree, breach: ValidationError) -> Problem:
     path = '.'.join(_path_of(breach))
+    if 'propertyNames' in breach.absolute_schema_path:
+        path = f'{path}.{breach.instance}'
     field = path
     if breach.validator == 'additionalProperties' and isinstance(
         breach.instance, dict
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -104,6 +104,11 @@
         'config_digest': (
             in_force.loaded.config.digest if in_force.loaded else ''
         ),
+        'config_refused': (
+            [str(each) for each in in_force.loaded.refused]
+            if in_force.loaded
+            else []
+        ),
         'vm_list_version': parts.board.vm_list.read().version,
         'links': sorted({link.vm for link in node.links()}),
         'dialled_links': node.dialled_links,
--- a/src/jackdawhead/node/config_controller.py
+++ b/src/jackdawhead/node/config_controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure, Success
 
@@ -12,6 +12,8 @@
 from ..config.sources import SourceFile
 from ..wire.messages import ConfigNews
 
+_MAX_ENTRIES_TOLD: Final = 10
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -34,6 +36,7 @@
         self._loader = ConfigLoader()
         self._refused: tuple[int, str] | None = None
         self._stale_version = 0
+        self.entries_refused = 0
         self.broadcast: Callable[[ConfigNews, Link | None], None] | None = None
 
     def offer(
@@ -60,7 +63,7 @@
             return False
         if version == current.version and sources == current.sources:
             return False
-        match self._loader.load(sources):
+        match self._loader.load_tolerantly(sources):
             case Success(loaded):
                 return self._accept(version, sources, loaded, origin, source)
             case Failure(problems):
@@ -110,10 +113,25 @@
             f'version {version}',
             f'from {origin}, digest {loaded.config.digest}',
         )
+        self._note_entries_refused(version, loaded.refused, origin)
         if self.broadcast is not None:
             self.broadcast(_news_of(in_force), source)
         return True
 
+    def _note_entries_refused(
+        self,
+        version: int,
+        problems: tuple[Problem, ...],
+        origin: str,
+    ) -> None:
+        self.entries_refused += len(problems)
+        for problem in problems[:_MAX_ENTRIES_TOLD]:
+            self._audit.record(
+                AuditKind.CONFIG_ENTRY_REFUSED,
+                f'version {version} {problem.field}',
+                f'from {origin}: {problem}; its former form holds, if any',
+            )
+
     def _refuse(
         self,
         version: int,
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -65,6 +65,11 @@
             'Version of the configuration in force.',
             node.parts.board.config.read().version,
         )
+        yield CounterMetricFamily(
+            'jackdawhead_config_entries_refused',
+            'Faulty entries of accepted configurations.',
+            node.parts.config.entries_refused,
+        )
         yield GaugeMetricFamily(
             'jackdawhead_links',
             'Links to other nodes.',
--- a/src/jackdawhead/platform/document.py
+++ b/src/jackdawhead/platform/document.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Final, Literal
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 from msgspec import Meta
 
 _DEFAULT_CONNECTIONS: Final = 100
+# What the decoder raises for bytes, types and nesting that do not fit.
+UNREADABLE: Final = (msgspec.DecodeError, ValueError, RecursionError)
+
+_SpecT = TypeVar('_SpecT')
 
 
 class Weighted(msgspec.Struct, frozen=True):
@@ -15,7 +20,7 @@
     weight: Annotated[int, Meta(ge=0)]
 
 
-class RouteSpec(msgspec.Struct, frozen=True):
+class RouteSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A route.
 
     :param kind: what may be repeated.
@@ -26,9 +31,7 @@
 
     host: str
     prefix: str
-    kind: Literal['idempotent', 'non_idempotent', 'download'] = msgspec.field(
-        name='routeType'
-    )
+    kind: Any = msgspec.field(name='routeType', default='')
     timeout: str
     target: str = msgspec.field(name='targetLatency')
     priority: int = 0
@@ -71,20 +74,77 @@
     metadata: _Metadata = _Metadata()
 
 
-class Document(msgspec.Struct, frozen=True):
+class _Document(msgspec.Struct, frozen=True):
     version: str
-    resources: list[_Resource]
+    resources: list[msgspec.Raw]
 
-    def specs(self, kind: str) -> dict[str, msgspec.Raw]:
-        """Return the specs of one kind by name.
 
-        :param kind: ``routes``, ``services`` or ``limits``.
-        """
-        return {
-            each.metadata.name: each.spec
-            for each in self.resources
-            if each.kind == kind
-        }
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A configuration whose parts are read one by one.
 
+    :param refused: why parts without a readable name were left out.
+    """
 
-__all__ = ('Document', 'LimitsSpec', 'RouteSpec', 'ServiceSpec')
+    version: str
+    resources: tuple[_Resource, ...]
+    refused: list[str] = field(default_factory=list)
+
+    def specs(
+        self,
+        kind: str,
+        spec_type: type[_SpecT],
+    ) -> dict[str, _SpecT | None]:
+        """Return the specs of one kind by name, none where unreadable.
+
+        :param kind: ``routes``, ``services`` or ``limits``.
+        :param spec_type: what such a spec holds.
+        """
+        found: dict[str, _SpecT | None] = {}
+        for each in self.resources:
+            if each.kind == kind:
+                found[each.metadata.name] = self._read(each, spec_type)
+        return found
+
+    def _read(
+        self,
+        resource: _Resource,
+        spec_type: type[_SpecT],
+    ) -> _SpecT | None:
+        try:
+            return msgspec.json.decode(resource.spec, type=spec_type)
+        except UNREADABLE as error:
+            self.refused.append(
+                f'{resource.kind} {resource.metadata.name!r}: {error}'
+            )
+        return None
+
+
+def read_document(body: bytes) -> Document:
+    """Return a document with all parts that name themselves.
+
+    :param body: the value in the store.
+    :raises ValueError: if it is no document with a version.
+    """
+    try:
+        document = msgspec.json.decode(body, type=_Document)
+    except UNREADABLE as error:
+        raise ValueError(str(error)) from error
+    resources = []
+    refused = []
+    for number, raw in enumerate(document.resources):
+        try:
+            resources.append(msgspec.json.decode(raw, type=_Resource))
+        except UNREADABLE as error:
+            refused.append(f'part {number}: {error}')
+    return Document(document.version, tuple(resources), refused)
+
+
+__all__ = (
+    'UNREADABLE',
+    'Document',
+    'LimitsSpec',
+    'RouteSpec',
+    'ServiceSpec',
+    'read_document',
+)
--- a/src/jackdawhead/platform/formats.py
+++ b/src/jackdawhead/platform/formats.py
@@ -5,7 +5,7 @@
 import re
 from typing import Final
 
-_DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+_DURATION: Final = re.compile(r'(\d{1,15}(?:\.\d{1,15})?)(ms|s)', re.ASCII)
 _MS_PER_UNIT: Final = {'ms': 1, 's': 1000}
 _VERSION: Final = re.compile('[0-9a-f]{8}')
 _HEXADECIMAL: Final = 16
--- a/src/jackdawhead/platform/records.py
+++ b/src/jackdawhead/platform/records.py
@@ -10,6 +10,7 @@
 
 from ..config.schema import NAME_PATTERN
 from ..node.upstream_list import ListedUpstream
+from .document import UNREADABLE
 from .formats import parse_duration_ms
 from .names import UPSTREAM_ITEMS
 from .store_types import StoredItem
@@ -52,7 +53,7 @@
     try:
         record = _DECODER.decode(item.value)
         cold_ms = parse_duration_ms(record.cold)
-    except (msgspec.DecodeError, ValueError) as error:
+    except UNREADABLE as error:
         return Failure(str(error))
     ip, _, port = record.address.partition(':')
     instance = item.key.removeprefix(UPSTREAM_ITEMS)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -48,15 +48,7 @@
 def _start(fleet: Fleet, site: Site) -> None:
     fleet.start_platform()
     for service in site.services:
-        spots = site.spots(service)
-        fleet.start_upstreams(
-            service.name,
-            spots,
-            service.slots,
-            service.behaviour(),
-        )
-        for vm, zone in spots:
-            fleet.start_node(vm, zone)
+        fleet.start_service(service, site.spots(service))
     fleet.publish_vms()
     fleet.publish_config(site.folder)
     fleet.await_ready()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,7 +16,7 @@
 from functools import partial
 from pathlib import Path
 from random import SystemRandom
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import gevent
 from geventhttpclient.response import HTTPParseError
@@ -24,6 +24,9 @@
 from jackdawhead.bench.client import Call, CallerClient, Reply
 from jackdawhead.config.settings import Address
 
+if TYPE_CHECKING:
+    from .sites import SiteService
+
 _KEY: Final = 'a-shared-key-for-tests-only'
 _PORTS: Final = (10_000, 30_000)
 _START_S: Final = 30.0
@@ -31,6 +34,7 @@
 _CALL_S: Final = 30.0
 _LOG_LINES: Final = 12
 _IP: Final = '127.0.0.1'
+_POISON: Final = '/cultivars/poison'
 _ROOT: Final = Path(__file__).resolve().parent.parent
 
 
@@ -115,6 +119,22 @@
             self.upstreams[name] = UpstreamSpot(vm, zone, service, ports[name])
         return process
 
+    def start_service(
+        self,
+        service: SiteService,
+        spots: list[tuple[str, str]],
+        **behaviour: Any,
+    ) -> None:
+        """Start upstreams of a service, and a node beside each.
+
+        :param spots: VM and zone of each.
+        """
+        self.start_upstreams(
+            service.name, spots, service.slots, service.behaviour(**behaviour)
+        )
+        for vm, zone in spots:
+            self.start_node(vm, zone)
+
     def start_node(
         self,
         vm: str,
@@ -150,6 +170,18 @@
         self.nodes[vm] = node
         return node
 
+    def start_again(self, vm: str, **extra: Any) -> NodeProcess:
+        """Start a node that has ended anew, with the same addresses."""
+        node = self.nodes[vm]
+        ports = (node.caller_port, node.stream_port, node.admin_port)
+        return self.start_node(vm, node.zone, ports, **extra)
+
+    def kill_node(self, vm: str) -> None:
+        """End a node at once."""
+        process = self.nodes[vm].process
+        process.kill()
+        process.wait()
+
     def reserve_ports(self, count: int) -> tuple[int, ...]:
         """Return ports outside the ephemeral range, kept until the end."""
         rng = SystemRandom()
@@ -225,6 +257,11 @@
         reply = call(port, 'POST', '/_control', json.dumps(fields))
         assert reply.status == 200, reply
 
+    def set_platform_mode(self, mode: str) -> None:
+        """Let the platform be ``up``, ``down`` or ``stale``."""
+        fields = json.dumps({'mode': mode})
+        call(self.platform_port, 'POST', '/_control/mode', fields)
+
     def executed(self) -> list[dict[str, Any]]:
         """Return the work that all upstreams have started."""
         records: list[dict[str, Any]] = []
@@ -297,7 +334,7 @@
             stderr=errors,
             cwd=_ROOT,
         )
-        self.stack.callback(_end, process)
+        self.stack.callback(end_process, process)
         return process
 
 
@@ -317,6 +354,15 @@
         client.close()
 
 
+def crash_upstream(port: int) -> None:
+    """Crash an upstream by a request sent to it directly."""
+    try:
+        call(port, 'GET', _POISON)
+    except (OSError, HTTPParseError):
+        # The crash takes the connection with it.
+        return
+
+
 def config_files(folder: Path) -> dict[str, str]:
     """Return the texts of a folder of configuration, by file name."""
     return {path.name: path.read_text() for path in folder.glob('*.yaml')}
@@ -383,7 +429,8 @@
     return json.loads(process.stdout.readline())
 
 
-def _end(process: subprocess.Popen[bytes]) -> None:
+def end_process(process: subprocess.Popen[bytes]) -> None:
+    """End a process that a test has started, paused or not."""
     if process.poll() is None:
         process.send_signal(signal.SIGCONT)
         process.kill()
@@ -396,6 +443,8 @@
     'Reply',
     'call',
     'config_files',
+    'crash_upstream',
+    'end_process',
     'read_json',
     'wait_until',
 )
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import struct
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -11,12 +10,13 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from .resets import reset_connection
+
 if TYPE_CHECKING:
     from gevent.socket import socket as Socket
 
 _BLOCK_BYTES: Final = 65_536
 _IP: Final = '127.0.0.1'
-_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 
 
 class Relay:
@@ -67,7 +67,7 @@
     def reset(self) -> None:
         """Reset all connections on both sides."""
         for sock in tuple(self._sockets):
-            _reset(sock)
+            reset_connection(sock)
         self._sockets.clear()
 
     def _serve(self, caller: Socket, _: tuple[str, int]) -> None:
@@ -96,12 +96,4 @@
             return
 
 
-def _reset(sock: Socket) -> None:
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
-
-
 __all__ = ('Relay',)
--- a/standins/store.py
+++ b/standins/store.py
@@ -92,13 +92,7 @@
             return send_json(start, '503 Down', {})
         if path == '/kv-range':
             return self._range(query, start)
-        if path == '/kv-watch':
-            return self._watch(query, start)
-        found = self._stored.get(query['key'])
-        if found is None:
-            return send_json(start, '404 Not Found', {'atRev': self._revision})
-        plain = {**_plain(found), 'atRev': self._revision}
-        return send_json(start, '200 OK', plain)
+        return self._watch(query, start)
 
     def _change(self, change: _Change) -> None:
         if change.value is None:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -9,8 +9,6 @@
 import argparse
 import hashlib
 import json
-import socket as plain_socket
-import struct
 import time
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass
@@ -27,6 +25,7 @@
 from jackdawhead.sockets import has_hung_up
 
 from .behaviour import Behaviour
+from .resets import reset_connection
 from .wsgi import send_json
 
 _IDLE_S: Final = 600
@@ -34,7 +33,6 @@
 _POLL_S: Final = 0.02
 _MS_PER_S: Final = 1000
 _CHUNK_BYTES: Final = 65_536
-_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 
 
 @dataclass(slots=True)
@@ -206,7 +204,7 @@
         assert self._server is not None
         self._server.close()
         for sock in self._sockets:
-            _reset(sock)
+            reset_connection(sock)
         self._sockets.clear()
         self._worked.clear()
         for record in self.executed:
@@ -232,19 +230,6 @@
             return False
 
 
-def _reset(sock: Any) -> None:
-    try:
-        sock.setsockopt(
-            plain_socket.SOL_SOCKET,
-            plain_socket.SO_LINGER,
-            _LINGER_RESET,
-        )
-        sock.shutdown(plain_socket.SHUT_RDWR)
-    except OSError:
-        return
-    sock.close()
-
-
 def _filling(size: int) -> Iterable[bytes]:
     chunk = b'x' * _CHUNK_BYTES
     while size > 0:
