A request that ran in one attempt is not told as not run after another

Cause: the dispatcher answered with the end of the last attempt alone, the race of two copies with that of the later one, and a home that resent on a new connection with that of the second send. A lookup that had run, and whose next attempt found no room, was told 503, which promises that nothing has run. Ruled out: the upstream's own 503, which is true for that one attempt. Change: a call folds the ends of all its attempts and copies (policy/resend.py); a whole answer of an upstream that stands ready goes before a refusal of the fleet's own.

--- /dev/null
+++ b/features/steps/truth_steps.py
@@ -0,0 +1,56 @@
+"""Steps that compare what callers were told with what upstreams ran."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import then, when
+from gevent.pool import Pool
+
+from features.steps.fleet_steps import node_at
+from standins.fleet import call
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_AT_ONCE = 6
+_DEADLINE = {'X-Deadline-Ms': '2000'}
+
+
+@when('all upstreams but the first refuse work')
+def shed_others(context: Context) -> None:
+    """Let all other upstreams refuse what they are sent."""
+    for upstream in list(context.fleet.upstreams)[1:]:
+        context.fleet.control(upstream, shed=True)
+
+
+@when('callers send {count:d} distinct lookups to node {position:d}')
+def send_distinct(context: Context, count: int, position: int) -> None:
+    """Send lookups that can be told apart in the upstreams' records."""
+    node = context.fleet.nodes[node_at(context, position)]
+
+    def send(path: str) -> tuple[str, int, str]:
+        reply = call(node.caller_port, 'GET', path, headers=_DEADLINE)
+        return path, reply.status, reply.headers['x-outcome']
+
+    paths = [f'/cultivars/distinct-{number}' for number in range(count)]
+    context.told = Pool(_AT_ONCE).map(send, paths)
+
+
+@then('no lookup that ran was told as not run')
+def check_told(context: Context) -> None:
+    """Compare the answers with the records."""
+    ran = {each['path'] for each in context.fleet.executed()}
+    wrong = [
+        each for each in context.told if each[0] in ran and each[2] == 'not-run'
+    ]
+    assert not wrong, wrong
+
+
+@then('some lookups ran without success')
+def check_failed(context: Context) -> None:
+    """Look for lookups that ran and have no answer of success."""
+    ran = {each['path'] for each in context.fleet.executed()}
+    assert any(
+        path in ran and status != 200 for path, status, _ in context.told
+    ), context.told
--- a/src/jackdawhead/node/entry/calls.py
+++ b/src/jackdawhead/node/entry/calls.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ...clock import monotonic_ms
+from ...outcome import Outcome
+from ...policy.resend import outcome_of_both
 
 if TYPE_CHECKING:
     from ...config.model import Operation
@@ -23,6 +25,7 @@
     :param max_attempts: upstreams that may run it, 0 to follow the service.
     :param request_id: as the caller names it, for the log.
     :param runs: attempts so far that may have run.
+    :param outcome: whether it has run, by the ends of all attempts so far.
     :param tries: upstreams it was sent to, or that it may have crashed.
     """
 
@@ -37,11 +40,19 @@
     request_id: str = ''
     runs: int = 0
     attempts: int = 0
+    outcome: Outcome = Outcome.NOT_RUN
     arrived_at_ms: float = field(default_factory=monotonic_ms)
 
     def left_ms(self) -> float:
         """Return the time left."""
         return self.deadline_at_ms - monotonic_ms()
 
+    def note_end(self, outcome: Outcome) -> None:
+        """Take in the end of an attempt or of a copy of one.
+
+        :param outcome: whether it has run.
+        """
+        self.outcome = outcome_of_both(self.outcome, outcome)
+
 
 __all__ = ('Call',)
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -101,19 +101,20 @@
     def _send(self, call: Call) -> Answer:
         call.router.budget.note_first_attempt()
         attempt_number = 1
+        ready: UpstreamAnswer | None = None
         while True:
             answer = self._attempt(call, attempt_number)
-            call.runs += _end_of(answer).outcome is not Outcome.NOT_RUN
+            outcome = _end_of(answer).outcome
+            call.runs += outcome is not Outcome.NOT_RUN
+            call.note_end(outcome)
             if not self._may_resend(call, answer, attempt_number):
-                return answer
+                return _final(call, answer, ready)
             if isinstance(answer, UpstreamAnswer):
                 answer.body.close()
+                ready = answer if answer.body.whole is not None else ready
             policy = call.router.service.retry
             delay_ms = backoff_ms(
-                policy,
-                attempt_number,
-                _end_of(answer).outcome,
-                self._routing.rng,
+                policy, attempt_number, outcome, self._routing.rng
             )
             gevent.sleep(seconds(delay_ms))
             attempt_number += 1
@@ -222,6 +223,25 @@
         )
 
 
+def _final(
+    call: Call,
+    answer: Answer,
+    ready: UpstreamAnswer | None,
+) -> Answer:
+    """Return what the request came to, by all its attempts.
+
+    :param answer: of the last attempt.
+    :param ready: whole answer of an upstream to an attempt before.
+    """
+    if isinstance(answer, UpstreamAnswer):
+        return answer
+    if ready is not None:
+        return ready
+    if answer.outcome is call.outcome:
+        return answer
+    return Refused(call.outcome, answer.reason)
+
+
 def _end_of(answer: Answer) -> AttemptEnd:
     if isinstance(answer, Refused):
         return AttemptEnd(answer.outcome, answer.reason)
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -85,6 +85,7 @@
             self._attempts.cancel(attempt)
             _kill(pump)
             raise
+        call.note_end(heard.other)
         self._learn(call, heard, monotonic_ms() - started_ms)
         if isinstance(heard.first, Head):
             return self._answer(call, heard.copy.attempt, heard.first)
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -266,9 +266,9 @@
 
 
 def _status_of(refused: Refused, policy: CallerPolicy) -> int:
-    if refused.reason is Reason.QUARANTINED:
-        return policy.quarantined_status
     is_not_run = refused.outcome is Outcome.NOT_RUN
+    if is_not_run and refused.reason is Reason.QUARANTINED:
+        return policy.quarantined_status
     if is_not_run and refused.reason is Reason.DEADLINE:
         return policy.expired_status
     default = _STATUS_NOT_RUN if is_not_run else _STATUS_UNKNOWN
--- a/src/jackdawhead/node/entry/race.py
+++ b/src/jackdawhead/node/entry/race.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ...clock import monotonic_ms
+from ...outcome import Outcome
 from ...wire.messages import Head, Refusal
 from .live_path import patience_ms, silent
 
@@ -41,10 +42,12 @@
     """What was heard first of a copy.
 
     :param first: head or refusal, or nothing when time was up.
+    :param other: whether the other copy has run, if there is one.
     """
 
     copy: Copy
     first: Head | Refusal | None
+    other: Outcome = Outcome.NOT_RUN
 
 
 class Race:
@@ -91,7 +94,8 @@
             return self._judge(message)
         earlier, later = self._copies
         self._attempts.cancel(later.attempt)
-        return Heard(earlier, None if open_copies else silent(earlier.attempt))
+        first = None if open_copies else silent(earlier.attempt)
+        return Heard(earlier, first, Outcome.UNKNOWN)
 
     def _judge(self, message: Head | Refusal) -> Heard:
         earlier, later = self._copies
@@ -99,10 +103,10 @@
         heard, other = (earlier, later) if is_earlier else (later, earlier)
         if is_good(message):
             self._attempts.cancel(other.attempt)
-            return Heard(heard, message)
+            return Heard(heard, message, Outcome.UNKNOWN)
         self._attempts.cancel(heard.attempt)
         first = self._paths.first(other.attempt, other.run_ms, self._left_ms())
-        return Heard(other, first)
+        return Heard(other, first, _outcome_of(message))
 
     def _any_first(self, timeout_ms: float) -> Head | Refusal | None:
         return self._copies[0].attempt.any_first(timeout_ms)
@@ -111,6 +115,12 @@
         return self._ends_ms - monotonic_ms() + _GRACE_MS
 
 
+def _outcome_of(message: Head | Refusal) -> Outcome:
+    if isinstance(message, Head):
+        return Outcome.RAN
+    return Outcome(message.outcome)
+
+
 def is_good(message: Head | Refusal | None) -> bool:
     """Return whether an upstream has answered without a server error.
 
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -88,6 +88,7 @@
         self._started_ms = monotonic_ms()
         self._blocked_ms: float = 0
         self._sent = False
+        self._resent = False
         self._head_sent = False
 
     def run(self) -> Ended:
@@ -132,6 +133,7 @@
         except OSError:
             return self._unreachable()
         resent_ms = monotonic_ms()
+        self._resent = True
         try:
             ended = self._exchange(connection)
         except (OSError, HTTPParseError):
@@ -229,7 +231,9 @@
         reason: Reason,
         avoid_ms: int = 0,
     ) -> Ended:
-        final = self._job.refusal(Outcome.NOT_RUN, reason, avoid_ms)
+        # What was sent before on another connection may have run.
+        outcome = Outcome.UNKNOWN if self._resent else Outcome.NOT_RUN
+        final = self._job.refusal(outcome, reason, avoid_ms)
         return replace(self._ended(ending, final), avoid_ms=avoid_ms)
 
     def _pass_on(self, reader: AnswerReader, answer: Answer) -> Message:
--- a/src/jackdawhead/policy/resend.py
+++ b/src/jackdawhead/policy/resend.py
@@ -1,4 +1,4 @@
-"""Whether a request may be sent again."""
+"""Whether a request may be sent again, and what all its attempts came to."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from ..reasons import Reason
 
 _FINAL_REASONS: Final = frozenset((Reason.QUARANTINED, Reason.DEADLINE))
+_BY_CERTAINTY: Final = (Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.RAN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,4 +41,16 @@
     return idempotent or end.outcome is Outcome.NOT_RUN
 
 
-__all__ = ('AttemptEnd', 'is_resend_safe')
+def outcome_of_both(one: Outcome, other: Outcome) -> Outcome:
+    """Return whether a request has run, from two of its attempts.
+
+    Load pattern: a crest during which answers are lost. The attempt after a
+    lost answer finds no room, which does not undo that the first one ran.
+
+    :param one: of an attempt, or of all attempts before.
+    :param other: of another attempt.
+    """
+    return max(one, other, key=_BY_CERTAINTY.index)
+
+
+__all__ = ('AttemptEnd', 'is_resend_safe', 'outcome_of_both')
--- a/standins/behaviour.py
+++ b/standins/behaviour.py
@@ -27,6 +27,9 @@
         answer any more; new ones work.
     :param draining: new work is refused with a draining header.
     :param shed: new work is refused as not run.
+    :param lose_share: share of requests that are run and whose answer is lost
+        with the connection.
+    :param shed_after_loss: new work is refused once an answer was lost.
     :param cold_ms: time after a start during which work runs slower.
     :param restart_ms: time that a crash takes the upstream away.
     :param answer_bytes: size of the answer's filling.
@@ -41,6 +44,8 @@
     silent: bool = False
     draining: bool = False
     shed: bool = False
+    lose_share: float = 0
+    shed_after_loss: bool = False
     cold_ms: float = 0
     cold_factor: float = 5
     restart_ms: float = 500
@@ -71,6 +76,13 @@
         """Return whether a request is answered with an error."""
         return self.concerns(path) and rng.random() < self.fail_share
 
+    def loses(self, rng: Random) -> bool:
+        """Return whether the answer to a request is lost."""
+        is_lost = rng.random() < self.lose_share
+        if is_lost and self.shed_after_loss:
+            self.shed = True
+        return is_lost
+
     def run_time_ms(self, path: str, age_ms: float, rng: Random) -> float:
         """Return how long a request runs.
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -174,6 +174,9 @@
             record.state = 'failed'
             return send_json(start, '500 Failed', {'upstream': self.name})
         record.state = 'done'
+        if self.behaviour.loses(self._rng):
+            reset_connection(environ[SOCKET_KEY])
+            return []
         size = int(query.get('bytes', [self.behaviour.answer_bytes])[0])
         return self._answer(environ, start, record, body, size)
 
