Bytes that are no answer are taken in up to a bound

Change: node/home/answer_bounds.py counts them; at the bound the connection is closed, the run counts as failed, and the caller is told the truth. Readers of callers and of the store: open.

--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -111,7 +111,7 @@
                 return _final(call, answer, ready)
             if isinstance(answer, UpstreamAnswer):
                 answer.body.close()
-                ready = answer if answer.body.whole is not None else ready
+                ready = ready if answer.body.whole is None else answer
             policy = call.router.service.retry
             delay_ms = backoff_ms(
                 policy, attempt_number, outcome, self._routing.rng
--- a/src/jackdawhead/node/home/answer_reader.py
+++ b/src/jackdawhead/node/home/answer_reader.py
@@ -2,7 +2,8 @@
 
 An upstream may send a second answer to an earlier request, or bytes after
 the end of an answer. Answers are told apart by the id that they repeat, and
-a connection that carried anything else is never used again.
+a connection that carried anything else is never used again. Bytes that never
+become the answer are taken in up to a bound.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
 from ...wire.header_pairs import first_header
+from .answer_bounds import AnswerBounds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -118,6 +120,8 @@
         self._answer = Answer()
         self._failure: HTTPParseError | None = None
         self._checked = 0
+        self._bounds = AnswerBounds()
+        self._received_bytes = 0
         self.dropped = 0
 
     @property
@@ -145,6 +149,7 @@
         while True:
             answer = self._next_final()
             if answer is None:
+                self._check_others()
                 self.take_more()
             elif is_wanted(answer):
                 self._answer = answer
@@ -169,10 +174,12 @@
         """Take more bytes in; those after the end of an answer do no harm.
 
         :raises OSError: if the connection is reset.
-        :raises HTTPParseError: if it had ended, or carried something else.
+        :raises HTTPParseError: if it had ended, or carried something else,
+            or too much that is no body.
         """
         if self._failure is not None:
             raise self._failure
+        body_bytes = len(self._answer.body)
         received = self._sock.recv(self._block_bytes)
         try:
             self._parser.feed(received)
@@ -180,6 +187,35 @@
             self._failure = failure
         if not received and self._failure is None:
             self._failure = HTTPParseError('connection closed')
+        self._received_bytes = len(received)
+        if self._answer.has_head:
+            self._check_framing(body_bytes)
+
+    def _check_framing(self, body_bytes: int) -> None:
+        """Fail where the own answer goes on without its body."""
+        answer = self._answer
+        is_idle = len(answer.body) == body_bytes and not answer.complete
+        crossed = self._bounds.note_within(
+            self._received_bytes, has_grown=not is_idle
+        )
+        if crossed:
+            self._failure = HTTPParseError(crossed)
+
+    def _check_others(self) -> None:
+        """Fail where all that has come in is not the own answer.
+
+        :raises HTTPParseError: if that is too much.
+        """
+        answers = self._parser.answers
+        crossed = self._bounds.note_before(
+            self._received_bytes,
+            self._checked,
+            in_head=len(answers) > self._checked,
+        )
+        if crossed:
+            self._failure = HTTPParseError(crossed)
+            answers.clear()
+            raise self._failure
 
     def _next_final(self) -> Answer | None:
         """Return the next answer that is not interim, if its head is here."""
--- a/standins/behaviour.py
+++ b/standins/behaviour.py
@@ -30,6 +30,8 @@
     :param lose_share: share of requests that are run and whose answer is lost
         with the connection.
     :param shed_after_loss: new work is refused once an answer was lost.
+    :param endless: kind of bytes that are sent in place of an answer until
+        the connection is closed, none by default; see ``standins.endless``.
     :param cold_ms: time after a start during which work runs slower.
     :param restart_ms: time that a crash takes the upstream away.
     :param answer_bytes: size of the answer's filling.
@@ -46,6 +48,7 @@
     shed: bool = False
     lose_share: float = 0
     shed_after_loss: bool = False
+    endless: str = ''
     cold_ms: float = 0
     cold_factor: float = 5
     restart_ms: float = 500
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -25,6 +25,7 @@
 from jackdawhead.sockets import has_hung_up
 
 from .behaviour import Behaviour
+from .endless import send_endlessly
 from .resets import reset_connection
 from .wsgi import send_json
 
@@ -174,6 +175,9 @@
             record.state = 'failed'
             return send_json(start, '500 Failed', {'upstream': self.name})
         record.state = 'done'
+        if self.behaviour.endless:
+            send_endlessly(environ[SOCKET_KEY], self.behaviour.endless)
+            return []
         if self.behaviour.loses(self._rng):
             reset_connection(environ[SOCKET_KEY])
             return []
