Overdue work on a pooled connection is sent on a second one beside the first

Change: the first connection is kept until the second answers (home/overdue.py), and without a resend left it is just waited for; a path on which nothing is acknowledged for a second is ended by the system (TCP_USER_TIMEOUT).

--- a/features/path/silent.feature
+++ b/features/path/silent.feature
@@ -24,3 +24,10 @@
     And callers send 60 lookups to all nodes
     Then every lookup has the whole answer to its own request
     And upstream 1 records "cancelled" work
+
+  Scenario: Work that takes long on a pooled connection is not broken off
+    Given a fleet of 1 nodes before "registry-desk"
+    When a caller sends 5 lookups one after the other to node 1
+    And a caller sends GET "/cultivars/long?ms=1500" to node 1 with the deadline 8000 ms
+    Then the status is 200
+    And the first run of "/cultivars/long" is recorded as "done"
--- a/features/steps/truth_steps.py
+++ b/features/steps/truth_steps.py
@@ -54,3 +54,11 @@
     assert any(
         path in ran and status != 200 for path, status, _ in context.told
     ), context.told
+
+
+@then('the first run of "{path}" is recorded as "{state}"')
+def check_first_run(context: Context, path: str, state: str) -> None:
+    """Look at the earliest record of a piece of work."""
+    runs = [each for each in context.fleet.executed() if each['path'] == path]
+    first = min(runs, key=lambda each: each['started_at'])
+    assert first['state'] == state, runs
--- a/src/jackdawhead/node/home/connections.py
+++ b/src/jackdawhead/node/home/connections.py
@@ -20,6 +20,8 @@
     from .answer_reader import Answer
 
 _CONNECT_TIMEOUT_MS: Final = 1000
+# A path on which nothing is acknowledged for so long has gone silent.
+_UNACKNOWLEDGED_MS: Final = 1000
 _PROVED_FOR_MS: Final = 500
 _IDLE_LIFE_MS: Final = 60_000
 # An upstream may close a little before the time that it told.
@@ -106,6 +108,9 @@
         sock = socket.create_connection(target, timeout_s)
         sock.settimeout(None)
         set_no_delay(sock)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
+        )
         return Connection(sock)
 
     def release(self, connection: Connection) -> None:
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -16,6 +16,7 @@
 from ..credit import CHUNK_BYTES
 from .answer_judge import Judgement, avoid_ms_of, judge_answer
 from .answer_reader import Answer, AnswerReader, HTTPParseError
+from .overdue import OpenConnections, await_answer
 from .request_body import send_body
 from .request_head import answer_headers, request_head
 
@@ -29,7 +30,6 @@
 _SERVER_ERROR: Final = 500
 _SILENCE_FACTOR: Final = 6
 _MIN_SILENCE_MS: Final = 250
-_LATE_MS: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +49,6 @@
     condemned: bool = False
 
 
-class _SilentError(Exception):
-    """A pooled connection gave no sign in time."""
-
-
 class _DeadlineError(Exception):
     """The deadline of the request passed."""
 
@@ -90,6 +86,7 @@
         self._sent = False
         self._resent = False
         self._head_sent = False
+        self._condemned = False
 
     def run(self) -> Ended:
         """Run it to the end.
@@ -116,57 +113,70 @@
             return self._unreachable()
         try:
             return self._exchange(connection)
-        except _SilentError:
-            if self._target.resends.may_resend():
-                return self._attempt_anew(was_silent=True)
-            return self._refused(Ending.FAILED, Reason.UPSTREAM_SILENT)
         except (OSError, HTTPParseError):
             is_allowed = self._may_resend(connection)
             if not is_allowed or not self._target.resends.may_resend():
                 return self._broken()
-        return self._attempt_anew(was_silent=False)
+        return self._attempt_anew()
 
-    def _attempt_anew(self, *, was_silent: bool) -> Ended:
+    def _attempt_anew(self) -> Ended:
         """Resend idempotent work on a new connection to the same upstream."""
         try:
             connection = self._target.pool.open_new()
         except OSError:
             return self._unreachable()
-        resent_ms = monotonic_ms()
         self._resent = True
         try:
-            ended = self._exchange(connection)
+            return self._exchange(connection)
         except (OSError, HTTPParseError):
             return self._broken()
-        is_fast = monotonic_ms() - resent_ms < self._silence_ms()
-        return replace(ended, condemned=was_silent and is_fast)
 
     def _exchange(self, connection: Connection) -> Ended:
         self._job.has_response = not connection.reused
+        opened = OpenConnections([connection])
         with ExitStack() as stack:
-            stack.callback(connection.close)
+            stack.callback(opened.close)
             self._send(connection)
+            answering = self._await_answer(connection, opened)
             method = self._job.submit.method
-            reader = AnswerReader(connection.sock, method, CHUNK_BYTES)
-            answer = self._receive_head(connection, reader)
+            reader = AnswerReader(answering.sock, method, CHUNK_BYTES)
+            answer = reader.read_head(self._is_own)
             self._job.has_response = True
             refused = self._refusal_of(answer)
             if refused is not None:
                 return refused
             final = self._pass_on(reader, answer)
             if reader.is_reusable:
-                stack.pop_all()
-                connection.note_answer(answer)
-                self._target.pool.release(connection)
+                answering.note_answer(answer)
+                self._target.pool.release(opened.take(answering))
         return self._ended(self._ending_of(answer), final)
 
+    def _await_answer(
+        self,
+        connection: Connection,
+        opened: OpenConnections,
+    ) -> Connection:
+        """Return the connection on which the answer comes."""
+        if not self._may_resend(connection):
+            return connection
+        answering = await_answer(
+            opened,
+            self._target.pool,
+            self._silence_ms(),
+            self._target.resends.may_resend,
+            self._resend,
+        )
+        self._condemned = opened.condemned
+        return answering
+
+    def _resend(self, connection: Connection) -> None:
+        self._resent = True
+        self._send(connection)
+
     def _ending_of(self, answer: Answer) -> Ending:
         if answer.status < _SERVER_ERROR:
             return Ending.SUCCEEDED
-        return self._deadline_ending() if self._is_late() else Ending.FAILED
-
-    def _is_late(self) -> bool:
-        return self._job.work.deadline_at_ms - monotonic_ms() < _LATE_MS
+        return self._deadline_ending() if self._job.is_late else Ending.FAILED
 
     def _deadline_ending(self) -> Ending:
         given_ms = self._job.work.deadline_at_ms - self._started_ms
@@ -183,16 +193,6 @@
             return
         send_body(connection.sock, head, self._job)
 
-    def _receive_head(
-        self,
-        connection: Connection,
-        reader: AnswerReader,
-    ) -> Answer:
-        if not connection.reused or not self._target.operation.idempotent:
-            return reader.read_head(self._is_own)
-        with gevent.Timeout(seconds(self._silence_ms()), _SilentError):
-            return reader.read_head(self._is_own)
-
     def _is_own(self, answer: Answer) -> bool:
         """Tell the answer to this request from one to an earlier request."""
         name = self._target.names.echoed_id
@@ -208,7 +208,7 @@
         """Recognise an answer that is not to be passed on."""
         target = self._target
         match judge_answer(
-            answer, target.names, target.instance, is_late=self._is_late()
+            answer, target.names, target.instance, is_late=self._job.is_late
         ):
             case Judgement.LATE:
                 return self._refused(self._deadline_ending(), Reason.DEADLINE)
@@ -291,7 +291,7 @@
 
     def _ended(self, ending: Ending, final: Message) -> Ended:
         run_ms = monotonic_ms() - self._started_ms - self._blocked_ms
-        return Ended(ending, final, run_ms)
+        return Ended(ending, final, run_ms, condemned=self._condemned)
 
 
 __all__ = ('Ended', 'Ending', 'Execution', 'Target')
--- a/src/jackdawhead/node/home/job.py
+++ b/src/jackdawhead/node/home/job.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from gevent.queue import SimpleQueue
 
+from ...clock import monotonic_ms
 from ...outcome import Outcome
 from ...wire.header_pairs import first_header
 from ...wire.messages import Message, Refusal
@@ -21,6 +22,8 @@
     from ...reasons import Reason
     from ...wire.messages import Submit
 
+_LATE_MS: Final = 20
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -56,6 +59,11 @@
         """Identity of the request on its stream."""
         return self.submit.request_id
 
+    @property
+    def is_late(self) -> bool:
+        """Whether its deadline is about to pass, or has passed."""
+        return self.work.deadline_at_ms - monotonic_ms() < _LATE_MS
+
     def header(self, name: str) -> str | None:
         """Return the value of a header of the caller's request.
 
--- a/src/jackdawhead/sockets.py
+++ b/src/jackdawhead/sockets.py
@@ -1,12 +1,17 @@
-"""What can be told of an idle connection without taking bytes from it."""
+"""What can be told of connections without taking bytes from them."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from gevent import socket
+from gevent.select import select
+
+from .clock import seconds
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from gevent.socket import socket as Socket
 
 
@@ -26,6 +31,21 @@
     return _peek(sock) is None
 
 
+def first_readable(
+    socks: Sequence[Socket],
+    timeout_ms: float | None = None,
+) -> Socket | None:
+    """Return the first connection that has bytes or an end to be read.
+
+    :param socks: connections.
+    :param timeout_ms: longest wait, in milliseconds; none for ever.
+    :returns: nothing when time is up.
+    """
+    timeout_s = None if timeout_ms is None else seconds(timeout_ms)
+    readable, _, _ = select(socks, (), (), timeout_s)
+    return readable[0] if readable else None
+
+
 def _peek(sock: Socket) -> bytes | None:
     """Return the next byte, none if the connection has ended.
 
@@ -43,4 +63,4 @@
         sock.settimeout(timeout)
 
 
-__all__ = ('has_hung_up', 'is_quiet')
+__all__ = ('first_readable', 'has_hung_up', 'is_quiet')
