Nodes announce versions and fetch what is new from one other node

Cause: a change of the configuration or of the list was sent whole to all neighbours, and by each node to all others whose last heartbeat was older than the change. Tests: catch_up.feature (60 announcements, 1 question), 7 passed; config_spread.feature 9 passed.

--- a/src/jackdawhead/node/config_controller.py
+++ b/src/jackdawhead/node/config_controller.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from ..audit import AuditKind
-from ..blackboard import ConfigInForce
+from ..blackboard import ConfigInForce, ConfigMark
 from ..config.load import ConfigLoader, LoadedConfig
 from ..config.sources import SourceFile
 from ..wire.messages import ConfigNews
@@ -20,6 +20,7 @@
     from ..audit import AuditTrail
     from ..blackboard import Blackboard
     from ..config.problems import Problem
+    from ..wire.messages import ConfigAsk
     from .links import Link
 
 
@@ -37,7 +38,7 @@
         self._refused: tuple[int, str] | None = None
         self._stale_version = 0
         self.entries_refused = 0
-        self.broadcast: Callable[[ConfigNews, Link | None], None] | None = None
+        self.announce: Callable[[Link | None], None] | None = None
 
     def offer(
         self,
@@ -78,20 +79,15 @@
         """
         sources = tuple(SourceFile(name, text) for name, text in news.files)
         self.offer(news.version, sources, f'node {link.vm}', link)
-        current = self._board.config.read()
-        if current.version == news.version and current.sources == sources:
-            link.config_mark = current.mark
-        else:
-            self.bring_up_to_date(link)
 
-    def bring_up_to_date(self, link: Link) -> None:
+    def answer(self, ask: ConfigAsk, link: Link) -> None:
         """Send the configuration in force to a node that has an older one.
 
-        :param link: way to the node; its mark is known from heartbeats.
+        :param ask: tells which one it has.
+        :param link: way to the node.
         """
         current = self._board.config.read()
-        if link.config_mark < current.mark:
-            link.config_mark = current.mark
+        if ConfigMark(ask.version, ask.digest) < current.mark:
             link.send(_news_of(current))
 
     def _accept(
@@ -114,8 +110,8 @@
             f'from {origin}, digest {loaded.config.digest}',
         )
         self._note_entries_refused(version, loaded.refused, origin)
-        if self.broadcast is not None:
-            self.broadcast(_news_of(in_force), source)
+        if self.announce is not None:
+            self.announce(source)
         return True
 
     def _note_entries_refused(
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Final
 
 from ..audit import AuditKind
-from ..blackboard import ConfigMark
 from ..wire.messages import (
+    ConfigAsk,
     ConfigNews,
     Heartbeat,
     Message,
@@ -15,6 +15,7 @@
     VmChange,
     VmNews,
 )
+from .follower import NewsFollower
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,7 +23,6 @@
     from .links import Link
     from .parts import NodeParts
 
-_PUBLISHED: Final = (ConfigNews, VmNews, VmChange)
 _LEAVING_AVOID_MS: Final = 3000
 
 
@@ -42,24 +42,32 @@
     ) -> None:
         self._parts = parts
         self._links = links
+        self._follower = NewsFollower(parts, self._is_near)
 
     def broadcast(self, message: Message, source: Link | None = None) -> None:
         """Send news to all linked nodes.
 
-        What the platform publishes is read in each availability zone, so it
-        is passed on within the zone only; a node of another zone that stays
-        behind shows it by its heartbeats.
-
         :param message: the news.
         :param source: link that it came from, which is left out.
         """
-        is_published = isinstance(message, _PUBLISHED)
         for link in self._links():
-            if link is source:
-                continue
-            if not is_published or self._is_near(link):
+            if link is not source:
                 link.send(message)
 
+    def announce(self, source: Link | None = None) -> None:
+        """Tell the nodes of the own zone which versions are known here.
+
+        What the platform publishes is read in each availability zone, so it
+        is announced within the zone only; a node of another zone that stays
+        behind learns of it by the next heartbeat.
+
+        :param source: link on which the latest came, which is left out.
+        """
+        heartbeat = self.heartbeat()
+        for link in self._links():
+            if link is not source and self._is_near(link):
+                link.send(heartbeat)
+
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat of this node."""
         board = self._parts.board
@@ -102,8 +110,8 @@
                 self._parts.membership.take_news(message, link)
             case VmChange():
                 self._parts.membership.take_change(message, link)
-            case VmAsk():
-                self._parts.membership.greet(link)
+            case VmAsk() | ConfigAsk():
+                self._answer(message, link)
             case _:
                 return False
         return True
@@ -113,12 +121,16 @@
         return vm is None or vm.zone == self._parts.settings.zone
 
     def _take_heartbeat(self, link: Link, beat: Heartbeat) -> None:
-        link.config_mark = ConfigMark(beat.config_version, beat.config_digest)
+        self._follower.hear(link, beat)
         link.heard_heartbeat.set()
         if beat.leaving:
             self._parts.routing.avoid(link.vm, _LEAVING_AVOID_MS)
-        self._parts.config.bring_up_to_date(link)
-        self._parts.membership.bring_up_to_date(link, beat.vm_list_version)
+
+    def _answer(self, ask: VmAsk | ConfigAsk, link: Link) -> None:
+        if isinstance(ask, VmAsk):
+            self._parts.membership.answer(ask, link)
+        else:
+            self._parts.config.answer(ask, link)
 
 
 __all__ = ('GossipController',)
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -53,6 +53,7 @@
         self.vm = ''
         self.incarnation = 0
         self.config_mark = ConfigMark()
+        self.vm_list_version = 0
         self.heard_at_ms = monotonic_ms()
         self.used_at_ms = self.heard_at_ms
         self._sent_at_ms: float = 0
--- a/src/jackdawhead/node/list_codec.py
+++ b/src/jackdawhead/node/list_codec.py
@@ -101,12 +101,33 @@
     :param before: the earlier one.
     :param after: the later one.
     """
-    changed = [
-        vm for name, vm in after.vms.items() if before.vms.get(name) != vm
-    ]
-    gone = sorted(before.vms.keys() - after.vms.keys())
+    return change_about(differing(before, after), before.version, after)
+
+
+def differing(before: VmList, after: VmList) -> frozenset[str]:
+    """Return the names of the VMs that are not the same in two lists.
+
+    :param before: the earlier one.
+    :param after: the later one.
+    """
+    gone = frozenset(before.vms.keys() - after.vms.keys())
+    return gone.union(
+        name for name, vm in after.vms.items() if before.vms.get(name) != vm
+    )
+
+
+def change_about(names: frozenset[str], base: int, current: VmList) -> VmChange:
+    """Return what a list says of some VMs, as a change of an earlier list.
+
+    :param names: all VMs in which the earlier list may differ.
+    :param base: version of the earlier list.
+    :param current: the later list.
+    """
+    vms = current.vms
+    changed = [vms[name] for name in sorted(names) if name in vms]
+    gone = sorted(names - vms.keys())
     text = msgspec.json.encode({'changed': changed, 'gone': gone}).decode()
-    return VmChange(before.version, after.version, text)
+    return VmChange(base, current.version, text)
 
 
 def apply_change(before: VmList, change: VmChange) -> Result[VmList, str]:
@@ -131,4 +152,11 @@
     return {each.name: _vm(each) for each in listed}
 
 
-__all__ = ('apply_change', 'change_of', 'list_text', 'parse_vm_list')
+__all__ = (
+    'apply_change',
+    'change_about',
+    'change_of',
+    'differing',
+    'list_text',
+    'parse_vm_list',
+)
--- a/src/jackdawhead/node/membership.py
+++ b/src/jackdawhead/node/membership.py
@@ -2,26 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
 
 from ..audit import AuditKind
-from ..clock import monotonic_ms
 from ..wire.messages import VmAsk, VmNews
-from .list_codec import apply_change, change_of, list_text, parse_vm_list
+from .list_codec import apply_change, list_text, parse_vm_list
+from .list_history import ListHistory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..audit import AuditTrail
     from ..blackboard import Blackboard, VmList
-    from ..wire.messages import Message, VmChange
+    from ..wire.messages import VmChange
     from .links import Link
 
-# By then the readers of the other node's zone have passed the list on.
-_SPREAD_MS: Final = 700
-
 
 class MembershipController:
     """Accepts newer lists and passes them on.
@@ -33,8 +30,8 @@
     def __init__(self, board: Blackboard, audit: AuditTrail) -> None:
         self._board = board
         self._audit = audit
-        self._accepted_at_ms: float = 0
-        self.broadcast: Callable[[Message, Link | None], None] | None = None
+        self._history = ListHistory()
+        self.announce: Callable[[Link | None], None] | None = None
 
     def offer(
         self,
@@ -95,33 +92,25 @@
                     message,
                 )
 
-    def greet(self, link: Link) -> None:
-        """Send the list to a node that has an older one.
-
-        :param link: way to the node.
-        """
-        vm_list = self._board.vm_list.read()
-        if vm_list.vms:
-            link.send(VmNews(vm_list.version, list_text(vm_list)))
-
-    def bring_up_to_date(self, link: Link, version: int) -> None:
-        """Send the list to a node that has been behind for a moment.
+    def answer(self, ask: VmAsk, link: Link) -> None:
+        """Send a node what it lacks, or the whole list.
 
+        :param ask: tells which list it has.
         :param link: way to the node.
-        :param version: of the list that the node has.
         """
         current = self._board.vm_list.read()
-        held_ms = monotonic_ms() - self._accepted_at_ms
-        if version < current.version and held_ms > _SPREAD_MS:
-            self.greet(link)
+        if ask.version >= current.version:
+            return
+        change = self._history.change_since(ask.version, current)
+        link.send(change or VmNews(current.version, list_text(current)))
 
     def _accept(self, vm_list: VmList, source: Link | None) -> None:
         before = self._board.vm_list.read()
         self._audit_changes(before, vm_list)
-        self._accepted_at_ms = monotonic_ms()
+        self._history.note(before, vm_list)
         self._board.vm_list.write(vm_list)
-        if self.broadcast is not None:
-            self.broadcast(change_of(before, vm_list), source)
+        if self.announce is not None:
+            self.announce(source)
 
     def _audit_changes(self, before: VmList, after: VmList) -> None:
         for name in sorted(after.vms.keys() - before.vms.keys()):
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -68,8 +68,8 @@
             self._tell_risk,
         )
         self._channels = Channels(self.parts)
-        self.parts.config.broadcast = self._channels.gossip.broadcast
-        self.parts.membership.broadcast = self._channels.gossip.broadcast
+        self.parts.config.announce = self._channels.gossip.announce
+        self.parts.membership.announce = self._channels.gossip.announce
         self.parts.pauses.drop_links = self._channels.drop_links
         self.parts.pauses.refresh = self._channels.catch_up
         self._platform = platform or PlatformClient(settings.platform_address)
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -23,6 +23,7 @@
     TicketSubmit,
 )
 from .news_messages import (
+    ConfigAsk,
     ConfigNews,
     DrainNews,
     PoisonNews,
@@ -41,6 +42,7 @@
     'Body',
     'Cancel',
     'Challenge',
+    'ConfigAsk',
     'ConfigNews',
     'Credit',
     'DrainNews',
--- a/src/jackdawhead/wire/news_messages.py
+++ b/src/jackdawhead/wire/news_messages.py
@@ -112,7 +112,21 @@
     version: int
 
 
+@message(21)
+@dataclass(frozen=True, slots=True)
+class ConfigAsk(Message):
+    """Asks for the configuration in force.
+
+    :param version: of the configuration that the sender has.
+    :param digest: leading bits of its digest.
+    """
+
+    version: int
+    digest: int
+
+
 __all__ = (
+    'ConfigAsk',
     'ConfigNews',
     'DrainNews',
     'PoisonNews',
