Ambiguous and endless requests of callers are refused

Cause: two lengths, a length beside chunks, an unknown coding, a sign in a length, a missing Host and control characters were served, and the bytes behind such a request were taken for the next one; names with an underscore passed for those with a hyphen; a head that was cut was served; trailers without end held the event loop, since each byte was there at once. Change: node/request_framing.py decides, 400 or 501 and the connection closed, logged and counted; headers go on as they came, in their order, less those that Connection names; a URL as target is served; a body has to come within the caller's deadline, and 256 KB beside it end the connection (chunk_guard.py).

--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -6,15 +6,16 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import falcon
+import gevent
 from falcon import App, Request, Response
 from gevent.pywsgi import Input
 
-from ...clock import monotonic_ms
+from ...clock import monotonic_ms, seconds
 from ...config.model import CallerPolicy, HeaderNames
 from ...outcome import Outcome
 from ...reasons import Reason
 from ..home.request_head import HOP_BY_HOP
-from ..http_server import SOCKET_KEY
+from ..http_server import HEADERS_KEY, SOCKET_KEY
 from ..tickets.store import LIFE_MS
 from .caller_watch import watch_caller
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
@@ -125,7 +126,9 @@
         if (length or 0) > (max_bytes or self._settings.max_body_bytes):
             return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
         try:
-            call = _caller_request(environ, names, length)
+            call = self._read(environ, names, length)
+        except TimeoutError:
+            return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         except OSError:
             return Refused(Outcome.NOT_RUN, Reason.BODY_CUT)
         if ticket:
@@ -135,6 +138,20 @@
         with watch_caller(environ[SOCKET_KEY]):
             return self._dispatcher.dispatch(call)
 
+    def _read(
+        self,
+        environ: dict[str, Any],
+        names: HeaderNames,
+        length: int | None,
+    ) -> CallerRequest:
+        """Read a request, its body as far as it is kept in memory.
+
+        :raises OSError: if the body is cut, malformed or too slow.
+        """
+        limit_ms = _deadline_ms(environ, names) or self._settings.caller_idle_ms
+        with gevent.Timeout(seconds(limit_ms), TimeoutError):
+            return _caller_request(environ, names, length)
+
     def _fill(
         self,
         response: Response,
@@ -211,17 +228,11 @@
         names.caller_service.lower(),
         names.instance.lower(),
     }
-    pairs = []
-    for key, text in environ.items():
-        if not key.startswith(_HEADER_PREFIX):
-            continue
-        name = key.removeprefix(_HEADER_PREFIX).replace('_', '-').title()
-        if name.lower() not in HOP_BY_HOP and name.lower() not in own:
-            pairs.append([name, text])
-    content_type = environ.get('CONTENT_TYPE')
-    if content_type:
-        pairs.append(['Content-Type', content_type])
-    return pairs
+    # Fields that the caller's Connection field names concern one hop only.
+    named = environ.get('HTTP_CONNECTION', '').lower().split(',')
+    dropped = HOP_BY_HOP | own | {each.strip() for each in named}
+    pairs: HeaderPairs = environ[HEADERS_KEY]
+    return [each for each in pairs if each[0].lower() not in dropped]
 
 
 def _organisation(environ: dict[str, Any], names: HeaderNames) -> str:
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -6,9 +6,12 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from ..logs import log_event
 from ..wire.stream import set_no_delay
 from .entry.answer_body import CutAnswerError
 from .entry.caller_watch import CallerGoneError
+from .chunk_guard import ChunkGuard
+from .request_framing import framing_problem, split_target
 from .request_headers import RequestHeaders
 
 if TYPE_CHECKING:
@@ -17,15 +20,27 @@
     from gevent.socket import socket as Socket
 
     from ..config.settings import Address
+from .request_framing import FramingProblem
 
 SOCKET_KEY: Final = 'jackdawhead.socket'
+HEADERS_KEY: Final = 'jackdawhead.headers'
+_PHRASES: Final = {400: 'Bad Request', 501: 'Not Implemented'}
 _QUIET_ERRORS: Final = (CutAnswerError, CallerGoneError, TimeoutError)
 
 
+class _FramingError(ValueError):
+    """A request that two readers may understand differently."""
+
+    def __init__(self, problem: FramingProblem) -> None:
+        super().__init__(problem.cause)
+        self.problem = problem
+
+
 class QuickHandler(WSGIHandler):
     """Sends at once, and closes the connection of a cut answer."""
 
     MessageClass = RequestHeaders  # noqa: WPS115
+    path: str
 
     def __init__(self, sock: Socket, *args: Any, **kwargs: Any) -> None:
         set_no_delay(sock)
@@ -50,10 +65,30 @@
         finally:
             self.server.active -= 1
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read a request's head.
+
+        :param raw_requestline: its first line.
+        :raises ValueError: if it is malformed or ambiguous.
+        """
+        is_read: bool = super().read_request(raw_requestline)
+        headers = self.headers
+        problem = framing_problem(self.request_version, headers.pairs)
+        if problem is not None:
+            raise _FramingError(problem)
+        host, target = split_target(self.path)
+        if host:
+            self.path = target
+            headers.replace_host(host)
+        return is_read
+
     def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
         """Return the WSGI environment, with the socket."""
         environ: dict[str, Any] = super().get_environ()
+        if self.wsgi_input.chunked_input:
+            self.wsgi_input.rfile = ChunkGuard(self.rfile)
         environ[SOCKET_KEY] = self.socket
+        environ[HEADERS_KEY] = self.headers.pairs
         environ['RAW_URI'] = self.path
         return environ
 
@@ -76,6 +111,17 @@
             return
         self.close_connection = True
 
+    def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
+        """Refuse a request that was not understood, and close."""
+        status = 400
+        if isinstance(error, _FramingError):
+            status = error.problem.status
+        self.server.refused += 1
+        log_event('request-malformed', status=status, cause=str(error))
+        phrase = _PHRASES[status]
+        head = f'HTTP/1.1 {status} {phrase}\r\nConnection: close\r\n'
+        return str(status), f'{head}Content-Length: 0\r\n\r\n'.encode()
+
 
 class QuickServer(WSGIServer):
     """Listener for :class:`QuickHandler`.
@@ -85,7 +131,8 @@
     :param idle_timeout_s: time after which a slow caller is shed.
 
     The attribute ``active`` is the number of requests in progress, and
-    ``connections`` that of open connections.
+    ``connections`` that of open connections; ``refused`` counts requests
+    that were malformed or ambiguous.
     """
 
     handler_class = QuickHandler
@@ -105,6 +152,7 @@
         self.idle_timeout_s = idle_timeout_s
         self.active = 0
         self.connections = 0
+        self.refused = 0
 
 
-__all__ = ('SOCKET_KEY', 'QuickServer')
+__all__ = ('HEADERS_KEY', 'SOCKET_KEY', 'QuickServer')
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -52,6 +52,11 @@
             'Requests of callers in progress.',
             node.active_requests,
         )
+        yield CounterMetricFamily(
+            'jackdawhead_malformed_requests',
+            "Callers' requests refused as malformed or ambiguous.",
+            node.malformed_requests,
+        )
         yield CounterMetricFamily(
             'jackdawhead_late_answers',
             'Answers dropped because nobody waits for them.',
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -88,6 +88,11 @@
         """Number of callers' requests in progress."""
         return self._callers.active
 
+    @property
+    def malformed_requests(self) -> int:
+        """Number of callers' requests that were malformed or ambiguous."""
+        return self._callers.refused
+
     @property
     def platform_calls(self) -> int:
         """Number of calls to the platform."""
