--- a/src/jackdawhead/platform/document.py
+++ b/src/jackdawhead/platform/document.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass, field
 from typing import Annotated, Any, Final, TypeVar
 
@@ -120,6 +121,16 @@
         return None
 
 
+def _decode(body: bytes) -> _Document:
+    """Decode a document; text that is no Unicode spoils its own part only."""
+    try:
+        return msgspec.json.decode(body, type=_Document)
+    except UNREADABLE:
+        plain = json.loads(body.decode(errors='replace'))
+    text = json.dumps(plain, ensure_ascii=False)
+    return msgspec.json.decode(text.encode(errors='replace'), type=_Document)
+
+
 def read_document(body: bytes) -> Document:
     """Return a document with all parts that name themselves.
 
@@ -127,7 +138,7 @@
     :raises ValueError: if it is no document with a version.
     """
     try:
-        document = msgspec.json.decode(body, type=_Document)
+        document = _decode(body)
     except UNREADABLE as error:
         raise ValueError(str(error)) from error
     resources = []
