An unexpected error ends its loop's turn, its stream or its task, not the node

Cause: an error that no one expected in a controller's loop stopped the node; one in taking in a message ended the stream's reader and left its link open. Ruled out for requests: a run that fails frees its slot and tells its entry. Change: node/supervision.py starts a failed loop anew and logs it, a broken invariant still stops the node; a message that fails closes its stream; each error that ends a greenlet is one log line.

--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -100,9 +100,11 @@
 ) -> ExitCode:
     # Imported here, so that the other commands start quickly.
     from ...node.runtime import Node
+    from ...node.supervision import log_greenlet_errors
 
     with ExitStack() as stack:
         start_bounded_logging(log.fileno(), stack)
+        log_greenlet_errors()
         try:
             Node(settings, source, watch).run()
         except OSError as error:
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -9,14 +9,17 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ..policy.detection import Health
+from .http_server import QuickServer
 from .metrics import registry_of, resident_bytes
 
 if TYPE_CHECKING:
+    from ..config.settings import Address
     from ..policy.service_router import ServiceRouter
     from .runtime import Node
 
 _UNAVAILABLE: Final = 503
 _SINCE: Final = 'since'
+_IDLE_S: Final = 30
 _TRACE_S: Final = 10.0
 _MAX_TRACE_S: Final = 600.0
 
@@ -140,20 +143,22 @@
     return {'used': router.member_count, **states}
 
 
-def ready_app(node: Node) -> App:
-    """Return a WSGI application that tells any asker whether to send work.
+def ready_server(node: Node, address: Address) -> QuickServer:
+    """Return the listener that tells any asker whether to send work.
 
     :param node: the running node.
+    :param address: where to listen.
     """
     app = App()
     app.add_sink(_Ready(node).on_get, prefix='/')
-    return app
+    return QuickServer(address, app, _IDLE_S)
 
 
-def admin_app(node: Node) -> App:
-    """Return the operators' WSGI application.
+def admin_server(node: Node, address: Address) -> QuickServer:
+    """Return the operators' listener.
 
     :param node: the running node.
+    :param address: where to listen.
     """
     app = App()
     app.add_route('/livez', _Live())
@@ -162,7 +167,7 @@
     app.add_route('/status', _Status(node))
     app.add_route('/audit', _Audit(node))
     app.add_route('/trace', _Trace(node))
-    return app
+    return QuickServer(address, app, _IDLE_S)
 
 
-__all__ = ('admin_app', 'ready_app', 'status_of')
+__all__ = ('admin_server', 'ready_server', 'status_of')
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -14,14 +14,14 @@
 from ..clock import monotonic_ms, seconds
 from ..memory import settle_memory
 from ..wire.messages import DrainNews, PoisonNews
-from .admin import admin_app, ready_app
+from .admin import admin_server, ready_server
 from .assembly import build_parts
 from .channels import Channels
 from .entry.traffic import Traffic
 from .caller_listener import caller_server
-from .http_server import QuickServer
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
+from .supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,7 +32,6 @@
     from .platform_client import PlatformSource
     from .settings_watch import SettingsWatch
 
-_ADMIN_IDLE_S: Final = 30
 _POLL_MS: Final = 20
 _LINGER_MS: Final = 300
 _SETTLE_MS: Final = 3000
@@ -123,11 +122,7 @@
 
     def _start(self, stack: ExitStack) -> None:
         settings = self._settings
-        admin = QuickServer(
-            settings.admin_address,
-            admin_app(self),
-            _ADMIN_IDLE_S,
-        )
+        admin = admin_server(self, settings.admin_address)
         admin.start()
         stack.callback(admin.stop, 0)
         self._start_ready(stack)
@@ -145,7 +140,7 @@
     def _start_ready(self, stack: ExitStack) -> None:
         address = self._settings.ready_address
         if address is not None:
-            ready = QuickServer(address, ready_app(self), _ADMIN_IDLE_S)
+            ready = ready_server(self, address)
             ready.start()
             stack.callback(ready.stop, 0)
 
@@ -173,8 +168,8 @@
         loop: Callable[..., None],
         *arguments: object,
     ) -> None:
-        """Run a controller's loop; its failure is a broken invariant."""
-        greenlet = gevent.spawn(loop, *arguments)
+        """Run a controller's loop; a broken invariant stops the node."""
+        greenlet = gevent.spawn(supervise, loop, *arguments)
         greenlet.link_exception(self._loop_failed)
         stack.callback(greenlet.kill)
 
--- /dev/null
+++ b/src/jackdawhead/node/supervision.py
@@ -0,0 +1,61 @@
+"""Keeps an unexpected error within the task that met it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+import gevent
+
+from ..clock import seconds
+from ..logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_RESTART_MS: Final = 500
+_MAX_CONTEXT_CHARS: Final = 200
+_QUIET: Final = (gevent.GreenletExit, KeyboardInterrupt, SystemExit)
+
+
+def supervise(loop: Callable[..., None], *arguments: object) -> None:
+    """Run a loop, and start it anew when it fails.
+
+    :param loop: runs until it is killed.
+    :raises AssertionError: if it finds a broken invariant.
+    """
+    while True:
+        try:
+            loop(*arguments)
+        except AssertionError:
+            raise
+        except Exception as error:
+            log_event(
+                'loop-failed',
+                loop=getattr(loop, '__qualname__', repr(loop)),
+                cause=f'{type(error).__name__}: {error}',
+            )
+        else:
+            return
+        gevent.sleep(seconds(_RESTART_MS))
+
+
+def log_greenlet_errors() -> None:
+    """Write one log line for each error that ends a greenlet."""
+    gevent.get_hub().handle_error = _log_error
+
+
+def _log_error(
+    context: Any,
+    kind: type[BaseException],
+    error: BaseException,
+    _: object,
+) -> None:
+    if kind is not None and not issubclass(kind, _QUIET):
+        log_event(
+            'task-failed',
+            task=str(context)[:_MAX_CONTEXT_CHARS],
+            cause=f'{kind.__name__}: {error}',
+        )
+
+
+__all__ = ('log_greenlet_errors', 'supervise')
--- a/src/jackdawhead/wire/stream.py
+++ b/src/jackdawhead/wire/stream.py
@@ -9,6 +9,7 @@
 import gevent
 from returns.result import Success
 
+from ..logs import log_event
 from .codec import FrameReader, decode, encode
 from .messages import Body
 
@@ -100,12 +101,21 @@
             if not received:
                 break
             self.received_bytes += len(received)
-            refusal = self._deliver(reader, received)
+            refusal = self._deliver_safely(reader, received)
             if refusal:
                 reason = refusal
                 break
         self.close(reason)
 
+    def _deliver_safely(self, reader: FrameReader, received: bytes) -> str:
+        """Deliver messages; one that fails here ends only this stream."""
+        try:
+            return self._deliver(reader, received)
+        except Exception as error:
+            cause = f'{type(error).__name__}: {error}'
+            log_event('message-failed', cause=cause)
+            return f'unexpected error: {cause}'
+
     def _deliver(self, reader: FrameReader, received: bytes) -> str:
         for payload in reader.feed(received):
             match decode(payload):
