--- a/src/jackdawhead/reasons.py
+++ b/src/jackdawhead/reasons.py
@@ -20,7 +20,6 @@
     NODE_LEAVING = 'node-leaving'
     UPSTREAM_UNREACHABLE = 'upstream-unreachable'
     UPSTREAM_REFUSED = 'upstream-refused'
-    UPSTREAM_SILENT = 'upstream-silent'
     UPSTREAM_CRASHED = 'upstream-crashed'
     UPSTREAM_RESET = 'upstream-reset'
     ANSWER_CUT = 'answer-cut'
