An upstream that answers before it has read a body is heard

Cause: a body was sent to its end before the answer was read, so an upstream that answers early and does not read on held its request to the deadline, and the answer that stood ready was dropped. The entry went on reading the body. Change: between pieces of the body the home looks for an answer, reads it and does not use that connection again; the entry stops reading the body when its attempt ends.

--- /dev/null
+++ b/features/path/uploads.feature
@@ -0,0 +1,21 @@
+Feature: Large bodies of requests, which are never sent twice
+
+  Scenario: An upstream answers before it has read the body
+    Given a fleet of 1 nodes before "registry-desk"
+    When upstream 1 changes to "early" of "true"
+    And a caller uploads 20000000 bytes through node 1
+    Then the status is 413
+    When upstream 1 changes to "early" of "false"
+    And a caller uploads 200000 bytes through node 1
+    Then the upload arrived whole
+
+  Scenario: Many uploads at once stay within the memory of a node
+    Given a fleet of 2 nodes and 1 entry before "registry-desk"
+    When 200 callers upload 400000 bytes each through node 3 at once
+    Then each upload arrived whole, or was told as not run
+    And no node uses more than 128000000 bytes of memory
+
+  Scenario: A body that its caller cuts is never run as if it were whole
+    Given a fleet of 2 nodes and 1 entry before "registry-desk"
+    When a caller announces 500000 bytes to node 3 and sends 300000 of them
+    Then no upstream ran the upload to its end
--- /dev/null
+++ b/features/steps/upload_steps.py
@@ -0,0 +1,88 @@
+"""Steps about large bodies."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from random import Random
+from typing import TYPE_CHECKING
+
+import gevent
+from behave import then, when
+from gevent import socket
+from gevent.pool import Pool
+from geventhttpclient.response import HTTPParseError
+
+from features.steps.fleet_steps import node_at
+from standins.fleet import call
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from jackdawhead.bench.client import Reply
+
+_IP = '127.0.0.1'
+_SETTLE_S = 1.0
+
+
+@when(
+    '{count:d} callers upload {size:d} bytes each through node {position:d}'
+    ' at once'
+)
+def upload_at_once(
+    context: Context, count: int, size: int, position: int
+) -> None:
+    """Send many bodies at the same time."""
+    node = context.fleet.nodes[node_at(context, position)]
+    body = Random(7).randbytes(size)
+    context.body_sha256 = hashlib.sha256(body).hexdigest()
+
+    def send(number: int) -> Reply | None:
+        try:
+            return call(
+                node.caller_port, 'POST', f'/cultivars/up-{number}', body
+            )
+        except (OSError, HTTPParseError):
+            return None
+
+    context.replies = Pool(count).map(send, range(count))
+
+
+@then('each upload arrived whole, or was told as not run')
+def check_each(context: Context) -> None:
+    """Look at all answers."""
+    whole = 0
+    for reply in context.replies:
+        assert reply is not None, 'a connection was broken off'
+        if reply.status == 200:
+            found = json.loads(reply.body)['body_sha256']
+            assert found == context.body_sha256
+            whole += 1
+        else:
+            assert reply.headers['x-outcome'] == 'not-run', reply
+    assert whole, context.replies
+
+
+@when(
+    'a caller announces {size:d} bytes to node {position:d} and sends'
+    ' {sent:d} of them'
+)
+def cut_upload(context: Context, size: int, position: int, sent: int) -> None:
+    """Hang up in the middle of a body."""
+    node = context.fleet.nodes[node_at(context, position)]
+    head = f'POST /cultivars/cut HTTP/1.1\r\nHost: x\r\nContent-Length: {size}'
+    with socket.create_connection((_IP, node.caller_port)) as sock:
+        sock.sendall(f'{head}\r\n\r\n'.encode())
+        sock.sendall(bytes(sent))
+    gevent.sleep(_SETTLE_S)
+
+
+@then('no upstream ran the upload to its end')
+def check_cut(context: Context) -> None:
+    """Look at the records."""
+    done = [
+        each
+        for each in context.fleet.executed()
+        if each['path'] == '/cultivars/cut' and each['state'] == 'done'
+    ]
+    assert not done, done
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from itertools import count
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from gevent.queue import Empty, SimpleQueue
 
@@ -20,6 +20,9 @@
 )
 from ..credit import CreditGate
 
+if TYPE_CHECKING:
+    from gevent import Greenlet
+
 
 class Channel(Protocol):
     """A way to a home: a stream, or a call within the process."""
@@ -58,6 +61,7 @@
         self.request_id = request_id
         self.channel = channel
         self.body_credit = CreditGate()
+        self.pump: Greenlet | None = None
         self._inbox: SimpleQueue = twin._inbox if twin else SimpleQueue()
 
     def deliver(self, message: Message) -> None:
@@ -127,6 +131,9 @@
         :param attempt: the attempt.
         """
         self._waiting.pop(attempt.request_id, None)
+        if attempt.pump is not None:
+            # What the caller still sends of its body is of no use.
+            attempt.pump.kill(block=False)
 
     def cancel(self, attempt: Attempt) -> None:
         """Stop waiting and withdraw the request.
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -75,7 +75,7 @@
             )
         attempt = self._attempts.begin(channel)
         started_ms = monotonic_ms()
-        pump = self._submit(
+        self._submit(
             call, load, attempt, may_wait=may_wait, risk_limit=risk_limit
         )
         copy = Copy(attempt, load, started_ms)
@@ -83,13 +83,11 @@
             heard = self._await_first(call, copy, risk_limit)
         except BaseException:
             self._attempts.cancel(attempt)
-            _kill(pump)
             raise
         call.note_end(heard.other)
         self._learn(call, heard, monotonic_ms() - started_ms)
         if isinstance(heard.first, Head):
             return self._answer(call, heard.copy.attempt, heard.first)
-        _kill(pump)
         return self._refused(heard.copy.attempt, heard.first)
 
     def _await_first(
@@ -167,7 +165,7 @@
         *,
         may_wait: bool,
         risk_limit: int,
-    ) -> gevent.Greenlet | None:
+    ) -> None:
         request = call.request
         attempt.channel.send(
             Submit(
@@ -190,9 +188,8 @@
                 risk_limit,
             ),
         )
-        if request.last:
-            return None
-        return gevent.spawn(pump_body, request, attempt)
+        if not request.last:
+            attempt.pump = gevent.spawn(pump_body, request, attempt)
 
     def _refused(self, attempt: Attempt, first: Refusal | None) -> Refused:
         if first is None:
@@ -243,9 +240,4 @@
         call.router.note_trial(load.upstream, call.operation.name, sample)
 
 
-def _kill(greenlet: gevent.Greenlet | None) -> None:
-    if greenlet is not None:
-        greenlet.kill(block=False)
-
-
 __all__ = ('Exchanges',)
--- a/src/jackdawhead/node/home/connections.py
+++ b/src/jackdawhead/node/home/connections.py
@@ -37,12 +37,14 @@
     :param reused: whether it has carried an answer before.
     :param idle_since_ms: monotonic time of its last answer.
     :param life_ms: how long it may be idle.
+    :param is_spoiled: whether a request on it was not sent to its end.
     """
 
     sock: Socket
     reused: bool = False
     idle_since_ms: float = 0
     life_ms: float = _IDLE_LIFE_MS
+    is_spoiled: bool = False
 
     def note_answer(self, answer: Answer) -> None:
         """Take in how long the upstream keeps an idle connection.
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -146,7 +146,7 @@
             if refused is not None:
                 return refused
             final = self._pass_on(reader, answer)
-            if reader.is_reusable:
+            if reader.is_reusable and not answering.is_spoiled:
                 answering.note_answer(answer)
                 self._target.pool.release(opened.take(answering))
         return self._ended(self._ending_of(answer), final)
@@ -191,7 +191,9 @@
         if submit.last:
             connection.sock.sendall(head + submit.chunk)
             return
-        send_body(connection.sock, head, self._job)
+        if not send_body(connection.sock, head, self._job):
+            # The rest of the body is due on it, and is not sent.
+            connection.is_spoiled = True
 
     def _is_own(self, answer: Answer) -> bool:
         """Tell the answer to this request from one to an earlier request."""
--- a/src/jackdawhead/node/home/request_body.py
+++ b/src/jackdawhead/node/home/request_body.py
@@ -1,48 +1,80 @@
-"""Sends a request's body on to an upstream, chunk by chunk."""
+"""Sends a request's body on to an upstream, chunk by chunk.
+
+An upstream may answer before it has read the body, and may not read the rest.
+Its answer then goes before the rest of the body.
+"""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
+
+from gevent.queue import Empty
 
+from ...sockets import first_readable, has_room_before_answer
 from ...wire.messages import Credit
 from .request_head import is_chunked
 
 if TYPE_CHECKING:
     from gevent.socket import socket as Socket
 
+    from ...wire.messages import Body
     from .job import Job
 
 
-def send_body(sock: Socket, head: bytes, job: Job) -> None:
+_POLL_S: Final = 0.05
+
+
+def send_body(sock: Socket, head: bytes, job: Job) -> bool:
     """Send the head of a request and its body as it comes in.
 
     :param sock: connection to the upstream.
     :param head: request line and headers.
     :param job: the request; its entry may send more for what is taken.
+    :returns: whether the whole body was sent before an answer began.
     :raises OSError: if the connection breaks.
     """
     submit = job.submit
     chunked = is_chunked(submit)
     sock.sendall(head)
-    _send_chunk(sock, submit.chunk, chunked)
+    if not _send_chunk(sock, submit.chunk, chunked):
+        return False
     last = False
     while not last:
-        message = job.body.get()
-        _send_chunk(sock, message.chunk, chunked)
+        message = _next_chunk(sock, job)
+        if message is None or not _send_chunk(sock, message.chunk, chunked):
+            return False
         job.deliver(Credit(submit.request_id, len(message.chunk)))
         last = message.last
     if chunked:
         sock.sendall(b'0\r\n\r\n')
+    return True
+
+
+def _next_chunk(sock: Socket, job: Job) -> Body | None:
+    """Return what the caller sends next, nothing if the answer begins."""
+    while True:
+        try:
+            chunk: Body = job.body.get(timeout=_POLL_S)
+        except Empty:
+            if first_readable((sock,), 0) is not None:
+                return None
+        else:
+            return chunk
 
 
-def _send_chunk(sock: Socket, chunk: bytes, chunked: bool) -> None:
+def _send_chunk(sock: Socket, chunk: bytes, chunked: bool) -> bool:
+    """Send a chunk piece by piece, as far as no answer begins."""
     if not chunk:
-        return
+        return True
     if chunked:
         size = f'{len(chunk):x}\r\n'.encode()
-        sock.sendall(b''.join((size, chunk, b'\r\n')))
-    else:
-        sock.sendall(chunk)
+        chunk = b''.join((size, chunk, b'\r\n'))
+    left = memoryview(chunk)
+    while left:
+        if not has_room_before_answer(sock):
+            return False
+        left = left[sock.send(left) :]
+    return True
 
 
 __all__ = ('send_body',)
--- a/src/jackdawhead/sockets.py
+++ b/src/jackdawhead/sockets.py
@@ -46,6 +46,16 @@
     return readable[0] if readable else None
 
 
+def has_room_before_answer(sock: Socket) -> bool:
+    """Wait until a connection takes bytes, unless the other side sends first.
+
+    :param sock: connection on which a request is being sent.
+    :returns: whether bytes can be sent, and none are there to be read.
+    """
+    readable, _, _ = select((sock,), (sock,), ())
+    return not readable
+
+
 def _peek(sock: Socket) -> bytes | None:
     """Return the next byte, none if the connection has ended.
 
@@ -63,4 +73,9 @@
         sock.settimeout(timeout)
 
 
-__all__ = ('first_readable', 'has_hung_up', 'is_quiet')
+__all__ = (
+    'first_readable',
+    'has_hung_up',
+    'has_room_before_answer',
+    'is_quiet',
+)
--- a/standins/behaviour.py
+++ b/standins/behaviour.py
@@ -32,6 +32,8 @@
     :param shed_after_loss: new work is refused once an answer was lost.
     :param endless: kind of bytes that are sent in place of an answer until
         the connection is closed, none by default; see ``standins.endless``.
+    :param early: an answer to a request with a body is given before the body is
+        read, which then stays unread.
     :param cold_ms: time after a start during which work runs slower.
     :param restart_ms: time that a crash takes the upstream away.
     :param answer_bytes: size of the answer's filling.
@@ -49,6 +51,7 @@
     lose_share: float = 0
     shed_after_loss: bool = False
     endless: str = ''
+    early: bool = False
     cold_ms: float = 0
     cold_factor: float = 5
     restart_ms: float = 500
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -34,6 +34,7 @@
 _POLL_S: Final = 0.02
 _MS_PER_S: Final = 1000
 _CHUNK_BYTES: Final = 65_536
+_EARLY: Final = b'HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nearly'
 
 
 @dataclass(slots=True)
@@ -127,6 +128,9 @@
             path,
             time.time(),
         )
+        if self.behaviour.early and record.method == 'POST':
+            self._active -= 1
+            return self._answer_early(environ)
         try:
             body = _read_body(environ)
             with self._slots:
@@ -206,6 +210,12 @@
         start('200 OK', length)
         return _filling(size)
 
+    def _answer_early(self, environ: dict[str, Any]) -> Iterable[bytes]:
+        """Answer, and leave the body unread for a long time."""
+        environ[SOCKET_KEY].sendall(_EARLY)
+        gevent.sleep(_IDLE_S)
+        return []
+
     def _crash(self) -> None:
         self._incarnation += 1
         assert self._server is not None
