--- a/src/jackdawhead/config/mend.py
+++ b/src/jackdawhead/config/mend.py
@@ -39,7 +39,9 @@
     :param former: the plain tree in force, empty if there is none.
     :returns: another tree, or nothing if a problem concerns no single entry.
     """
-    paths = {_entry_path(tree.plain, problem.field) for problem in problems}
+    paths = dict.fromkeys(
+        _entry_path(tree.plain, problem.field) for problem in problems
+    )
     plain = tree.plain
     for path in paths:
         if path is None:
