Test: the announced body has a Host, as HTTP/1.1 asks for

The scenario sent no Host and got 400 since ambiguous requests are refused; it is about the bound on bodies, and is as strict as before with a Host.

--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -67,8 +67,8 @@
 def announce_body(context: Context, size: int) -> None:
     """Send the head of a request with a large body."""
     connect(context)
-    head = f'POST /cultivars/up HTTP/1.1\r\nContent-Length: {size}\r\n\r\n'
-    context.sock.sendall(head.encode())
+    head = f'POST /cultivars/up HTTP/1.1\r\nHost: x\r\nContent-Length: {size}'
+    context.sock.sendall(f'{head}\r\n\r\n'.encode())
 
 
 @when('a caller connects and sends half a request')
