--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -17,7 +17,12 @@
 from jackdawhead.log_output import BoundedOutput
 from jackdawhead.log_rates import LogRates
 from jackdawhead.node.home.answer_reader import AnswerReader
-from jackdawhead.node.list_codec import apply_change, change_of, list_text
+from jackdawhead.node.list_codec import (
+    apply_change,
+    change_about,
+    differing,
+    list_text,
+)
 from jackdawhead.node.membership import MembershipController
 from jackdawhead.wire.messages import VmAsk
 
@@ -209,7 +214,9 @@
     after = {vm.name: vm for vm in (vm_of(1), vm_of(2, leaving=True), vm_of(4))}
     context.before = VmList(10, before)
     context.after = VmList(12, after)
-    context.change = change_of(context.before, context.after)
+    names = differing(context.before, context.after)
+    base = context.before.version
+    context.change = change_about(names, base, context.after)
 
 
 @when('the difference is applied to the first')
--- a/src/jackdawhead/node/list_codec.py
+++ b/src/jackdawhead/node/list_codec.py
@@ -95,15 +95,6 @@
     return msgspec.json.encode(list(vm_list.vms.values())).decode()
 
 
-def change_of(before: VmList, after: VmList) -> VmChange:
-    """Return what differs between two lists.
-
-    :param before: the earlier one.
-    :param after: the later one.
-    """
-    return change_about(differing(before, after), before.version, after)
-
-
 def differing(before: VmList, after: VmList) -> frozenset[str]:
     """Return the names of the VMs that are not the same in two lists.
 
@@ -155,7 +146,6 @@
 __all__ = (
     'apply_change',
     'change_about',
-    'change_of',
     'differing',
     'list_text',
     'parse_vm_list',
