--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ..clock import monotonic_ms
 from ..logs import log_event
 from ..outcome import Outcome
 from .entry.requests import UpstreamAnswer
 
+_LONG_UNUSED_MS: Final = 2000.0
+
 if TYPE_CHECKING:
     from ..blackboard import Blackboard
     from ..policy.loads import UpstreamLoad
@@ -111,4 +113,44 @@
     )
 
 
-__all__ = ('log_admission', 'log_answer', 'log_choice', 'log_run')
+def log_cancel(job: Job, state: UpstreamState) -> None:
+    """Tell that an entry withdraws a request, and how far it had come.
+
+    :param job: the request.
+    :param state: of the upstream.
+    """
+    now_ms = monotonic_ms()
+    log_event(
+        'work-cancelled',
+        id=job.caller_id,
+        upstream=state.name,
+        running=job.running,
+        after_ms=int(now_ms - job.work.arrived_at_ms),
+        ran_ms=int(now_ms - job.started_ms) if job.running else 0,
+    )
+
+
+def log_use(upstream: str, unused_ms: float, state: UpstreamState) -> None:
+    """Tell that an upstream works again that had no work for a while.
+
+    :param upstream: its identity.
+    :param unused_ms: time since its last work began.
+    :param state: of the upstream.
+    """
+    if unused_ms >= _LONG_UNUSED_MS:
+        log_event(
+            'upstream-used-again',
+            upstream=upstream,
+            unused_ms=int(unused_ms),
+            risk=state.risk(monotonic_ms()),
+        )
+
+
+__all__ = (
+    'log_admission',
+    'log_answer',
+    'log_cancel',
+    'log_choice',
+    'log_run',
+    'log_use',
+)
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -22,6 +22,7 @@
 from .calls import Call
 from .exchanges import Exchanges
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
+from .service_window import ServiceWindows
 
 if TYPE_CHECKING:
     from ..channels import Channels
@@ -45,6 +46,7 @@
         self._routing = parts.routing
         self._pauses = parts.pauses
         self._exchanges = Exchanges(parts, channels)
+        self._windows = ServiceWindows()
 
     def dispatch(self, request: CallerRequest) -> Answer:
         """Return the answer of an upstream, or a final refusal.
@@ -57,6 +59,7 @@
             case call:
                 answer = self._send(call)
                 log_answer(call, answer, self._board)
+                self._windows.note(call, answer)
                 return answer
 
     def _plan(self, request: CallerRequest) -> Call | Refused:
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -12,12 +12,13 @@
 
 from ...clock import monotonic_ms, seconds
 from ...config.model import CallerPolicy, HeaderNames
+from ...logs import log_event
 from ...outcome import Outcome
 from ...reasons import Reason
 from ..home.request_head import HOP_BY_HOP
 from ..http_server import HEADERS_KEY, SOCKET_KEY
 from ..tickets.store import LIFE_MS
-from .caller_watch import watch_caller
+from .caller_watch import CallerGoneError, watch_caller
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
 
 if TYPE_CHECKING:
@@ -97,7 +98,11 @@
             _fill_ticket(response, self._tickets.issue(), names)
             return
         began_ms = monotonic_ms()
-        answer = self._dispatch(request, names, ticket)
+        try:
+            answer = self._dispatch(request, names, ticket)
+        except CallerGoneError:
+            self._note_left(request.env, names, monotonic_ms() - began_ms)
+            raise
         self._traffic.count(answer, monotonic_ms() - began_ms)
         if isinstance(answer, UpstreamAnswer):
             self._fill(response, answer, names)
@@ -106,6 +111,19 @@
         if self._board.leaving.read():
             response.set_header('Connection', 'close')
 
+    def _note_left(
+        self,
+        environ: dict[str, Any],
+        names: HeaderNames,
+        after_ms: float,
+    ) -> None:
+        self._traffic.callers_left += 1
+        log_event(
+            'caller-left',
+            id=environ.get(_key(names.request_id), ''),
+            after_ms=int(after_ms),
+        )
+
     def _names(self) -> HeaderNames:
         loaded = self._board.config.read().loaded
         return _DEFAULT_NAMES if loaded is None else loaded.config.headers
--- a/src/jackdawhead/node/entry/traffic.py
+++ b/src/jackdawhead/node/entry/traffic.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         self.by_answer: Counter[str] = Counter()
+        self.callers_left = 0
         self.times = Histogram(
             'jackdawhead_request_seconds',
             'Time to the first byte of the answer, by what requests came to.',
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -16,7 +16,7 @@
 from ...policy.upstream_state import RunEnd, UpstreamState
 from ...policy.work import Verdict
 from ...reasons import Reason
-from ..decision_log import log_admission, log_run
+from ..decision_log import log_admission, log_cancel, log_run, log_use
 from .connections import ConnectionPool
 from .execution import Ended, Execution, Target
 
@@ -91,6 +91,12 @@
         self._audit = audit
         self._events = events
         self._waiting: dict[int, Job] = {}
+        self._used_at_ms = monotonic_ms()
+
+    @property
+    def unused_ms(self) -> float:
+        """Time since work was last begun here, or since the start."""
+        return monotonic_ms() - self._used_at_ms
 
     @property
     def draining(self) -> bool:
@@ -139,6 +145,7 @@
 
         :param job: the request.
         """
+        log_cancel(job, self._state)
         if self._state.admission.withdraw(job.work):
             self._waiting.pop(job.work.work_id, None)
             job.refuse(Reason.CANCELLED)
@@ -207,6 +214,8 @@
             self._start_waiting()
             return
         job.running = True
+        log_use(self.spec.name, self.unused_ms, self._state)
+        self._used_at_ms = monotonic_ms()
         self._resends.note_run()
         job.started_ms = monotonic_ms()
         ended: Ended | None = None
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -9,6 +9,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from ..clock import seconds
 from ..policy.detection import Health
 
 if TYPE_CHECKING:
@@ -63,6 +64,12 @@
             node.parts.attempts.late_answers,
         )
 
+        yield CounterMetricFamily(
+            'jackdawhead_callers_left',
+            'Callers that left before their answer was complete.',
+            node.traffic.callers_left,
+        )
+
     def _fleet(self) -> Iterator[Metric]:
         node = self._node
         yield GaugeMetricFamily(
@@ -115,11 +122,18 @@
             'Requests waiting for the upstreams of this home.',
             labels=['upstream'],
         )
+        unused = GaugeMetricFamily(
+            'jackdawhead_upstream_unused_seconds',
+            'Time since work was last begun at the upstreams of this home.',
+            labels=['upstream'],
+        )
         for upstream in self._node.parts.home.all():
+            unused.add_metric([upstream.spec.name], seconds(upstream.unused_ms))
             running.add_metric([upstream.spec.name], upstream.running)
             waiting.add_metric([upstream.spec.name], upstream.waiting)
         yield running
         yield waiting
+        yield unused
 
 
 def registry_of(node: Node) -> CollectorRegistry:
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -56,6 +56,11 @@
         """Listed upstreams that take new work, ejected ones included."""
         return self._members.names
 
+    @property
+    def loads(self) -> tuple[UpstreamLoad, ...]:
+        """What is known of each upstream that is used here."""
+        return self._members.listed
+
     @property
     def member_count(self) -> int:
         """Number of members, without walking them."""
--- a/src/jackdawhead/policy/tries.py
+++ b/src/jackdawhead/policy/tries.py
@@ -25,6 +25,11 @@
         """Return the number of upstreams, busy ones included."""
         return len(self._ended | self._busy)
 
+    @property
+    def names(self) -> frozenset[str]:
+        """All of them, busy ones included."""
+        return frozenset(self._ended | self._busy)
+
     @property
     def excluded(self) -> frozenset[str]:
         """Those that are not to be chosen while another is left."""
