--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -6,34 +6,28 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import falcon
-import gevent
 from falcon import App, Request, Response
-from gevent.pywsgi import Input
 
-from ...clock import monotonic_ms, seconds
+from ...clock import monotonic_ms
 from ...config.model import CallerPolicy, HeaderNames
 from ...logs import log_event
 from ...outcome import Outcome
 from ...reasons import Reason
-from ..home.request_head import HOP_BY_HOP
-from ..http_server import HEADERS_KEY, SOCKET_KEY
+from ..http_server import SOCKET_KEY
 from ..tickets.store import LIFE_MS
 from .caller_watch import CallerGoneError, watch_caller
-from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
+from .request_reader import header_of, read_request
+from .requests import Answer, Refused, UpstreamAnswer
 
 if TYPE_CHECKING:
     from ...blackboard import Blackboard
     from ...config.settings import NodeSettings
-    from ...wire.messages import HeaderPairs
     from ..tickets.dispatch import TicketDispatcher
     from .dispatcher import Dispatcher
     from .traffic import Traffic
 
-_BUFFERED_BODY_BYTES: Final = 65_536
-_MAX_ORGANISATION_CHARS: Final = 64
 _MS_PER_S: Final = 1000
 _LENGTH_UNKNOWN: Final = -1
-_HEADER_PREFIX: Final = 'HTTP_'
 _STATUS_OF_REASON: Final = {
     Reason.NO_ROUTE: 404,
     Reason.BODY_TOO_LARGE: 413,
@@ -93,7 +87,7 @@
         :param response: falcon's response, filled in.
         """
         names = self._names()
-        ticket = request.env.get(_key(names.ticket), '')
+        ticket = header_of(request.env, names.ticket)
         if ticket == _NEW_TICKET:
             _fill_ticket(response, self._tickets.issue(), names)
             return
@@ -120,7 +114,7 @@
         self._traffic.callers_left += 1
         log_event(
             'caller-left',
-            id=environ.get(_key(names.request_id), ''),
+            id=header_of(environ, names.request_id),
             after_ms=int(after_ms),
         )
 
@@ -144,7 +138,9 @@
         if (length or 0) > (max_bytes or self._settings.max_body_bytes):
             return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
         try:
-            call = self._read(environ, names, length)
+            call = read_request(
+                environ, names, length, self._settings.caller_idle_ms
+            )
         except TimeoutError:
             return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         except OSError:
@@ -156,20 +152,6 @@
         with watch_caller(environ[SOCKET_KEY]):
             return self._dispatcher.dispatch(call)
 
-    def _read(
-        self,
-        environ: dict[str, Any],
-        names: HeaderNames,
-        length: int | None,
-    ) -> CallerRequest:
-        """Read a request, its body as far as it is kept in memory.
-
-        :raises OSError: if the body is cut, malformed or too slow.
-        """
-        limit_ms = _deadline_ms(environ, names) or self._settings.caller_idle_ms
-        with gevent.Timeout(seconds(limit_ms), TimeoutError):
-            return _caller_request(environ, names, length)
-
     def _fill(
         self,
         response: Response,
@@ -206,71 +188,6 @@
         response.set_stream(answer.body, answer.body_bytes)
 
 
-def _caller_request(
-    environ: dict[str, Any],
-    names: HeaderNames,
-    length: int | None,
-) -> CallerRequest:
-    body: Input = environ['wsgi.input']
-    chunked = environ.get('HTTP_TRANSFER_ENCODING', '').lower() == 'chunked'
-    chunk = b''
-    last = True
-    if length or chunked:
-        chunk = body.read(_BUFFERED_BODY_BYTES)
-        last = length == len(chunk) or len(chunk) < _BUFFERED_BODY_BYTES
-    if last and length and len(chunk) < length:
-        raise OSError('the body is shorter than its length')
-    body_bytes = _LENGTH_UNKNOWN if length is None else length
-    if last:
-        body_bytes = len(chunk)
-    target = environ['RAW_URI']
-    return CallerRequest(
-        method=environ['REQUEST_METHOD'],
-        path=target.partition('?')[0],
-        target=target,
-        headers=_end_to_end(environ, names),
-        organisation=_organisation(environ, names),
-        deadline_ms=_deadline_ms(environ, names),
-        body_bytes=body_bytes,
-        chunk=chunk,
-        last=last,
-        read_body=body.read,
-        host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
-        request_id=environ.get(_key(names.request_id), ''),
-    )
-
-
-def _end_to_end(environ: dict[str, Any], names: HeaderNames) -> HeaderPairs:
-    own = {
-        names.deadline_ms.lower(),
-        names.caller_service.lower(),
-        names.instance.lower(),
-    }
-    # Fields that the caller's Connection field names concern one hop only.
-    named = environ.get('HTTP_CONNECTION', '').lower().split(',')
-    dropped = HOP_BY_HOP | own | {each.strip() for each in named}
-    pairs: HeaderPairs = environ[HEADERS_KEY]
-    return [each for each in pairs if each[0].lower() not in dropped]
-
-
-def _organisation(environ: dict[str, Any], names: HeaderNames) -> str:
-    if not names.organisation:
-        return ''
-    named = environ.get(_key(names.organisation))
-    fallback = environ.get('REMOTE_ADDR', '')
-    return str(named or fallback)[:_MAX_ORGANISATION_CHARS]
-
-
-def _deadline_ms(environ: dict[str, Any], names: HeaderNames) -> int:
-    text = environ.get(_key(names.deadline_ms), '')
-    return int(text) if text.isdecimal() else 0
-
-
-def _key(header: str) -> str:
-    """Return the key of a header, one that no request has for no name."""
-    return _HEADER_PREFIX + header.upper().replace('-', '_')
-
-
 def _fill_refusal(
     response: Response,
     refused: Refused,
