A caller that has left is heard behind unread bytes, bodies and answers

Cause: the entry watched for an end in one place and in one way. It looked at the first readable byte only, so an end behind unread bytes was never seen; it did not look at all while a body over 64 KB was on its way; and while an answer's body was awaited or sent, the end showed at the second write at the earliest. Class: a party has left, and the one that works for it reads something else.

Change: one watch lasts from the end of the kept body to the end of the answer.

Ruled out: the link to the home and the home itself, which break off work within a loop turn of a cancellation. Not changed: work with a ticket goes on, since its caller may come back for the answer. An end behind more than a receive window of unread bytes never reaches the entry.

--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 import falcon
@@ -15,11 +16,13 @@
 from ...reasons import Reason
 from ..http_server import SOCKET_KEY
 from ..tickets.store import LIFE_MS
-from .caller_watch import CallerGoneError, watch_caller
+from .caller_watch import WatchedBody, watch_caller
 from .request_reader import header_of, read_request
 from .requests import Answer, Refused, UpstreamAnswer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ...blackboard import Blackboard
     from ...config.settings import NodeSettings
     from ..tickets.dispatch import TicketDispatcher
@@ -92,14 +95,15 @@
             _fill_ticket(response, self._tickets.issue(), names)
             return
         began_ms = monotonic_ms()
-        try:
-            answer = self._dispatch(request, names, ticket)
-        except CallerGoneError:
-            self._note_left(request.env, names, monotonic_ms() - began_ms)
-            raise
+        note_left = partial(self._note_left, request.env, names, began_ms)
+        answer = self._dispatch(request, names, ticket, note_left)
         self._traffic.count(answer, monotonic_ms() - began_ms)
         if isinstance(answer, UpstreamAnswer):
             self._fill(response, answer, names)
+            if answer.body.whole is None:
+                sock = request.env[SOCKET_KEY]
+                body = WatchedBody(answer.body, sock, note_left)
+                _stream(response, body, answer.body_bytes)
         else:
             _fill_refusal(response, answer, names, self._policy())
         if self._board.leaving.read():
@@ -109,13 +113,13 @@
         self,
         environ: dict[str, Any],
         names: HeaderNames,
-        after_ms: float,
+        began_ms: float,
     ) -> None:
         self._traffic.callers_left += 1
         log_event(
             'caller-left',
             id=header_of(environ, names.request_id),
-            after_ms=int(after_ms),
+            after_ms=int(monotonic_ms() - began_ms),
         )
 
     def _names(self) -> HeaderNames:
@@ -131,6 +135,7 @@
         request: Request,
         names: HeaderNames,
         ticket: str,
+        on_left: Callable[[], None],
     ) -> Answer:
         environ = request.env
         length = request.content_length
@@ -146,10 +151,9 @@
         except OSError:
             return Refused(Outcome.NOT_RUN, Reason.BODY_CUT)
         if ticket:
+            # A caller that comes back with it finds the answer.
             return self._tickets.dispatch(call, ticket)
-        if not call.last:
-            return self._dispatcher.dispatch(call)
-        with watch_caller(environ[SOCKET_KEY]):
+        with watch_caller(environ[SOCKET_KEY], on_left):
             return self._dispatcher.dispatch(call)
 
     def _fill(
@@ -163,11 +167,7 @@
             response.append_header(name, text)
         _set_header(response, names.outcome, Outcome.RAN.value)
         _set_header(response, names.node, self._settings.vm)
-        whole = answer.body.whole
-        if whole is None:
-            _stream(response, answer)
-        else:
-            response.data = whole
+        response.data = answer.body.whole
 
 
 def _fill_ticket(
@@ -181,11 +181,11 @@
     response.media = {'ticket': ticket, 'life_ms': LIFE_MS}
 
 
-def _stream(response: Response, answer: UpstreamAnswer) -> None:
-    if answer.body_bytes == _LENGTH_UNKNOWN:
-        response.stream = answer.body
+def _stream(response: Response, body: WatchedBody, body_bytes: int) -> None:
+    if body_bytes == _LENGTH_UNKNOWN:
+        response.stream = body
     else:
-        response.set_stream(answer.body, answer.body_bytes)
+        response.set_stream(body, body_bytes)
 
 
 def _fill_refusal(
--- a/src/jackdawhead/node/home/overdue.py
+++ b/src/jackdawhead/node/home/overdue.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ...clock import monotonic_ms
-from ...sockets import first_readable, has_hung_up
+from ...sockets import first_readable, is_at_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,9 +73,9 @@
     resent_ms = monotonic_ms()
     send(other)
     first = first_readable((pooled.sock, other.sock))
-    if first is pooled.sock and not has_hung_up(pooled.sock):
+    if first is pooled.sock and not is_at_end(pooled.sock):
         return pooled
-    if first is other.sock and not has_hung_up(other.sock):
+    if first is other.sock and not is_at_end(other.sock):
         opened.condemned = monotonic_ms() - resent_ms < silence_ms
         return other
     return pooled if first is other.sock else other
--- a/src/jackdawhead/sockets.py
+++ b/src/jackdawhead/sockets.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from select import POLLERR, POLLHUP, POLLRDHUP, poll
+from typing import TYPE_CHECKING, Final
 
 from gevent import socket
 from gevent.select import select
@@ -15,9 +16,26 @@
     from gevent.socket import socket as Socket
 
 
+_ENDED: Final = POLLRDHUP | POLLHUP | POLLERR
+
+
 def has_hung_up(sock: Socket) -> bool:
     """Return whether the other side has closed a connection, or reset it.
 
+    Bytes that were sent before may still be there to be read.
+
+    :param sock: the connection.
+    """
+    if sock.fileno() < 0:
+        return True
+    ends = poll()
+    ends.register(sock, _ENDED)
+    return bool(ends.poll(0))
+
+
+def is_at_end(sock: Socket) -> bool:
+    """Return whether the other side has hung up, and no byte is left to read.
+
     :param sock: the connection.
     """
     return _peek(sock) == b''
@@ -77,5 +95,6 @@
     'first_readable',
     'has_hung_up',
     'has_room_before_answer',
+    'is_at_end',
     'is_quiet',
 )
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -131,6 +131,9 @@
         if self.behaviour.early and record.method == 'POST':
             self._active -= 1
             return self._answer_early(environ)
+        if 'stall' in environ.get('QUERY_STRING', ''):
+            self._active -= 1
+            return self._stall(environ, start, record)
         try:
             body = _read_body(environ)
             with self._slots:
@@ -210,6 +213,25 @@
         start('200 OK', length)
         return _filling(size)
 
+    def _stall(
+        self,
+        environ: dict[str, Any],
+        start: Any,
+        record: Executed,
+    ) -> Iterable[bytes]:
+        """Answer half of the bytes, and wait before the others."""
+        query = parse_qs(environ['QUERY_STRING'])
+        size = int(query['bytes'][0])
+        record.started_at = time.time()
+        self.executed.append(record)
+        start('200 OK', [('Content-Length', str(size))])
+        try:
+            yield from _stalled(environ[SOCKET_KEY], size, query['stall'][0])
+        except (GeneratorExit, ConnectionResetError):
+            record.state = 'cancelled'
+            return
+        record.state = 'done'
+
     def _answer_early(self, environ: dict[str, Any]) -> Iterable[bytes]:
         """Answer, and leave the body unread for a long time."""
         environ[SOCKET_KEY].sendall(_EARLY)
@@ -247,6 +269,18 @@
             return False
 
 
+def _stalled(sock: Any, size: int, stall_ms: str) -> Iterable[bytes]:
+    """Yield bytes, with a pause in the middle.
+
+    :raises ConnectionResetError: if the connection ends meanwhile.
+    """
+    half = size // 2
+    yield from _filling(half)
+    if not _sleep_while_connected(sock, float(stall_ms)):
+        raise ConnectionResetError('the caller has hung up')
+    yield from _filling(size - half)
+
+
 def _filling(size: int) -> Iterable[bytes]:
     chunk = b'x' * _CHUNK_BYTES
     while size > 0:
