Replay weighs risks as live entries do

What an attempt asks of the balancer and of the home moves from the dispatcher to policy, and the replay uses it: the risk as a cost, trials, the home's risk limit, news of spells, busy upstreams that may be chosen again. Live behaviour is unchanged.

--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -8,13 +8,11 @@
 
 from ...clock import monotonic_ms, seconds
 from ...outcome import Outcome
-from ...policy.balancers import RISK_BALANCER
-from ...policy.caution import failure_cost_ms, risk_limit
-from ...policy.loads import RoutingQuery, UpstreamLoad
+from ...policy.loads import UpstreamLoad
+from ...policy.placement import home_risk_limit, routing_query, weighs_risk
 from ...policy.poison import fingerprint_of
 from ...policy.resend import AttemptEnd, is_resend_safe
 from ...policy.retries import backoff_ms
-from ...policy.spells import RISK_SCALE
 from ...policy.split import draw_service
 from ...policy.tries import Tries
 from ...reasons import Reason
@@ -134,12 +132,12 @@
                 Reason.QUARANTINED,
                 quarantined_ms,
             )
-        query = RoutingQuery(
-            now_ms,
+        query = routing_query(
+            call.router,
+            call.operation,
             call.tries.excluded,
-            failure_cost_ms(call.operation),
-            call.router.sizes.usual(call.operation.name),
-            call.operation if self._may_try(call) else None,
+            now_ms,
+            may_repeat=call.max_attempts != 1 and call.request.last,
         )
         load = call.router.choose(call.operation.name, query)
         if load is None:
@@ -156,29 +154,6 @@
             call, load, attempt_number, has_others=has_others
         )
 
-    def _risk_limit(
-        self,
-        call: Call,
-        attempt: int,
-        *,
-        has_others: bool,
-    ) -> int:
-        """Return the risk above which a home shall refuse.
-
-        Where a detector ejects instead, it needs the outcomes.
-        """
-        if not self._weighs_risk(call):
-            return RISK_SCALE
-        return risk_limit(call.operation, attempt, has_others=has_others)
-
-    def _weighs_risk(self, call: Call) -> bool:
-        return call.router.service.balancer == RISK_BALANCER
-
-    def _may_try(self, call: Call) -> bool:
-        """Return whether a failure could be made good by another upstream."""
-        has_attempts = call.max_attempts != 1 and call.request.last
-        return has_attempts and call.router.budget.has_retry
-
     def _attempt_at(
         self,
         call: Call,
@@ -202,14 +177,17 @@
                 call,
                 load,
                 may_wait=not is_reserved,
-                risk_limit=self._risk_limit(
-                    call, attempt_number, has_others=has_others
+                risk_limit=home_risk_limit(
+                    call.router,
+                    call.operation,
+                    attempt_number,
+                    has_others=has_others,
                 ),
             )
         finally:
             load.note_done()
         budget.settle(_end_of(answer), was_reserved=is_reserved)
-        if isinstance(answer, Refused) and self._weighs_risk(call):
+        if isinstance(answer, Refused) and weighs_risk(call.router):
             call.tries.note_refused(load.upstream, answer.reason)
         return answer
 
--- a/src/jackdawhead/replay/engine.py
+++ b/src/jackdawhead/replay/engine.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from ..policy.balancers import RISK_BALANCER
 from ..policy.member_loads import Member
 from ..trace.records import ArrivalRecord, MemberRecord, PathRecord
 from .behaviour import RecordedBehaviour
@@ -16,6 +17,7 @@
 
 if TYPE_CHECKING:
     from ..config.model import Config, Service
+    from ..wire.messages import UpstreamStatus
     from ..trace.reader import Trace
 
 _TICK_MS: Final = 200
@@ -43,6 +45,7 @@
             self._result,
             Random(seed),
             self._start_ms,
+            self._tell_risk,
         )
         self._members: dict[str, dict[str, Member]] = {
             name: {} for name in config.services
@@ -159,6 +162,11 @@
             if entry is not source:
                 entry.note_crash(service, fingerprint, upstream)
 
+    def _tell_risk(self, service: Service, status: UpstreamStatus) -> None:
+        if service.balancer == RISK_BALANCER:
+            for entry in self._entries.values():
+                entry.hear_status(service.name, status)
+
 
 def with_rules(config: Config, rules: dict[str, str]) -> Config:
     """Return a configuration whose services follow other rules.
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -8,10 +8,12 @@
 from ..policy.evidence import Sample
 from ..policy.hedging import hedge_after_ms, may_hedge_at
 from ..policy.loads import RoutingQuery, UpstreamLoad
+from ..policy.placement import home_risk_limit, routing_query, weighs_risk
 from ..policy.resend import is_resend_safe
 from ..policy.retries import backoff_ms
 from ..policy.member_loads import Member
 from ..policy.service_router import ServiceRouter
+from ..policy.tries import Tries
 from ..reasons import Reason
 from .homes import HomeAnswer, HomeJob, ReplayUpstream, Shared
 from .outcomes import end_of, finished, healthy_share
@@ -23,6 +25,7 @@
 
     from ..config.model import Service
     from ..trace.records import ArrivalRecord
+    from ..wire.messages import UpstreamStatus
 
 _OWN_ZONE_MS: Final = 0.5
 _OTHER_ZONE_MS: Final = 2.5
@@ -115,9 +118,21 @@
         operation = router.service.operations[arrival.operation]
         router.budget.note_first_attempt()
         now_ms = self._shared.timeline.now_ms
-        tried = router.poison.crashed_upstreams(arrival.fingerprint)
+        tried = Tries(router.poison.crashed_upstreams(arrival.fingerprint))
         self._attempt(ReplayRequest(arrival, router, operation, now_ms, tried))
 
+    def hear_status(self, service: str, status: UpstreamStatus) -> None:
+        """Take in what a home tells all entries at once.
+
+        :param status: of an upstream of the service.
+        """
+        timeline = self._shared.timeline
+        router = self._routers[service]
+        timeline.after(
+            self._hop_ms(status.upstream),
+            lambda: router.note_status(status, timeline.now_ms),
+        )
+
     def _attempt(self, request: ReplayRequest) -> None:
         now_ms = self._shared.timeline.now_ms
         request.attempts += 1
@@ -127,13 +142,19 @@
             end = HomeAnswer(Outcome.NOT_RUN, Reason.QUARANTINED)
             self._finish(request, end)
             return
-        query = RoutingQuery(now_ms, frozenset(request.tried))
+        query = routing_query(
+            router,
+            request.operation,
+            request.tried.excluded,
+            now_ms,
+            may_repeat=True,
+        )
         load = router.choose(request.operation.name, query)
         if load is None:
             end = HomeAnswer(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
             self._finish(request, end)
             return
-        request.tried.add(load.upstream)
+        request.tried.note_sent(load.upstream)
         self._send(request, load)
 
     def _send(self, request: ReplayRequest, load: UpstreamLoad) -> None:
@@ -144,10 +165,14 @@
             end = HomeAnswer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
             self._end_attempt(request, end)
             return
-        request.is_reserved = request.router.budget.reserve_redirect(
-            request.attempts,
-            request.operation.work_class,
-            has_others=len(request.tried) < request.router.member_count,
+        may_redirect = not request.tried.was_busy(load.upstream)
+        request.is_reserved = (
+            may_redirect
+            and request.router.budget.reserve_redirect(
+                request.attempts,
+                request.operation.work_class,
+                has_others=self._has_others(request),
+            )
         )
         copy = self._send_copy(request, load)
         hedge_ms = hedge_after_ms(request.operation, load, timeline.now_ms)
@@ -170,11 +195,20 @@
             lambda answer: timeline.after(
                 hop_ms, lambda: self._receive(request, copy, answer)
             ),
+            home_risk_limit(
+                request.router,
+                request.operation,
+                request.attempts,
+                has_others=self._has_others(request),
+            ),
         )
         copy.job = job
         timeline.after(hop_ms, lambda: self._arrive_at(upstream, copy))
         return copy
 
+    def _has_others(self, request: ReplayRequest) -> bool:
+        return len(request.tried) < request.router.member_count
+
     def _arrive_at(self, upstream: ReplayUpstream, copy: ReplayCopy) -> None:
         if copy.job is not None:
             upstream.submit(copy.job)
@@ -196,7 +230,7 @@
             return
         if not may_hedge_at(load, now_ms) or not router.budget.may_hedge():
             return
-        request.tried.add(load.upstream)
+        request.tried.note_sent(load.upstream)
         request.hedges += 1
         request.is_reserved = False
         self._send_copy(request, load)
@@ -215,6 +249,8 @@
         load.note_done()
         request.copies.remove(copy)
         self._learn(request, load, answer, now_ms - copy.sent_ms)
+        if answer.reason and weighs_risk(request.router):
+            request.tried.note_refused(load.upstream, answer.reason)
         if answer.is_good:
             self._withdraw_copies(request)
         if not request.copies:
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -8,6 +8,7 @@
 
 from ..outcome import Outcome
 from ..policy.ending import Ending, ending_at_deadline
+from ..policy.spells import RISK_SCALE
 from ..policy.upstream_state import RunEnd, UpstreamState
 from ..policy.work import Verdict, Work
 from ..reasons import Reason
@@ -18,6 +19,7 @@
     from random import Random
 
     from ..config.model import Service
+    from ..wire.messages import UpstreamStatus
     from .timeline import Timeline
 
 _EXPIRE_MS: Final = 20
@@ -45,12 +47,15 @@
     """A request at a home.
 
     :param answer: takes the answer.
+    :param risk_limit: refused if the risk of a failure is greater, in
+        thousandths.
     """
 
     work: Work
     fingerprint: int
     is_retry: bool
     answer: Callable[[HomeAnswer], None]
+    risk_limit: int = RISK_SCALE
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +63,7 @@
     """What all homes of a replay share.
 
     :param trace_start_ms: time of the trace at virtual time 0.
+    :param on_risk: tells the entries that a spell has begun or ended.
     """
 
     timeline: Timeline
@@ -65,6 +71,7 @@
     result: ReplayResult
     rng: Random
     trace_start_ms: float
+    on_risk: Callable[[Service, UpstreamStatus], None]
 
 
 @dataclass(slots=True)
@@ -98,6 +105,7 @@
         )
         self.is_cut = False
         self._name = name
+        self._service = service
         self._shared = shared
         self._waiting: dict[int, HomeJob] = {}
         self._running: dict[int, _Running] = {}
@@ -113,6 +121,9 @@
         if self.state.is_draining(now_ms):
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DRAINING))
             return
+        if RISK_SCALE * self.state.risk(now_ms) > job.risk_limit:
+            job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.RISKY))
+            return
         admission = self.state.offer(job.work, now_ms)
         if admission.verdict is Verdict.START:
             self._start(job)
@@ -167,6 +178,7 @@
                 job.fingerprint,
                 job.is_retry,
                 run.ending is Ending.CRASHED,
+                run.ending is not Ending.SUCCEEDED,
             )
         )
         left_ms = max(0, job.work.deadline_at_ms - timeline.now_ms)
@@ -199,6 +211,10 @@
         now_ms = self._shared.timeline.now_ms
         end = RunEnd(work.operation, run.ending, run.run_ms)
         self.state.finish(work, end, now_ms)
+        if self.state.has_risk_news:
+            self.state.has_risk_news = False
+            status = self.state.status(work.operation, now_ms)
+            self._shared.on_risk(self._service, status)
         if run.ending is Ending.CRASHED:
             self._crash(now_ms)
         is_late = now_ms >= work.deadline_at_ms
--- a/src/jackdawhead/replay/requests.py
+++ b/src/jackdawhead/replay/requests.py
@@ -13,6 +13,7 @@
     from ..policy.loads import UpstreamLoad
     from ..policy.service_router import ServiceRouter
     from ..trace.records import ArrivalRecord
+    from ..policy.tries import Tries
     from .homes import HomeJob
 
 _work_ids: Final = count(1)
@@ -34,7 +35,7 @@
 class ReplayRequest:
     """A caller's request on its way.
 
-    :param tried: upstreams it was sent to.
+    :param tried: upstreams it was sent to, or that it may have crashed.
     :param hedges: second copies that were sent.
     :param is_reserved: whether a busy home shall refuse it.
     :param copies: sendings that are not answered yet.
@@ -44,7 +45,7 @@
     router: ServiceRouter
     operation: Operation
     arrived_ms: float
-    tried: set[str] = field(default_factory=set)
+    tried: Tries
     attempts: int = 0
     hedges: int = 0
     is_reserved: bool = False
--- a/src/jackdawhead/replay/result.py
+++ b/src/jackdawhead/replay/result.py
@@ -40,6 +40,7 @@
     """A run that was started on an upstream.
 
     :param is_retry: whether the request had been sent elsewhere before.
+    :param has_failed: whether the upstream does not do the work.
     """
 
     at_ms: float
@@ -48,6 +49,7 @@
     fingerprint: int
     is_retry: bool
     has_crashed: bool
+    has_failed: bool
 
 
 @dataclass(frozen=True, slots=True)
