Upstreams that may be well again are tried while work is turned away

Cause: an upstream that failed is avoided, and gives no sign when its spell is over. Its risk falls to 0.3, the share of spells, and no further without an outcome; work that cannot be repeated is refused above 0.2. Only repeatable work tried it, and only while the entry had a resend left, which it has not when much fails. Class: a belief that only new evidence can undo, and that keeps the evidence from coming.

Change: for 4 s after an entry has turned work of a service away, any work may try an upstream that is as likely well as not; any other only while fewer are in use than the floor of healthy capacity asks for. Homes refuse only what they know to be riskier than the entry does, and a failure weighs one target of waiting in place of four.

Not confirmed: that a subset or late news leaves upstreams idle.

--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -26,7 +26,11 @@
 from jackdawhead.outcome import Outcome
 from jackdawhead.policy.admissions import ADMISSIONS
 from jackdawhead.policy.balancers import BALANCERS
-from jackdawhead.policy.caution import failure_cost_ms, risk_limit
+from jackdawhead.policy.caution import (
+    TrialRule,
+    failure_cost_ms,
+    risk_limit,
+)
 from jackdawhead.policy.hedging import may_hedge_at
 from jackdawhead.policy.loads import (
     LoadReport,
@@ -391,7 +395,7 @@
     query = RoutingQuery(
         context.now_ms,
         failure_ms=failure_cost_ms(operation),
-        trial_operation=operation if can == 'can' else None,
+        trial=TrialRule(operation, may_repeat=can == 'can'),
     )
     place_all(context, number, query)
 
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -58,6 +58,10 @@
                 answer = self._send(call)
                 log_answer(call, answer, self._board)
                 self._windows.note(call, answer)
+                if isinstance(answer, Refused):
+                    call.router.shortage.note_refused(
+                        answer.reason, monotonic_ms()
+                    )
                 return answer
 
     def _plan(self, request: CallerRequest) -> Call | Refused:
@@ -180,7 +184,9 @@
                 risk_limit=home_risk_limit(
                     call.router,
                     call.operation,
-                    attempt_number,
+                    load,
+                    monotonic_ms(),
+                    attempt=attempt_number,
                     has_others=has_others,
                 ),
             )
--- a/src/jackdawhead/node/entry/service_window.py
+++ b/src/jackdawhead/node/entry/service_window.py
@@ -57,7 +57,9 @@
 
 def _log(call: Call, window: _Window, now_ms: float) -> None:
     loads = call.router.loads
-    heard = [now_ms - each.reported_at_ms for each in loads]
+    heard = [
+        now_ms - each.reported_at_ms for each in loads if each.reported_at_ms
+    ]
     log_event(
         'service-refused-work',
         service=call.router.service.name,
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -108,10 +108,10 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
-        if query.trial_operation is not None and not query.tried:
+        if query.trial is not None and not query.tried:
             trial = trial_of(
                 pool.local + pool.remote,
-                query.trial_operation,
+                query.trial,
                 query.now_ms,
                 rng,
             )
--- a/src/jackdawhead/policy/caution.py
+++ b/src/jackdawhead/policy/caution.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from .shortage import UNHEARD_MS, is_below_floor
 from .spells import RISK_SCALE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
     from random import Random
 
     from ..config.model import Operation
@@ -26,49 +28,75 @@
 _CAUTIOUS_LIMIT: Final = 0.2
 # Below that after a fresh failure of an upstream in a spell.
 _BOLD_LIMIT: Final = 0.9
-# An upstream that fails is tried as often; one that has just done its work
-# again is tried at once, to be sure.
-_TRIAL_EVERY_MS: Final = 1500.0
+# An upstream that has just done its work again is tried at once, to be sure.
 _HOPEFUL_RISK: Final = 0.5
 _SUSPECT_RISK: Final = 0.12
 _TRIAL_SHARE: Final = 0.3
 # After as many homes have refused the risk, the next takes the work anyway.
 _CAUTIOUS_TRIES: Final = 4
+# What a home may know of a risk beyond what an entry has heard.
+_RISK_SLACK: Final = 0.05
 
 
-def failure_cost_ms(operation: Operation) -> float:
+@dataclass(frozen=True, slots=True)
+class TrialRule:
+    """Whether a request may find out if an upstream is well again.
+
+    :param may_repeat: whether a failure could be made good elsewhere.
+    :param is_short: whether the service turns work away, so that even work
+        that can't be repeated is better tried than refused.
+    :param floor_percent: share of the upstreams that has to be in use.
+    """
+
+    operation: Operation
+    may_repeat: bool
+    is_short: bool = False
+    floor_percent: int = 0
+
+
+def failure_cost_ms(operation: Operation, *, is_short: bool = False) -> float:
     """Return how long a caller would wait to avoid a certain failure.
 
     :param operation: of the request.
+    :param is_short: whether work is turned away for want of room.
     """
     targets = (
         _REPEATABLE_FAILURE_TARGETS
-        if operation.idempotent
+        if operation.idempotent or is_short
         else _FINAL_FAILURE_TARGETS
     )
     return targets * (operation.target_ms or operation.deadline_ms)
 
 
 def trial_of(
-    loads: Iterable[UpstreamLoad],
-    operation: Operation,
+    loads: Sequence[UpstreamLoad],
+    rule: TrialRule,
     now_ms: float,
     rng: Random,
 ) -> UpstreamLoad | None:
     """Return an upstream to find out whether its spell of failing is over.
 
     Without such trials an upstream that failed would never be chosen again
-    while others are free. Only work that can be repeated is risked, and only
-    a share of it; the home lets one through in a while.
+    while others are free. Work that can be repeated is risked, and only a
+    share of it; the home lets one through in a while. Where work is turned
+    away, any work is risked at an upstream that is as likely well as not, and
+    at any other as long as fewer are in use than the floor asks for.
 
     :param loads: upstreams that may be chosen.
-    :param operation: of the request.
+    :param rule: what the request may be used for.
     :param now_ms: monotonic time.
     :param rng: source of randomness.
     """
-    if not operation.idempotent or rng.random() > _TRIAL_SHARE:
+    is_free_of_charge = rule.may_repeat and rule.operation.idempotent
+    if not is_free_of_charge and not rule.is_short:
+        return None
+    if rng.random() > _TRIAL_SHARE:
         return None
     due = [each for each in loads if _is_due(each, now_ms)]
+    if not is_free_of_charge and not is_below_floor(
+        loads, rule.floor_percent, now_ms
+    ):
+        due = [each for each in due if each.risk_now(now_ms) <= _HOPEFUL_RISK]
     return min(due, key=_heard_at_ms, default=None)
 
 
@@ -77,7 +105,7 @@
         return False
     risk = load.risk_now(now_ms)
     if risk > _HOPEFUL_RISK:
-        return now_ms - _heard_at_ms(load) >= _TRIAL_EVERY_MS
+        return now_ms - _heard_at_ms(load) >= UNHEARD_MS
     return risk > _SUSPECT_RISK
 
 
@@ -85,18 +113,28 @@
     return load.risk_at_ms or 0
 
 
-def risk_limit(operation: Operation, attempt: int, *, has_others: bool) -> int:
+def risk_limit(
+    operation: Operation,
+    attempt: int,
+    *,
+    has_others: bool,
+    known_risk: float = 0,
+) -> int:
     """Return the risk of failure above which a home shall refuse.
 
     :param operation: of the request.
     :param attempt: its number, from 1.
     :param has_others: whether an upstream is left that was not tried.
+    :param known_risk: that the entry accepts, since the service is short of
+        upstreams; the home refuses if it knows of a greater one.
     :returns: thousandths.
     """
     if attempt > _CAUTIOUS_TRIES or not has_others:
         return RISK_SCALE
     limit = _BOLD_LIMIT if operation.idempotent else _CAUTIOUS_LIMIT
+    if known_risk:
+        limit = max(limit, min(_BOLD_LIMIT, known_risk + _RISK_SLACK))
     return int(limit * RISK_SCALE)
 
 
-__all__ = ('failure_cost_ms', 'risk_limit', 'trial_of')
+__all__ = ('TrialRule', 'failure_cost_ms', 'risk_limit', 'trial_of')
--- a/src/jackdawhead/policy/floor.py
+++ b/src/jackdawhead/policy/floor.py
@@ -7,14 +7,22 @@
 _PERCENT: Final = 100
 
 
+def kept_members(members: int, floor_percent: int) -> int:
+    """Return how many upstreams have to stay in use.
+
+    :param members: upstreams that take new work, avoided ones included.
+    :param floor_percent: share that has to stay, 0 to 100; rounded up.
+    """
+    return -(-members * floor_percent // _PERCENT)
+
+
 def ejection_limit(members: int, floor_percent: int) -> int:
     """Return how many upstreams may be ejected at the same time.
 
     :param members: upstreams that take new work, ejected ones included.
     :param floor_percent: share that has to stay, 0 to 100; rounded up.
     """
-    kept = -(-members * floor_percent // _PERCENT)
-    return max(0, members - kept)
+    return max(0, members - kept_members(members, floor_percent))
 
 
-__all__ = ('ejection_limit',)
+__all__ = ('ejection_limit', 'kept_members')
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from ..config.model import Operation
+    from .caution import TrialRule
 
 _REPORT_LIFE_MS: Final = 1000
 _SAMPLE_TRIES: Final = 8
@@ -198,15 +198,14 @@
     :param failure_ms: cost of a failure, as time that a caller would wait to
         avoid it.
     :param way_bytes: size of request and answer, as far as known.
-    :param trial_operation: of a request that may be sent where it is likely
-        to fail, since it can be sent again.
+    :param trial: for what the request may be used, if anything.
     """
 
     now_ms: float
     tried: frozenset[str] = field(default_factory=frozenset)
     failure_ms: float = 0
     way_bytes: float = 0
-    trial_operation: Operation | None = None
+    trial: TrialRule | None = None
 
 
 def sample(
--- a/src/jackdawhead/policy/placement.py
+++ b/src/jackdawhead/policy/placement.py
@@ -9,12 +9,13 @@
 from typing import TYPE_CHECKING
 
 from .balancers import RISK_BALANCER
-from .caution import failure_cost_ms, risk_limit
+from .caution import TrialRule, failure_cost_ms, risk_limit
 from .loads import RoutingQuery
 from .spells import RISK_SCALE
 
 if TYPE_CHECKING:
     from ..config.model import Operation
+    from .loads import UpstreamLoad
     from .service_router import ServiceRouter
 
 
@@ -44,33 +45,49 @@
     :param now_ms: monotonic time.
     :param may_repeat: whether its route allows another attempt.
     """
-    may_try = may_repeat and router.budget.has_retry
+    is_short = router.shortage.is_short(now_ms)
+    trial = TrialRule(
+        operation,
+        may_repeat and router.budget.has_retry,
+        is_short,
+        router.service.healthy_floor_percent,
+    )
     return RoutingQuery(
         now_ms,
         tried,
-        failure_cost_ms(operation),
+        failure_cost_ms(operation, is_short=is_short),
         router.sizes.usual(operation.name),
-        operation if may_try else None,
+        trial,
     )
 
 
 def home_risk_limit(
     router: ServiceRouter,
     operation: Operation,
-    attempt: int,
+    load: UpstreamLoad,
+    now_ms: float,
     *,
+    attempt: int,
     has_others: bool,
 ) -> int:
     """Return the risk above which a home shall refuse, in thousandths.
 
     :param router: of the service.
     :param operation: of the request.
+    :param load: upstream that was chosen.
+    :param now_ms: monotonic time.
     :param attempt: its number, from 1.
     :param has_others: whether an upstream is left that was not tried.
     """
     if not weighs_risk(router):
         return RISK_SCALE
-    return risk_limit(operation, attempt, has_others=has_others)
+    is_short = router.shortage.is_short(now_ms)
+    return risk_limit(
+        operation,
+        attempt,
+        has_others=has_others,
+        known_risk=load.risk_now(now_ms) if is_short else 0,
+    )
 
 
 __all__ = ('home_risk_limit', 'routing_query', 'weighs_risk')
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -12,6 +12,7 @@
 from .member_loads import MemberLoads
 from .poison import PoisonTable
 from .retries import RetryBudget
+from .shortage import Shortage
 from .spells import RISK_SCALE
 from .way_sizes import WaySizes
 
@@ -41,6 +42,7 @@
         self.budget = RetryBudget(service.retry)
         self.poison = PoisonTable(service.poison)
         self.sizes = WaySizes()
+        self.shortage = Shortage()
         self._zone = zone
         self._rng = rng
         self._balancer = BALANCERS.find(service.balancer).unwrap()()
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -198,7 +198,9 @@
             home_risk_limit(
                 request.router,
                 request.operation,
-                request.attempts,
+                load,
+                copy.sent_ms,
+                attempt=request.attempts,
                 has_others=self._has_others(request),
             ),
         )
@@ -325,6 +327,8 @@
 
     def _finish(self, request: ReplayRequest, answer: HomeAnswer) -> None:
         now_ms = self._shared.timeline.now_ms
+        if answer.reason is not None:
+            request.router.shortage.note_refused(answer.reason, now_ms)
         self._shared.result.finished.append(finished(request, answer, now_ms))
 
     def _hop_ms(self, upstream: str) -> float:
