--- a/src/jackdawhead/replay/engine.py
+++ b/src/jackdawhead/replay/engine.py
@@ -80,8 +80,8 @@
         for service in self._config.services.values():
             members = tuple(self._members[service.name].values())
             for entry in self._entries.values():
-                entry.add_service(service)
-                entry.replace_members(service.name, members)
+                entry.view.add_service(service)
+                entry.view.replace_members(service.name, members)
 
     def _plan_records(self) -> None:
         for record in self._trace.records:
@@ -111,7 +111,7 @@
         record: PathRecord,
     ) -> None:
         self._timeline.at(
-            at_ms, lambda: entry.mark_path(record.home, is_up=record.is_up)
+            at_ms, lambda: entry.view.mark_path(record.home, is_up=record.is_up)
         )
 
     def _plan_member(self, at_ms: float, record: MemberRecord) -> None:
@@ -123,7 +123,7 @@
         service = record.upstream.rpartition('/')[2]
         members = tuple(self._members[service].values())
         for entry in self._entries.values():
-            entry.replace_members(service, members)
+            entry.view.replace_members(service, members)
 
     def _note_member(self, record: MemberRecord) -> bool:
         name = record.upstream
@@ -149,7 +149,7 @@
     def _plan_ticks(self, end_ms: float) -> None:
         for number in range(int(end_ms // _TICK_MS)):
             for entry in self._entries.values():
-                self._timeline.at(number * _TICK_MS, entry.tick)
+                self._timeline.at(number * _TICK_MS, entry.view.tick)
 
     def _tell_crash(
         self,
@@ -160,12 +160,12 @@
     ) -> None:
         for entry in self._entries.values():
             if entry is not source:
-                entry.note_crash(service, fingerprint, upstream)
+                entry.view.note_crash(service, fingerprint, upstream)
 
     def _tell_risk(self, service: Service, status: UpstreamStatus) -> None:
         if service.balancer == RISK_BALANCER:
             for entry in self._entries.values():
-                entry.hear_status(service.name, status)
+                entry.view.hear_status(service.name, status)
 
 
 def with_rules(config: Config, rules: dict[str, str]) -> Config:
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -11,24 +11,18 @@
 from ..policy.placement import home_risk_limit, routing_query, weighs_risk
 from ..policy.resend import is_resend_safe
 from ..policy.retries import backoff_ms
-from ..policy.member_loads import Member
-from ..policy.service_router import ServiceRouter
 from ..policy.tries import Tries
 from ..reasons import Reason
 from .homes import HomeAnswer, HomeJob, ReplayUpstream, Shared
-from .outcomes import end_of, finished, healthy_share
+from .outcomes import end_of, finished
 from .requests import ReplayCopy, ReplayRequest
-from .result import SeenChange
+from .views import EntryView
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..config.model import Service
     from ..trace.records import ArrivalRecord
-    from ..wire.messages import UpstreamStatus
 
-_OWN_ZONE_MS: Final = 0.5
-_OTHER_ZONE_MS: Final = 2.5
 _CUT_AVOID_MS: Final = 500
 
 
@@ -50,89 +44,23 @@
         upstreams: dict[str, ReplayUpstream],
         on_crash: Callable[[ReplayEntry, str, int, str], None],
     ) -> None:
-        self.node = node
-        self._zone = zone
+        self.view = EntryView(node, zone, shared)
         self._shared = shared
         self._on_crash = on_crash
-        self._routers: dict[str, ServiceRouter] = {}
         self._upstreams = upstreams
-        self._zones: dict[str, str] = {}
-        self._cut_homes: set[str] = set()
-
-    def add_service(self, service: Service) -> None:
-        """Route to a service from now on.
-
-        :param service: policy.
-        """
-        router = ServiceRouter(service, self._zone, self._shared.rng)
-        self._routers[service.name] = router
-
-    def replace_members(
-        self,
-        service: str,
-        members: tuple[Member, ...],
-    ) -> None:
-        """Take over a new list.
-
-        :param members: those that take new work.
-        """
-        self._zones.update({each.name: each.zone for each in members})
-        self._routers[service].replace_members(members)
-
-    def mark_path(self, home: str, *, is_up: bool) -> None:
-        """Take in that the way to a home is cut or whole.
-
-        :param home: VM of the home.
-        """
-        if is_up:
-            self._cut_homes.discard(home)
-        else:
-            self._cut_homes.add(home)
-
-    def note_crash(self, service: str, fingerprint: int, upstream: str) -> None:
-        """Take in a crash that another entry has seen."""
-        poison = self._routers[service].poison
-        now_ms = self._shared.timeline.now_ms
-        poison.note_crash(fingerprint, upstream, now_ms)
-
-    def tick(self) -> None:
-        """Judge the upstreams, as the live node does at regular times."""
-        now_ms = self._shared.timeline.now_ms
-        for router in self._routers.values():
-            changes = router.tick(now_ms)
-            for change in changes:
-                self._shared.result.changes.append(
-                    SeenChange(now_ms, self.node, change)
-                )
-            if changes:
-                self._shared.result.shares.append(
-                    healthy_share(router, self.node, now_ms)
-                )
 
     def arrive(self, arrival: ArrivalRecord) -> None:
         """Take a request.
 
         :param arrival: as recorded.
         """
-        router = self._routers[arrival.service]
+        router = self.view.routers[arrival.service]
         operation = router.service.operations[arrival.operation]
         router.budget.note_first_attempt()
         now_ms = self._shared.timeline.now_ms
         tried = Tries(router.poison.crashed_upstreams(arrival.fingerprint))
         self._attempt(ReplayRequest(arrival, router, operation, now_ms, tried))
 
-    def hear_status(self, service: str, status: UpstreamStatus) -> None:
-        """Take in what a home tells all entries at once.
-
-        :param status: of an upstream of the service.
-        """
-        timeline = self._shared.timeline
-        router = self._routers[service]
-        timeline.after(
-            self._hop_ms(status.upstream),
-            lambda: router.note_status(status, timeline.now_ms),
-        )
-
     def _attempt(self, request: ReplayRequest) -> None:
         now_ms = self._shared.timeline.now_ms
         request.attempts += 1
@@ -159,7 +87,7 @@
 
     def _send(self, request: ReplayRequest, load: UpstreamLoad) -> None:
         timeline = self._shared.timeline
-        if load.home in self._cut_homes:
+        if load.home in self.view.cut_homes:
             until_ms = timeline.now_ms + _CUT_AVOID_MS
             request.router.avoid_home(load.home, until_ms)
             end = HomeAnswer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
@@ -187,7 +115,7 @@
         copy = ReplayCopy(load, timeline.now_ms)
         request.copies.append(copy)
         upstream = self._upstreams[load.upstream]
-        hop_ms = self._hop_ms(load.upstream)
+        hop_ms = self.view.hop_ms(load.upstream)
         job = HomeJob(
             request.work(copy.sent_ms + hop_ms),
             request.arrival.fingerprint,
@@ -228,7 +156,7 @@
             return
         query = RoutingQuery(now_ms, frozenset((copy.load.upstream,)))
         load = router.choose(request.operation.name, query)
-        if load is None or load.home in self._cut_homes:
+        if load is None or load.home in self.view.cut_homes:
             return
         if not may_hedge_at(load, now_ms) or not router.budget.may_hedge():
             return
@@ -273,7 +201,7 @@
         """A home tells its status after a cancellation, too."""
         timeline = self._shared.timeline
         timeline.after(
-            2 * self._hop_ms(load.upstream),
+            2 * self.view.hop_ms(load.upstream),
             lambda: self._note_status(request, load),
         )
 
@@ -298,7 +226,7 @@
             router.poison.note_success(fingerprint)
         if answer.reason is Reason.UPSTREAM_CRASHED:
             service = router.service.name
-            self.note_crash(service, fingerprint, load.upstream)
+            self.view.note_crash(service, fingerprint, load.upstream)
             self._on_crash(self, service, fingerprint, load.upstream)
         if answer.outcome is Outcome.NOT_RUN:
             return
@@ -331,9 +259,5 @@
             request.router.shortage.note_refused(answer.reason, now_ms)
         self._shared.result.finished.append(finished(request, answer, now_ms))
 
-    def _hop_ms(self, upstream: str) -> float:
-        is_own = self._zones.get(upstream) == self._zone
-        return _OWN_ZONE_MS if is_own else _OTHER_ZONE_MS
-
 
 __all__ = ('ReplayEntry',)
