Build the ring of homes only for VMs without a node

Cause: a node that starts hears the list grow version by version, and built a ring of 64 points a VM two times for each.

What a list says is unchanged (features/fleet/subsets and leaving pass).

--- a/src/jackdawhead/policy/homes.py
+++ b/src/jackdawhead/policy/homes.py
@@ -28,11 +28,7 @@
 
     def __init__(self, vm_list: VmList) -> None:
         self._vms = vm_list.vms
-        nodes: dict[str, list[str]] = {}
-        for vm in vm_list.vms.values():
-            if vm.stream_port and not vm.leaving:
-                nodes.setdefault(vm.zone, []).append(vm.name)
-        self._rings = {zone: _Ring(names) for zone, names in nodes.items()}
+        self._rings: dict[str, _Ring | None] = {}
 
     def home_of(self, vm: Vm) -> str:
         """Return the VM whose node owns the upstreams of a VM.
@@ -42,7 +38,9 @@
         """
         if vm.stream_port:
             return vm.name
-        ring = self._rings.get(vm.zone)
+        if vm.zone not in self._rings:
+            self._rings[vm.zone] = self._ring_of(vm.zone)
+        ring = self._rings[vm.zone]
         return ring.node_of(vm.name) if ring else ''
 
     def upstreams_of(self, home: str) -> Iterator[tuple[Vm, str, int]]:
@@ -55,6 +53,14 @@
                 for service, port in vm.upstream_ports.items():
                     yield vm, service, port
 
+    def _ring_of(self, zone: str) -> _Ring | None:
+        nodes = [
+            vm.name
+            for vm in self._vms.values()
+            if vm.zone == zone and vm.stream_port and not vm.leaving
+        ]
+        return _Ring(nodes) if nodes else None
+
 
 class _Ring:
     """Points of nodes on a ring of hashes.
