A request whose caller left before it was read is not begun

Cause: an entry that comes late to its sockets finds requests with the end of their connections behind them. The watch heard of the end one turn of the loop later, and until then the work was at an upstream, where it went at once on an idle connection.

--- a/features/path/left.feature
+++ b/features/path/left.feature
@@ -42,3 +42,7 @@
     And a caller sends a request that waits to node 1 and leaves
     And the callers that hold the slots leave
     Then the request that waited was never begun
+
+  Scenario: Work is begun for callers that left before their request was read
+    When node 1 stands still while 30 callers send a request to it and leave
+    Then no upstream begins work for them
--- a/features/steps/left_steps.py
+++ b/features/steps/left_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from contextlib import ExitStack
 from itertools import count
 from typing import TYPE_CHECKING, Final
@@ -9,6 +10,7 @@
 import gevent
 from behave import then, when
 from gevent import socket
+from gevent.pool import Pool
 
 from features.steps.fleet_steps import node_at
 from standins.fleet import call, wait_until
@@ -149,3 +151,42 @@
     for number in range(30):
         call(node.caller_port, 'GET', f'/ledger/after-{number}')
     assert not _states(context, context.path), context.path
+
+
+@when(
+    'node {position:d} stands still while {number:d} callers send a request'
+    ' to it and leave'
+)
+def leave_unread(context: Context, position: int, number: int) -> None:
+    """Let a process find requests and ends in its sockets."""
+    context.paths = [f'/bundles/left-{next(_numbers)}' for _ in range(number)]
+    _warm_up(context)
+    process = context.fleet.nodes[node_at(context, position)].process
+    process.send_signal(signal.SIGSTOP)
+    try:
+        for path in context.paths:
+            sock = _connect(context, position)
+            sock.sendall(_head(path, f'ms={_RUN_MS}'))
+            sock.close()
+    finally:
+        process.send_signal(signal.SIGCONT)
+
+
+def _warm_up(context: Context) -> None:
+    """Leave idle connections to the upstreams, which need no handshake."""
+    ports = [node.caller_port for node in context.fleet.nodes.values()]
+    Pool(len(ports)).map(
+        lambda port: [call(port, 'GET', '/ledger/warm?ms=50') for _ in ports],
+        ports,
+    )
+
+
+@then('no upstream begins work for them')
+def check_none_begun(context: Context) -> None:
+    """Let the fleet do other work, then look."""
+    node = context.fleet.nodes[node_at(context, 1)]
+    for number in range(30):
+        call(node.caller_port, 'GET', f'/ledger/later-{number}')
+    gevent.sleep(_SETTLE_S)
+    begun = [path for path in context.paths if _states(context, path)]
+    assert not begun, begun
--- a/src/jackdawhead/node/entry/caller_watch.py
+++ b/src/jackdawhead/node/entry/caller_watch.py
@@ -72,8 +72,12 @@
 
     :param sock: the caller's connection; others may read it meanwhile.
     :param on_left: called when the caller has hung up.
-    :raises CallerGoneError: inside the block, if the caller hangs up.
+    :raises CallerGoneError: inside the block, if the caller hangs up, or
+        before it, if the caller left while its request was not read yet.
     """
+    if has_hung_up(sock):
+        on_left()
+        raise CallerGoneError
     watch = _CallerWatch(sock, gevent.getcurrent(), on_left)
     try:
         yield
