--- a/scripts/without.py
+++ b/scripts/without.py
@@ -15,7 +15,7 @@
 
 _ROOT: Final = Path(__file__).resolve().parent.parent
 _LIST: Final = _ROOT / 'features' / 'without.yaml'
-_PARTS: Final = ('src', 'standins', 'features', 'examples')
+_PARTS: Final = ('src', 'standins', 'soak', 'features', 'examples')
 _FAILED: Final = 'ASSERT FAILED'
 _SHOWN_CHARS: Final = 150
 
@@ -80,7 +80,8 @@
             _change(edit, copy)
         result = _run_feature(removal, copy)
     reasons = [line for line in result.splitlines() if _FAILED in line]
-    failed = not result.rstrip().endswith(' 0 failed')
+    # A run that breaks off shows nothing.
+    failed = bool(reasons) and not result.rstrip().endswith(' 0 failed')
     verdict = 'fails without' if failed else 'STILL PASSES without'
     shown = reasons[0][:_SHOWN_CHARS] if reasons else result[-_SHOWN_CHARS:]
     _say(f'{verdict}: {removal.name}\n    {shown.strip()}')
