An ejected upstream is tried by other work where no repeatable work comes

Callers would see: an upstream that has recovered stays out of use for good, in a service that has a repeatable operation which nobody asks for.

Trials of ejected upstreams were left to repeatable work whenever the service has such an operation at all.

Nodes on the users' platform have no such detector and are not concerned.

Change: after 10 s without a repeatable request an entry lets other work make the trials.

--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -85,7 +85,8 @@
     return spells
 
 
-def _service() -> Service:
+def desk_service() -> Service:
+    """Return a service with work of both kinds."""
     operations = {
         name: Operation(name, again, WorkClass.SHORT, 3000, 300, 1500, rank)
         for name, again, rank in (('once', False, 1), ('again', True, 2))
@@ -147,7 +148,7 @@
     ]
     records.sort(key=lambda record: record.at_ms)
     nodes = tuple(each for each in records if isinstance(each, TraceStart))
-    config = Config('', {}, {'desk': _service()}, {})
+    config = Config('', {}, {'desk': desk_service()}, {})
     trace = Trace(nodes, tuple(records))
     context.result = Replay(config, trace, _SEED).run()
 
--- /dev/null
+++ b/src/jackdawhead/policy/pools.py
@@ -0,0 +1,121 @@
+"""Upstreams of a service by what they may be used for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from .detection import Health
+from .loads import Pool
+
+if TYPE_CHECKING:
+    from ..config.model import Service
+    from .detection import Detector
+    from .loads import RoutingQuery, UpstreamLoad
+
+_EMPTY: Final = Pool()
+# Without repeatable work for as long, other work has to make the trials.
+_NO_REPEATABLE_MS: Final = 10_000.0
+
+
+class Pools:
+    """Well upstreams and those on trial, by operation.
+
+    :param zone: of the entry.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self.has_ejections = False
+        self._zone = zone
+        self._well: dict[str, Pool] = {}
+        self._trials: dict[str, tuple[UpstreamLoad, ...]] = {}
+        self._repeatable_at_ms: float | None = None
+
+    @property
+    def operations(self) -> tuple[str, ...]:
+        """Operations that have a pool."""
+        return tuple(self._well)
+
+    def clear(self) -> None:
+        """Forget all pools."""
+        self._well = {}
+        self._trials = {}
+
+    def rebuild(
+        self,
+        service: Service,
+        members: list[UpstreamLoad],
+        detector: Detector,
+    ) -> None:
+        """Sort the upstreams by their health anew.
+
+        :param service: its operations.
+        :param members: upstreams that take new work.
+        :param detector: tells their health.
+        """
+        self.has_ejections = False
+        for operation in service.operations:
+            by_health: dict[Health, list[UpstreamLoad]] = {
+                health: [] for health in Health
+            }
+            for load in members:
+                health = detector.health(load.upstream, operation)
+                by_health[health].append(load)
+            well = by_health[Health.WELL]
+            self.has_ejections |= len(well) < len(members)
+            self._well[operation] = self._split(well)
+            self._trials[operation] = tuple(by_health[Health.TRIAL])
+
+    def well(self, operation: str) -> Pool:
+        """Return the upstreams that may be chosen freely.
+
+        :param operation: its name.
+        """
+        return self._well.get(operation, _EMPTY)
+
+    def due_trial(
+        self,
+        service: Service,
+        operation: str,
+        query: RoutingQuery,
+    ) -> UpstreamLoad | None:
+        """Return an upstream that the request shall try, if there is one.
+
+        One request at a time goes to an upstream on trial, if its operation
+        is idempotent. Where no such work comes, any other is sent, since an
+        upstream without trials would stay ejected for good.
+
+        :param service: its operations.
+        :param operation: of the request.
+        :param query: time and upstreams already tried.
+        """
+        if service.operations[operation].idempotent:
+            self._repeatable_at_ms = query.now_ms
+        trials = self._trials.get(operation)
+        if not trials or self._waits_for_repeatable(operation, service, query):
+            return None
+        for load in trials:
+            is_free = not load.in_flight and load.upstream not in query.tried
+            if is_free and load.avoid_until_ms <= query.now_ms:
+                return load
+        return None
+
+    def _waits_for_repeatable(
+        self, operation: str, service: Service, query: RoutingQuery
+    ) -> bool:
+        operations = service.operations
+        if operations[operation].idempotent:
+            return False
+        if not any(each.idempotent for each in operations.values()):
+            return False
+        if self._repeatable_at_ms is None:
+            self._repeatable_at_ms = query.now_ms
+        return query.now_ms - self._repeatable_at_ms < _NO_REPEATABLE_MS
+
+    def _split(self, members: list[UpstreamLoad]) -> Pool:
+        return Pool(
+            tuple(each for each in members if each.zone == self._zone),
+            tuple(each for each in members if each.zone != self._zone),
+        )
+
+
+__all__ = ('Pools',)
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -8,9 +8,10 @@
 from .detection import Health, HealthChange
 from .evidence import CUSUM_SCALE, Sample, Summary
 from .detectors import DETECTORS
-from .loads import LoadReport, Pool, RoutingQuery, UpstreamLoad
+from .loads import LoadReport, RoutingQuery, UpstreamLoad
 from .member_loads import MemberLoads
 from .poison import PoisonTable
+from .pools import Pools
 from .retries import RetryBudget
 from .shortage import Shortage
 from .spells import RISK_SCALE
@@ -24,7 +25,6 @@
     from .member_loads import Member
     from ..wire.messages import UpstreamStatus
 
-_EMPTY: Final = Pool()
 _KEPT_UNUSED_MS: Final = 600_000
 
 
@@ -43,15 +43,12 @@
         self.poison = PoisonTable(service.poison)
         self.sizes = WaySizes()
         self.shortage = Shortage()
-        self._zone = zone
         self._rng = rng
         self._balancer = BALANCERS.find(service.balancer).unwrap()()
         self._detector = _detector_of(service)
         self._members = MemberLoads()
         self._has_news = False
-        self._has_ejections = False
-        self._pools: dict[str, Pool] = {}
-        self._trials: dict[str, tuple[UpstreamLoad, ...]] = {}
+        self._pools = Pools(zone)
 
     @property
     def members(self) -> frozenset[str]:
@@ -90,8 +87,7 @@
             self._detector.replace_service(service)
         else:
             self._detector = _detector_of(service)
-        self._pools = {}
-        self._trials = {}
+        self._pools.clear()
         self._follow(members)
         self._members_changed()
 
@@ -120,16 +116,15 @@
 
         When all that can be reached have been tried, one is chosen a second
         time.
-        One request at a time goes to an upstream on trial, if its
-        operation is idempotent or the service has no such operation.
+        One request at a time goes to an upstream on trial.
 
         :param operation: its name.
         :param query: time and upstreams already tried.
         """
-        trial = self._due_trial(operation, query)
+        trial = self._pools.due_trial(self.service, operation, query)
         if trial is not None:
             return trial
-        pool = self._pools.get(operation, _EMPTY)
+        pool = self._pools.well(operation)
         chosen = self._balancer.choose(pool, query, self._rng)
         if not query.tried:
             return chosen
@@ -188,7 +183,7 @@
         """
         if now_ms - self.used_at_ms < _KEPT_UNUSED_MS:
             return False
-        return not self._has_ejections and not self.poison.suspects
+        return not self._pools.has_ejections and not self.poison.suspects
 
     def note_trial(
         self,
@@ -213,7 +208,10 @@
         :param health: the state; ``WELL`` counts those with no other.
         """
         states = [
-            {self._detector.health(load.upstream, each) for each in self._pools}
+            {
+                self._detector.health(load.upstream, each)
+                for each in self._pools.operations
+            }
             for load in self._members.listed
         ]
         if health is Health.WELL:
@@ -234,7 +232,7 @@
         :param now_ms: monotonic time.
         :returns: changes, for the audit trail.
         """
-        if not self._has_news and not self._has_ejections:
+        if not self._has_news and not self._pools.has_ejections:
             return ()
         self._has_news = False
         changes = self._detector.tick(now_ms)
@@ -253,46 +251,7 @@
 
     def _rebuild_pools(self) -> None:
         members = self._members.taking_work()
-        self._has_ejections = False
-        for operation in self.service.operations:
-            well = []
-            trials = []
-            for load in members:
-                health = self._detector.health(load.upstream, operation)
-                if health is Health.WELL:
-                    well.append(load)
-                    continue
-                self._has_ejections = True
-                if health is Health.TRIAL:
-                    trials.append(load)
-            self._pools[operation] = self._split(well)
-            self._trials[operation] = tuple(trials)
-
-    def _split(self, members: list[UpstreamLoad]) -> Pool:
-        return Pool(
-            tuple(each for each in members if each.zone == self._zone),
-            tuple(each for each in members if each.zone != self._zone),
-        )
-
-    def _due_trial(
-        self,
-        operation: str,
-        query: RoutingQuery,
-    ) -> UpstreamLoad | None:
-        trials = self._trials.get(operation)
-        if not trials or not self._may_try(operation):
-            return None
-        for load in trials:
-            is_free = not load.in_flight and load.upstream not in query.tried
-            if is_free and load.avoid_until_ms <= query.now_ms:
-                return load
-        return None
-
-    def _may_try(self, operation: str) -> bool:
-        operations = self.service.operations
-        if operations[operation].idempotent:
-            return True
-        return not any(each.idempotent for each in operations.values())
+        self._pools.rebuild(self.service, members, self._detector)
 
 
 def _detector_of(service: Service) -> Detector:
