--- a/src/jackdawhead/policy/caution.py
+++ b/src/jackdawhead/policy/caution.py
@@ -87,13 +87,13 @@
     :param now_ms: monotonic time.
     :param rng: source of randomness.
     """
-    is_free_of_charge = rule.may_repeat and rule.operation.idempotent
-    if not is_free_of_charge and not rule.is_short:
+    has_another_attempt = rule.may_repeat and rule.operation.idempotent
+    if not has_another_attempt and not rule.is_short:
         return None
     if rng.random() > _TRIAL_SHARE:
         return None
     due = [each for each in loads if _is_due(each, now_ms)]
-    if not is_free_of_charge and not is_below_floor(
+    if not has_another_attempt and not is_below_floor(
         loads, rule.floor_percent, now_ms
     ):
         due = [each for each in due if each.risk_now(now_ms) <= _HOPEFUL_RISK]
