Test: the slots are held before the caller that has to wait comes

The step that fills the slots sent nine requests and did not wait for them to run, so on a busy machine the request that should wait found a slot and ran: the assertion that it waits failed, before the caller left. No promise of the product was broken.

The step now waits until long work holds all the slots that it may hold, six of nine; the check is unchanged.

--- a/features/steps/left_steps.py
+++ b/features/steps/left_steps.py
@@ -26,6 +26,8 @@
 # Less than a receive window: an end behind more than that is never received.
 _UNREAD_BYTES: Final = 20_000
 _SETTLE_S: Final = 1.0
+# Of three upstreams with three slots, long work may hold two each.
+_LONG_SLOTS: Final = 6
 _numbers: Final = count(1)
 
 
@@ -121,7 +123,14 @@
         sock = _connect(context, number % 3 + 1)
         context.holders.callback(sock.close)
         sock.sendall(_head(path, f'ms={_RUN_MS}'))
-    context.held = paths
+    wait_until(lambda: _running(context, paths) == _LONG_SLOTS, 'slots held')
+
+
+def _running(context: Context, paths: list[str]) -> int:
+    return sum(
+        each['state'] == 'running' and each['path'] in paths
+        for each in context.fleet.executed()
+    )
 
 
 @when('a caller sends a request that waits to node {position:d} and leaves')
