--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -9,8 +9,6 @@
 from ..outcome import Outcome
 from .entry.requests import UpstreamAnswer
 
-_LONG_UNUSED_MS: Final = 2000.0
-
 if TYPE_CHECKING:
     from ..blackboard import Blackboard
     from ..policy.loads import UpstreamLoad
@@ -20,6 +18,8 @@
     from .home.execution import Ended
     from .home.job import Job
 
+_LONG_UNUSED_MS: Final = 2000.0
+
 
 def log_choice(call: Call, load: UpstreamLoad, attempt: int) -> None:
     """Tell which upstream an attempt goes to.
--- a/src/jackdawhead/policy/tries.py
+++ b/src/jackdawhead/policy/tries.py
@@ -23,7 +23,7 @@
 
     def __len__(self) -> int:
         """Return the number of upstreams, busy ones included."""
-        return len(self._ended | self._busy)
+        return len(self.names)
 
     @property
     def names(self) -> frozenset[str]:
