--- a/src/jackdawhead/audit_kinds.py
+++ b/src/jackdawhead/audit_kinds.py
@@ -28,6 +28,8 @@
     CONNECTION_CONDEMNED = 'connection-condemned'
     REQUEST_QUARANTINED = 'request-quarantined'
     REQUEST_RELEASED = 'request-released'
+    HOME_EXCLUDED = 'home-excluded'
+    HOME_INCLUDED = 'home-included'
     PATH_SILENT = 'path-silent'
     PATH_OPEN = 'path-open'
     UPSTREAM_STALLED = 'upstream-stalled'
--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isinf
 from typing import TYPE_CHECKING, Final
 
 from ..clock import monotonic_ms
@@ -91,6 +92,7 @@
         waiting=state.admission.waiting,
         risk=state.risk(now_ms),
         risk_limit=job.submit.risk_limit,
+        evidence_age_ms=_age_ms(state, now_ms),
         left_ms=job.submit.deadline_ms,
     )
 
@@ -147,6 +149,12 @@
         )
 
 
+def _age_ms(state: UpstreamState, now_ms: float) -> int:
+    """Return the age of the newest outcome, -1 if there is none."""
+    age_ms = state.evidence_age_ms(now_ms)
+    return -1 if isinf(age_ms) else int(age_ms)
+
+
 __all__ = (
     'log_admission',
     'log_answer',
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -61,7 +61,9 @@
             case call:
                 answer = self._send(call)
                 log_answer(call, answer, self._board)
-                self._windows.note(call, answer)
+                self._windows.note(
+                    call, answer, len(self._routing.excluded_homes)
+                )
                 if isinstance(answer, Refused):
                     call.router.shortage.note_refused(
                         answer.reason, monotonic_ms()
--- a/src/jackdawhead/node/entry/members.py
+++ b/src/jackdawhead/node/entry/members.py
@@ -30,6 +30,11 @@
         self._by_service: dict[str, list[Member]] = {}
         self._unreachable_until_ms: dict[str, float] = {}
 
+    @property
+    def excluded_homes(self) -> frozenset[str]:
+        """Homes that the subsets exclude because they were unreachable."""
+        return frozenset(self._unreachable_until_ms)
+
     def replace(self, vm_list: VmList) -> None:
         """Apply a new VM list; leaving VMs and upstreams are left out.
 
@@ -66,7 +71,7 @@
         return self._rule.choose(
             self.listed(service),
             service.subset_size,
-            frozenset(self._unreachable_until_ms),
+            self.excluded_homes,
         )
 
     def note_unreachable(self, home: str, now_ms: float) -> bool:
@@ -88,20 +93,20 @@
         """
         return self._unreachable_until_ms.pop(home, None) is not None
 
-    def expire(self, now_ms: float) -> bool:
+    def expire(self, now_ms: float) -> tuple[str, ...]:
         """End the exclusion of homes whose time is over.
 
         :param now_ms: monotonic time.
-        :returns: whether any exclusion ended.
+        :returns: homes whose exclusion has ended.
         """
-        due = [
+        due = tuple(
             home
             for home, until_ms in self._unreachable_until_ms.items()
             if until_ms <= now_ms
-        ]
+        )
         for home in due:
             self._unreachable_until_ms.pop(home)
-        return bool(due)
+        return due
 
 
 def _members_on(vm: Vm, home: str) -> Iterator[tuple[str, Member]]:
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -93,6 +93,11 @@
         router.used_at_ms = monotonic_ms()
         return router
 
+    @property
+    def excluded_homes(self) -> frozenset[str]:
+        """Homes left out of the subsets because they were unreachable."""
+        return self._members.excluded_homes
+
     def has_service(self, service: str) -> bool:
         """Return whether a service is configured.
 
@@ -137,7 +142,10 @@
 
         :param now_ms: monotonic time.
         """
-        if self._members.expire(now_ms):
+        expired = self._members.expire(now_ms)
+        for home in expired:
+            self._audit.record(AuditKind.HOME_INCLUDED, home, 'exclusion ended')
+        if expired:
             self._refresh_members()
         for router in self.routers():
             if router.can_be_evicted(now_ms):
@@ -235,6 +243,9 @@
         """
         self.avoid(home, duration_ms)
         if self._members.note_unreachable(home, monotonic_ms()):
+            self._audit.record(
+                AuditKind.HOME_EXCLUDED, home, 'could not be dialled'
+            )
             self._refresh_members()
 
     def note_reachable(self, home: str) -> None:
@@ -244,6 +255,7 @@
         """
         self.avoid(home, 0)
         if self._members.note_reachable(home):
+            self._audit.record(AuditKind.HOME_INCLUDED, home, 'has connected')
             self._refresh_members()
 
     def _record(self, change: HealthChange) -> None:
--- a/src/jackdawhead/node/entry/service_window.py
+++ b/src/jackdawhead/node/entry/service_window.py
@@ -40,18 +40,19 @@
     def __init__(self) -> None:
         self._windows: dict[str, _Window] = {}
 
-    def note(self, call: Call, answer: Answer) -> None:
+    def note(self, call: Call, answer: Answer, excluded_count: int) -> None:
         """Count a finished request; log the previous window if it is over.
 
         :param call: the request and its state.
         :param answer: answer that was given to the caller.
+        :param excluded_count: number of homes left out of the subsets.
         """
         now_ms = monotonic_ms()
         service = call.router.service.name
         window = self._windows.setdefault(service, _Window(now_ms))
         if now_ms - window.started_ms >= _LOG_WINDOW_MS:
             if window.refused:
-                _log(call, window, now_ms)
+                _log(call, window, now_ms, excluded_count)
             window = _Window(now_ms)
             self._windows[service] = window
         window.tried |= call.tried.names
@@ -61,7 +62,9 @@
             window.answered += 1
 
 
-def _log(call: Call, window: _Window, now_ms: float) -> None:
+def _log(
+    call: Call, window: _Window, now_ms: float, excluded_count: int
+) -> None:
     loads = call.router.loads
     report_ages_ms = [
         now_ms - each.reported_at_ms for each in loads if each.reported_at_ms
@@ -75,6 +78,7 @@
         used=len(loads),
         asked=len(window.tried),
         at_risk=sum(each.risk_now(now_ms) > SUSPECT_RISK for each in loads),
+        excluded=excluded_count,
         avoided=sum(each.is_avoided(now_ms) for each in loads),
         oldest_report_ms=int(max(report_ages_ms, default=0)),
         has_retry=call.router.budget.has_retry,
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -98,6 +98,11 @@
             'Bytes sent and received on open links.',
             sum(link.traffic_bytes for link in node.links()),
         )
+        yield GaugeMetricFamily(
+            'jackdawhead_homes_excluded',
+            'Homes left out of the subsets because they were unreachable.',
+            len(node.parts.routing.excluded_homes),
+        )
         yield self._upstream_health()
 
     def _upstream_health(self) -> Metric:
--- a/src/jackdawhead/policy/spell_estimate.py
+++ b/src/jackdawhead/policy/spell_estimate.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from math import exp
+from math import exp, inf
 from typing import Final
 
 # Share of the work that fails at a healthy upstream, and at one in a spell of
@@ -81,6 +81,13 @@
             return 0
         return decayed_risk(self._risk, now_ms - self._at_ms)
 
+    def evidence_age_ms(self, now_ms: float) -> float:
+        """Return the time since the last outcome, infinite if there is none.
+
+        :param now_ms: monotonic time.
+        """
+        return inf if self._at_ms is None else now_ms - self._at_ms
+
 
 def _likelihood(failures: float, *, ok: bool) -> float:
     return 1 - failures if ok else failures
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -189,6 +189,13 @@
         """
         return self._spell.risk(now_ms)
 
+    def evidence_age_ms(self, now_ms: float) -> float:
+        """Return the time since the last outcome, infinite if there is none.
+
+        :param now_ms: monotonic time.
+        """
+        return self._spell.evidence_age_ms(now_ms)
+
     def _learn(self, run: FinishedRun, now_ms: float) -> bool:
         if run.ending in _SPELL_ENDINGS:
             is_ok = run.ending is RunResult.SUCCEEDED
