Homes space the trials of failing upstreams; entries draw among those due

Cause: each of 83 entries decided alone when to try which upstream, by the age of its own last report. A failed trial was known to its entry and the home only. All entries ranked the upstreams alike, as they hear of a spell at the same time, so they tried those that failed first, whose homes had just seen them fail again (150 of 311 attempts from 15 to 18 s refused as risky), and the last ones waited behind all others. Reports that homes send with refusals counted as news.

Now the home accepts a trial of an upstream that is more likely failing than not a second after the last failure or the start of the last trial, at once after a success; entries draw at random among the upstreams that are due, use all repeatable work for it during a shortage, are told of a first success, and take a report for news only if its risk is off the expected decay.

The step of spells.feature that set the fields of a report by hand now reports it.

--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -376,8 +376,7 @@
         load.reported_at_ms = context.now_ms
     second = context.loads[other]
     if other == 'failing':
-        second.risk = 0.95
-        second.risk_reported_at_ms = context.now_ms
+        second.note_risk(0.95, context.now_ms)
     local, remote = tuple(context.loads.values()), ()
     if other == 'far':
         local, remote = (context.loads[one],), (second,)
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -124,7 +124,7 @@
             job.refuse(Reason.DRAINING)
             return
         now_ms = monotonic_ms()
-        if RISK_SCALE * self._state.risk(now_ms) > job.submit.risk_limit:
+        if not self._state.accepts_risk(job.submit.risk_limit, now_ms):
             log_admission(job, self._state, Reason.RISKY.value)
             job.refuse(Reason.RISKY)
             return
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from .recovery_trials import TRIAL_INTERVAL_MS
 from .spell_estimate import SUSPECT_RISK, decayed_risk
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
 _AVOIDED_WAIT_MS: Final = 1e9
 # An upstream that seems to have stalled is avoided for this long.
 _STALL_AVOID_MS: Final = 1000
+# Rounding and network time change a reported risk by less than this.
+_MAX_RISK_DRIFT: Final = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +64,8 @@
         last reported by its home.
     :param risk_reported_at_ms: monotonic time of that report, None if the
         risk is unknown.
+    :param trial_at_ms: monotonic time from which on the upstream may be tried
+        again if it is likely failing.
     """
 
     upstream: str
@@ -77,6 +82,7 @@
     slots: int = 0
     risk: float = 0
     risk_reported_at_ms: float | None = None
+    trial_at_ms: float = 0
 
     def risk_now(self, now_ms: float) -> float:
         """Return the current risk of a spell of failing, 0 if unknown.
@@ -90,6 +96,24 @@
             return self.risk
         return decayed_risk(self.risk, now_ms - self.risk_reported_at_ms)
 
+    def note_risk(self, risk: float, now_ms: float) -> None:
+        """Replace the risk, and set when the next trial is due.
+
+        A home reports the risk with each message, not only after an outcome.
+        Without an outcome it decays as expected. A failure raises it, and only
+        a success takes it below.
+
+        :param risk: probability of a spell of failing, reported by the home.
+        :param now_ms: monotonic time at which the report arrived.
+        """
+        change = risk - self.risk_now(now_ms)
+        if change > _MAX_RISK_DRIFT:
+            self.trial_at_ms = now_ms + TRIAL_INTERVAL_MS
+        elif change < -_MAX_RISK_DRIFT:
+            self.trial_at_ms = now_ms
+        self.risk = risk
+        self.risk_reported_at_ms = now_ms
+
     def expected_wait_ms(self, now_ms: float) -> float:
         """Return the expected queueing time of a request that is sent now.
 
--- a/src/jackdawhead/policy/risk_policy.py
+++ b/src/jackdawhead/policy/risk_policy.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from .shortage import RISK_REPORT_LIFE_MS, is_below_floor
-from .spell_estimate import RISK_SCALE
+from .shortage import is_below_floor
+from .spell_estimate import LIKELY_FAILING_RISK, RISK_SCALE
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -30,13 +30,10 @@
 _NON_IDEMPOTENT_RISK_LIMIT: Final = 0.2
 # A new failure of an upstream in a spell takes its risk above this limit.
 _IDEMPOTENT_RISK_LIMIT: Final = 0.9
-# An upstream above this risk is more likely failing than not, and is tried only
-# when its last report is stale. One below it has just completed work again, and
-# is tried at once to confirm that its spell is over.
-_LIKELY_FAILING_RISK: Final = 0.5
 # An upstream at or below this risk needs no trial.
 _MIN_TRIAL_RISK: Final = 0.12
-# Share of the eligible requests that are used for trials.
+# Share of the eligible requests that are used for trials. During a shortage all
+# idempotent requests are, as homes bound the number of runs.
 _TRIAL_SHARE: Final = 0.3
 # Attempts after this one accept any risk, as this many homes may have refused.
 _MAX_RISK_REFUSALS: Final = 4
@@ -87,11 +84,13 @@
     """Return an upstream to test for the end of its spell of failing, or None.
 
     Without such trials an upstream that failed would never be chosen again
-    while others are free. Only a share of the idempotent work is used for
-    trials, and the home lets one of them through only now and then. During a
-    shortage any work may be used: at upstreams that are at least as likely
-    healthy as failing, and at all others while fewer upstreams are in use than
-    the floor requires.
+    while others are free. Idempotent work is used for trials, and the home lets
+    one of them through only now and then. During a shortage any work may be
+    used: at upstreams that are at least as likely healthy as failing, and at
+    all others while fewer upstreams are in use than the floor requires.
+
+    The upstream is drawn at random. Entries learn of a spell at the same time,
+    so that an order by age would have all of them try the same upstreams.
 
     :param loads: upstreams that may be chosen.
     :param rule: conditions of the request.
@@ -101,33 +100,33 @@
     has_another_attempt = rule.may_repeat and rule.operation.idempotent
     if not has_another_attempt and not rule.has_shortage:
         return None
-    if rng.random() > _TRIAL_SHARE:
+    is_unlimited = has_another_attempt and rule.has_shortage
+    if not is_unlimited and rng.random() > _TRIAL_SHARE:
         return None
     due = [each for each in loads if _is_due_for_trial(each, now_ms)]
     if not has_another_attempt and not is_below_floor(
         loads, rule.floor_percent, now_ms
     ):
         due = [
-            each
-            for each in due
-            if each.risk_now(now_ms) <= _LIKELY_FAILING_RISK
+            each for each in due if each.risk_now(now_ms) <= LIKELY_FAILING_RISK
         ]
-    return min(due, key=_risk_reported_at_ms, default=None)
+    return rng.choice(due) if due else None
 
 
 def _is_due_for_trial(load: UpstreamLoad, now_ms: float) -> bool:
+    """Return whether a trial is due.
+
+    An upstream that is more likely healthy has just completed work again, and
+    is tried at once to confirm that its spell is over.
+    """
     if load.is_avoided(now_ms):
         return False
     risk = load.risk_now(now_ms)
-    if risk > _LIKELY_FAILING_RISK:
-        return now_ms - _risk_reported_at_ms(load) >= RISK_REPORT_LIFE_MS
+    if risk > LIKELY_FAILING_RISK:
+        return now_ms >= load.trial_at_ms
     return risk > _MIN_TRIAL_RISK
 
 
-def _risk_reported_at_ms(load: UpstreamLoad) -> float:
-    return load.risk_reported_at_ms or 0
-
-
 def risk_limit(
     operation: Operation,
     attempt: int,
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -157,8 +157,7 @@
         slots = load.slots or self.service.slots_per_upstream
         report = LoadReport(status.wait_ms, status.run_ms, slots, status.free)
         load.note_report(report, now_ms)
-        load.risk = status.risk / RISK_SCALE
-        load.risk_reported_at_ms = now_ms
+        load.note_risk(status.risk / RISK_SCALE, now_ms)
         if status.avoid_ms:
             load.avoid_until_ms = now_ms + status.avoid_ms
         if status.median_ms:
--- a/src/jackdawhead/policy/shortage.py
+++ b/src/jackdawhead/policy/shortage.py
@@ -22,10 +22,6 @@
 # A shortage lasts this long after a refusal. In a large fleet, each entry sees
 # only a few of a service's refusals.
 _SHORTAGE_MS: Final = 4000.0
-# Age at which a report of a high risk is stale, so that the upstream is due for
-# a trial. A recovered upstream has to be in use again within 2 s, network time
-# included.
-RISK_REPORT_LIFE_MS: Final = 1500.0
 _SHORTAGE_REASONS: Final = frozenset(
     (
         Reason.BUSY,
@@ -68,7 +64,7 @@
 ) -> bool:
     """Return whether fewer upstreams are in use than the floor requires.
 
-    An upstream counts as in use if its risk is low or was reported recently.
+    An upstream counts as in use if its risk is low or was tested recently.
 
     :param loads: upstreams that may be chosen.
     :param floor_percent: percentage that has to be in use.
@@ -81,7 +77,7 @@
 def _is_in_use(load: UpstreamLoad, now_ms: float) -> bool:
     if load.risk_now(now_ms) <= SUSPECT_RISK:
         return True
-    return now_ms - (load.risk_reported_at_ms or 0) < RISK_REPORT_LIFE_MS
+    return now_ms < load.trial_at_ms
 
 
-__all__ = ('RISK_REPORT_LIFE_MS', 'Shortage', 'is_below_floor')
+__all__ = ('Shortage', 'is_below_floor')
--- a/src/jackdawhead/policy/spell_estimate.py
+++ b/src/jackdawhead/policy/spell_estimate.py
@@ -31,6 +31,8 @@
 # _CLEARED_RISK.
 SUSPECT_RISK: Final = 0.2
 _CLEARED_RISK: Final = 0.1
+# An upstream above this risk is more likely failing than not.
+LIKELY_FAILING_RISK: Final = 0.5
 
 
 def decayed_risk(risk: float, age_ms: float) -> float:
@@ -50,6 +52,7 @@
         self._risk: float = 0
         self._at_ms: float | None = None
         self._is_suspect = False
+        self._has_failed_last = False
 
     def observe(self, now_ms: float, *, ok: bool) -> bool:
         """Update the estimate with an outcome.
@@ -57,8 +60,11 @@
         :param now_ms: monotonic time at which the work ended.
         :param ok: whether the work succeeded.
         :returns: whether all entries should be notified at once, since a spell
-            has probably begun or ended.
+            has probably begun or ended, or since the upstream has succeeded
+            for the first time in a spell, so that further trials are due.
         """
+        is_first_success = ok and self._has_failed_last and self._is_suspect
+        self._has_failed_last = not ok
         is_first = self._at_ms is None
         before = SPELL_SHARE if is_first else self.risk(now_ms)
         in_spell = before * _likelihood(_SPELL_FAILURE_SHARE, ok=ok)
@@ -70,7 +76,12 @@
             self._is_suspect = True
         elif self._risk <= _CLEARED_RISK:
             self._is_suspect = False
-        return self._is_suspect is not was_suspect
+        return is_first_success or self._is_suspect is not was_suspect
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a spell has probably begun, and not ended yet."""
+        return self._is_suspect
 
     def risk(self, now_ms: float) -> float:
         """Return the probability of a spell, 0 before the first outcome.
@@ -94,6 +105,7 @@
 
 
 __all__ = (
+    'LIKELY_FAILING_RISK',
     'RISK_SCALE',
     'SPELL_SHARE',
     'SUSPECT_RISK',
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -11,8 +11,14 @@
 from .admissions import ADMISSIONS
 from .evidence import CUSUM_SCALE, Sample
 from .evidence_store import EvidenceStore
+from .recovery_trials import RecoveryTrials
 from .run_result import RunResult
-from .spell_estimate import RISK_SCALE, SpellEstimate
+from .spell_estimate import (
+    LIKELY_FAILING_RISK,
+    RISK_SCALE,
+    SpellEstimate,
+)
+from .work import Verdict
 
 if TYPE_CHECKING:
     from random import Random
@@ -31,6 +37,7 @@
 _SPELL_ENDINGS: Final = frozenset(
     (RunResult.SUCCEEDED, RunResult.FAILED, RunResult.CRASHED)
 )
+_ACCEPTING_VERDICTS: Final = frozenset((Verdict.START, Verdict.WAIT))
 
 RecordChange = Callable[[AuditKind, str, str], None]
 
@@ -79,6 +86,7 @@
         self.admission = rule(service, rng)
         self._evidence = EvidenceStore(service, is_new=is_new)
         self._spell = SpellEstimate()
+        self._trials = RecoveryTrials()
         self.has_risk_update = False
         self._record = record
         self._avoid_until_ms: float = 0
@@ -116,12 +124,32 @@
             )
         return True
 
+    def accepts_risk(self, risk_limit: int, now_ms: float) -> bool:
+        """Return whether work may run in spite of the risk of failure.
+
+        If the upstream is more likely failing than not, only a trial at a time
+        is accepted, but for work that accepts any risk.
+
+        :param risk_limit: highest risk that the entry accepts, in thousandths.
+        :param now_ms: monotonic time.
+        """
+        risk = self.risk(now_ms)
+        if RISK_SCALE * risk > risk_limit:
+            return False
+        if risk <= LIKELY_FAILING_RISK or risk_limit >= RISK_SCALE:
+            return True
+        return self._trials.is_due(now_ms)
+
     def offer(self, work: Work, now_ms: float) -> Admission:
         """Start, queue or refuse work.
 
         :param now_ms: monotonic time.
         """
-        return self.admission.offer(work, now_ms)
+        admission = self.admission.offer(work, now_ms)
+        is_accepted = admission.verdict in _ACCEPTING_VERDICTS
+        if is_accepted and self.risk(now_ms) > LIKELY_FAILING_RISK:
+            self._trials.note_started(now_ms)
+        return admission
 
     def finish(
         self, work: Work, run: FinishedRun | None, now_ms: float
@@ -199,8 +227,11 @@
     def _learn(self, run: FinishedRun, now_ms: float) -> bool:
         if run.ending in _SPELL_ENDINGS:
             is_ok = run.ending is RunResult.SUCCEEDED
-            if self._spell.observe(now_ms, ok=is_ok):
-                self._announce_risk(is_ok=is_ok, now_ms=now_ms)
+            self._trials.note_outcome(now_ms, ok=is_ok)
+            was_suspect = self._spell.is_suspect
+            self.has_risk_update |= self._spell.observe(now_ms, ok=is_ok)
+            if self._spell.is_suspect is not was_suspect:
+                self._record_spell(now_ms)
         match run.ending:
             case RunResult.SUCCEEDED | RunResult.FAILED:
                 is_ok = run.ending is RunResult.SUCCEEDED
@@ -215,9 +246,9 @@
                 return self._note_draining(now_ms)
         return False
 
-    def _announce_risk(self, *, is_ok: bool, now_ms: float) -> None:
-        self.has_risk_update = True
-        kind = AuditKind.SPELL_OVER if is_ok else AuditKind.SPELL_BEGUN
+    def _record_spell(self, now_ms: float) -> None:
+        is_suspect = self._spell.is_suspect
+        kind = AuditKind.SPELL_BEGUN if is_suspect else AuditKind.SPELL_OVER
         self._record(
             kind, self.name, f'risk of failure {self.risk(now_ms):.2f}'
         )
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -130,7 +130,7 @@
         if self.state.is_draining(now_ms):
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DRAINING))
             return
-        if RISK_SCALE * self.state.risk(now_ms) > job.risk_limit:
+        if not self.state.accepts_risk(job.risk_limit, now_ms):
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.RISKY))
             return
         admission = self.state.offer(job.work, now_ms)
