Entries use an upstream again 5 s after its last notice that it drains

The notice of a home ends by time, without a message, and an entry that marked the upstream sends it nothing, so it gets no status that would undo the mark. An upstream that says that it drains and stays in the list stayed unused by all entries but for updates of its risk.

The mark at an entry ends after the same 5 s; the home goes on refusing work while its own notice or the list says that the upstream leaves.

features/policy/recovery.feature, 'An upstream that stays', failed before. features/fleet/leaving: 4 passed.

--- a/features/policy/recovery.feature
+++ b/features/policy/recovery.feature
@@ -56,3 +56,17 @@
     Then no trial of the upstream is due at the entry
     When the home reports a success
     Then a trial of the upstream is due at the entry
+
+  # The home's notice ends by time, and nothing tells the entries that it ended.
+  Scenario: An upstream that stays after it said that it drains gets work again
+    Given an entry's router with 2 upstreams
+    When the home of upstream 1 says that it drains
+    Then upstream 1 gets no work for 4.9 s
+    And upstream 1 gets work within 0.5 s
+
+  Scenario: An upstream that goes on draining gets no work
+    Given an entry's router with 2 upstreams
+    When the home of upstream 1 says that it drains
+    Then upstream 1 gets no work for 4.9 s
+    When the home of upstream 1 says that it drains
+    Then upstream 1 gets no work for 4.9 s
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -10,9 +10,11 @@
 
 from features.steps.floor_steps import desk_service
 from jackdawhead.config.model import WorkClass
-from jackdawhead.policy.loads import LoadReport, UpstreamLoad
+from jackdawhead.policy.loads import LoadReport, RoutingQuery, UpstreamLoad
+from jackdawhead.policy.member_loads import Member
 from jackdawhead.policy.risk_policy import TrialRule, pick_trial, risk_limit
 from jackdawhead.policy.run_result import RunResult
+from jackdawhead.policy.service_router import ServiceRouter
 from jackdawhead.policy.spell_estimate import RISK_SCALE, SpellEstimate
 from jackdawhead.policy.upstream_state import FinishedRun, UpstreamState
 from jackdawhead.policy.work import Work
@@ -27,6 +29,7 @@
 _SEED: Final = 1
 # Enough draws for a share of the requests to be used for trials.
 _DRAWS: Final = 50
+_REQUEST_INTERVAL_MS: Final = 100
 
 
 @given('the home of an upstream that has just failed {number:d} times')
@@ -148,6 +151,48 @@
     assert not _is_trial_due(context)
 
 
+@given("an entry's router with {number:d} upstreams")
+def make_router(context: Context, number: int) -> None:
+    """Create the routing state of a service at an entry."""
+    context.now_ms = _START_MS
+    context.router = ServiceRouter(desk_service(), 'a', Random(_SEED))
+    context.router.replace_members(
+        tuple(
+            Member(f'vm-{each}/desk', 'a', f'vm-{each}')
+            for each in range(1, number + 1)
+        )
+    )
+
+
+@when('the home of upstream {number:d} says that it drains')
+def report_drain(context: Context, number: int) -> None:
+    """Deliver the notice of a home."""
+    context.router.mark_draining(f'vm-{number}/desk', True, context.now_ms)
+
+
+@then('upstream {number:d} gets no work for {seconds:g} s')
+def check_unused(context: Context, number: int, seconds: float) -> None:
+    """Check that requests go to other upstreams."""
+    assert f'vm-{number}/desk' not in _chosen_within(context, seconds)
+
+
+@then('upstream {number:d} gets work within {seconds:g} s')
+def check_used(context: Context, number: int, seconds: float) -> None:
+    """Check that requests go to the upstream again."""
+    assert f'vm-{number}/desk' in _chosen_within(context, seconds)
+
+
+def _chosen_within(context: Context, seconds: float) -> set[str]:
+    """Return the upstreams that requests go to, one request every 100 ms."""
+    chosen = set()
+    for _ in range(int(seconds * _MS_PER_S) // _REQUEST_INTERVAL_MS):
+        context.now_ms += _REQUEST_INTERVAL_MS
+        context.router.tick(context.now_ms)
+        load = context.router.choose('once', RoutingQuery(context.now_ms))
+        chosen.add(load.upstream)
+    return chosen
+
+
 def _work(context: Context, operation: str) -> Work:
     return Work(
         next(context.work_ids),
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -176,7 +176,7 @@
         """
         router = self._routers.get(upstream.rpartition('/')[2])
         if router is not None:
-            router.mark_draining(upstream, draining)
+            router.mark_draining(upstream, draining, monotonic_ms())
 
     def avoid(
         self, home: str, duration_ms: int = _AVOID_UNREACHABLE_MS
--- a/src/jackdawhead/policy/member_loads.py
+++ b/src/jackdawhead/policy/member_loads.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from .loads import LoadReport, UpstreamLoad
 
+# An upstream counts as draining for this long after its last notice, as no
+# notice says that it has stopped.
+DRAIN_NOTICE_LIFE_MS: Final = 5000.0
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -23,20 +28,23 @@
 
 
 class MemberLoads:
-    """Listed upstreams of a service with their loads and draining states."""
+    """Listed upstreams of a service with their loads and draining states.
+
+    Upstreams that the list gives as leaving aren't members.
+    """
 
     def __init__(self) -> None:
         self._loads: dict[str, UpstreamLoad] = {}
-        self._draining: set[str] = set()
+        self._draining_until_ms: dict[str, float] = {}
 
     def __len__(self) -> int:
         """Return the number of upstreams that take new work, in O(1)."""
-        return len(self._loads) - len(self._draining)
+        return len(self._loads) - len(self._draining_until_ms)
 
     @property
     def names(self) -> frozenset[str]:
         """Names of the listed upstreams that take new work."""
-        return frozenset(self._loads.keys() - self._draining)
+        return frozenset(self._loads.keys() - self._draining_until_ms.keys())
 
     @property
     def listed(self) -> tuple[UpstreamLoad, ...]:
@@ -69,28 +77,46 @@
         gone = self._loads.keys() - named.keys()
         for name in gone:
             self._loads.pop(name)
-        self._draining -= gone
+            self._draining_until_ms.pop(name, None)
         new = [each for each in named.values() if not self._is_unchanged(each)]
         for member in new:
             self._loads[member.name] = self._new_load(member, expected_ms)
         return bool(gone or new)
 
-    def mark_draining(self, upstream: str, draining: bool) -> bool:
+    def mark_draining(
+        self, upstream: str, draining: bool, now_ms: float
+    ) -> bool:
         """Mark an upstream as draining, ahead of the VM list, or unmark it.
 
         :param upstream: identity of the upstream.
         :param draining: whether it drains, that is, takes no new work.
+        :param now_ms: monotonic time of the notice.
         :returns: whether the mark has changed.
         """
         if upstream not in self._loads:
             return False
-        if draining == (upstream in self._draining):
-            return False
+        was_draining = upstream in self._draining_until_ms
         if draining:
-            self._draining.add(upstream)
+            until_ms = now_ms + DRAIN_NOTICE_LIFE_MS
+            self._draining_until_ms[upstream] = until_ms
         else:
-            self._draining.discard(upstream)
-        return True
+            self._draining_until_ms.pop(upstream, None)
+        return draining is not was_draining
+
+    def expire_drains(self, now_ms: float) -> bool:
+        """Unmark the upstreams whose last notice is too old.
+
+        :param now_ms: monotonic time.
+        :returns: whether any upstream was unmarked.
+        """
+        due = [
+            name
+            for name, until_ms in self._draining_until_ms.items()
+            if until_ms <= now_ms
+        ]
+        for name in due:
+            self._draining_until_ms.pop(name)
+        return bool(due)
 
     def avoid_home_until(self, home: str, until_ms: float) -> None:
         """Avoid all upstreams of a home that this node can't reach.
@@ -122,4 +148,4 @@
         )
 
 
-__all__ = ('Member', 'MemberLoads')
+__all__ = ('DRAIN_NOTICE_LIFE_MS', 'Member', 'MemberLoads')
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -100,13 +100,16 @@
         if self._update_members(members):
             self._members_changed()
 
-    def mark_draining(self, upstream: str, draining: bool) -> None:
+    def mark_draining(
+        self, upstream: str, draining: bool, now_ms: float
+    ) -> None:
         """Mark an upstream as draining, ahead of the VM list, or unmark it.
 
         :param upstream: identity of the upstream.
         :param draining: whether it drains, that is, takes no new work.
+        :param now_ms: monotonic time of the notice.
         """
-        if self._members.mark_draining(upstream, draining):
+        if self._members.mark_draining(upstream, draining, now_ms):
             self._members_changed()
 
     def choose(
@@ -178,7 +181,7 @@
                 summary,
                 now_ms,
             )
-        self.mark_draining(status.upstream, status.draining)
+        self.mark_draining(status.upstream, status.draining, now_ms)
 
     def can_be_evicted(self, now_ms: float) -> bool:
         """Return whether this router can be dropped without losing state.
@@ -240,6 +243,8 @@
         :param now_ms: monotonic time.
         :returns: changes of health, for the audit trail.
         """
+        if self._members.expire_drains(now_ms):
+            self._members_changed()
         if not self._has_new_evidence and not self._pools.has_ejections:
             return ()
         self._has_new_evidence = False
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -11,6 +11,7 @@
 from .admissions import ADMISSIONS
 from .evidence import CUSUM_SCALE, Sample
 from .evidence_store import EvidenceStore
+from .member_loads import DRAIN_NOTICE_LIFE_MS
 from .recovery_trials import RecoveryTrials
 from .run_result import RunResult
 from .spell_estimate import (
@@ -29,8 +30,6 @@
 # Backoff after an unreachable upstream, which doubles between these bounds.
 _FIRST_AVOID_MS: Final = 100
 _MAX_AVOID_MS: Final = 3200
-# An upstream counts as draining for this long after its last notice.
-_DRAIN_NOTICE_LIFE_MS: Final = 5000
 # Multiple of the average run time used if the median is unknown.
 _NO_MEDIAN_FACTOR: Final = 2
 # Ends of runs that count as outcomes in the estimate of the risk.
@@ -276,7 +275,7 @@
 
     def _note_draining(self, now_ms: float) -> bool:
         was_draining = self.is_draining(now_ms)
-        self._draining_until_ms = now_ms + _DRAIN_NOTICE_LIFE_MS
+        self._draining_until_ms = now_ms + DRAIN_NOTICE_LIFE_MS
         if not was_draining:
             self._record(
                 AuditKind.UPSTREAM_DRAINING, self.name, 'announced in an answer'
