Dial homes that were unreachable in the background until they can be used

A home that one dial did not reach left the entry's subset for 30 s, also when it was only starting, and nothing dialled it meanwhile: only a dial of its own brought it back.

features/fleet/subsets.feature, 'A home that could not be dialled', failed before (still left out after 10 s); without the dials it fails again.

--- a/features/fleet/subsets.feature
+++ b/features/fleet/subsets.feature
@@ -29,6 +29,17 @@
     When the homes of all zones cannot be dialled
     Then each entry uses 30 upstreams, 20 of them in its zone
 
+  # A home that other entries use instead has no reason to dial this one.
+  Scenario: A home that could not be dialled is used again soon after it can be
+    Given a fleet of 16 nodes in front of "registry-desk" with a relay in front of node 2
+    When the operators publish version 2 with "services: {registry-desk: {subset_size: 3}}" added
+    Then all nodes follow configuration 2 within 8 s
+    When the relay is cut forward
+    And callers send 400 lookups to all nodes
+    Then some node records "home-excluded" in its audit trail
+    When the relay is healed
+    Then no node leaves a home out any more within 10 s
+
   Scenario: A node that leaves moves only the upstreams it owned
     Given 40 nodes and 4000 VMs without a node in one zone
     Then each node owns 50 to 200 upstreams
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -67,6 +67,29 @@
     )
 
 
+@then('no node leaves a home out any more within {seconds:d} s')
+def check_none_excluded(context: Context, seconds: int) -> None:
+    """Wait until each home that a node left out is used again."""
+    wait_until(
+        lambda: not _excluded_homes(context),
+        'homes used again',
+        seconds,
+    )
+
+
+def _excluded_homes(context: Context) -> set[tuple[str, str]]:
+    """Return the homes that nodes leave out, each with the node."""
+    excluded = set()
+    for node in context.fleet.nodes:
+        for record in context.fleet.audit(node):
+            pair = (node, record['subject'])
+            if record['kind'] == 'home-excluded':
+                excluded.add(pair)
+            elif record['kind'] == 'home-included':
+                excluded.discard(pair)
+    return excluded
+
+
 @given(
     '{entries:d} entries in {zones:d} zones before {upstreams:d} upstreams, '
     'each using {size:d}'
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -116,7 +116,7 @@
             gevent.sleep(seconds(HEARTBEAT_INTERVAL_MS))
             self._keep_alive(monotonic_ms())
             self._dialler.close_idle()
-            self._dialler.redial_peers()
+            self._dialler.redial()
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat on every link immediately."""
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -24,7 +25,10 @@
 _CONNECT_TIMEOUT_MS: Final = 800
 _MAX_DIAL_WAIT_MS: Final = 250
 _MIN_BACKOFF_MS: Final = 500
-_MAX_BACKOFF_MS: Final = 8000
+# A home that starts or is cut off for some seconds is used again within 2 s.
+_MAX_BACKOFF_MS: Final = 2000
+# Bounds the dials a round while a whole region is unreachable.
+_MAX_HOME_DIALS: Final = 4
 _IDLE_REASON: Final = 'unused'
 
 
@@ -116,9 +120,13 @@
         if self._backoffs.pop(vm, None) is not None:
             self._parts.routing.note_reachable(vm)
 
-    def redial_peers(self) -> None:
-        """Dial unlinked gossip peers in the background."""
-        for vm in self._unlinked_peers():
+    def redial(self) -> None:
+        """Dial unlinked gossip peers and excluded homes in the background.
+
+        No request goes to a home that the subsets exclude, so that nothing else
+        would show that it can be reached again.
+        """
+        for vm in (*self._unlinked_peers(), *self._due_homes()):
             gevent.spawn(self.link_to, vm)
 
     def is_peer(self, link: Link) -> bool:
@@ -157,6 +165,21 @@
             if vm not in self._links and vm not in self._dialling
         )
 
+    def _due_homes(self) -> list[str]:
+        """Return a few excluded homes whose backoff is over."""
+        now_ms = monotonic_ms()
+        due = (
+            vm
+            for vm in self._parts.routing.excluded_homes
+            if vm not in self._dialling
+            and vm not in self._peers
+            and (
+                vm not in self._backoffs
+                or self._backoffs[vm].until_ms <= now_ms
+            )
+        )
+        return list(islice(due, _MAX_HOME_DIALS))
+
     def _dial(self, name: str) -> None:
         vm = self._parts.board.vm_list.read().vms.get(name)
         if vm is None or not vm.stream_port:
--- a/src/jackdawhead/node/entry/members.py
+++ b/src/jackdawhead/node/entry/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from ...policy.homes import HomeMap
@@ -13,11 +14,25 @@
 
     from ...blackboard import Vm, VmList
     from ...config.model import Service
+    from ...policy.service_router import ServiceRouter
 
 # Time for which the subset excludes the upstreams of an unreachable home.
 _EXCLUDE_UNREACHABLE_MS: Final = 30_000
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceCount:
+    """Number of upstreams of a service.
+
+    :param listed: listed upstreams that accept new work.
+    :param router: routing state of the service, if it is in use.
+    """
+
+    service: str
+    listed: int
+    router: ServiceRouter | None
+
+
 class ServiceMembers:
     """Groups the VM list by service and chooses a subset of the upstreams.
 
@@ -31,9 +46,9 @@
         self._unreachable_until_ms: dict[str, float] = {}
 
     @property
-    def excluded_homes(self) -> frozenset[str]:
-        """Homes that the subsets exclude because they were unreachable."""
-        return frozenset(self._unreachable_until_ms)
+    def excluded_homes(self) -> tuple[str, ...]:
+        """Homes that the subsets exclude, those dialled longest ago first."""
+        return tuple(self._unreachable_until_ms)
 
     def replace(self, vm_list: VmList) -> None:
         """Apply a new VM list; leaving VMs and upstreams are left out.
@@ -71,7 +86,7 @@
         return self._rule.choose(
             self.listed(service),
             service.subset_size,
-            self.excluded_homes,
+            frozenset(self._unreachable_until_ms),
         )
 
     def note_unreachable(self, home: str, now_ms: float) -> bool:
@@ -81,7 +96,7 @@
         :param now_ms: monotonic time.
         :returns: whether the home was not excluded before.
         """
-        is_new = home not in self._unreachable_until_ms
+        is_new = self._unreachable_until_ms.pop(home, None) is None
         self._unreachable_until_ms[home] = now_ms + _EXCLUDE_UNREACHABLE_MS
         return is_new
 
@@ -118,4 +133,4 @@
             yield service, Member(name, vm.zone, home, details.slots)
 
 
-__all__ = ('ServiceMembers',)
+__all__ = ('ServiceCount', 'ServiceMembers')
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -11,7 +10,7 @@
 from ...clock import monotonic_ms, seconds
 from ...policy.detection import Health, HealthChange
 from ...policy.service_router import ServiceRouter
-from .members import ServiceMembers
+from .members import ServiceCount, ServiceMembers
 from .routes import RouteTable
 
 if TYPE_CHECKING:
@@ -35,19 +34,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceCount:
-    """Number of upstreams of a service.
-
-    :param listed: listed upstreams that accept new work.
-    :param router: routing state of the service, if it is in use.
-    """
-
-    service: str
-    listed: int
-    router: ServiceRouter | None
-
-
 class RoutingController:
     """Updates routing from the configuration, the VM list and home reports.
 
@@ -94,8 +80,8 @@
         return router
 
     @property
-    def excluded_homes(self) -> frozenset[str]:
-        """Homes left out of the subsets because they were unreachable."""
+    def excluded_homes(self) -> tuple[str, ...]:
+        """Homes left out of the subsets, those dialled longest ago first."""
         return self._members.excluded_homes
 
     def has_service(self, service: str) -> bool:
@@ -297,4 +283,4 @@
         return router
 
 
-__all__ = ('RoutingController', 'ServiceCount')
+__all__ = ('RoutingController',)
