Test during a shortage whether slow upstreams have recovered

During a shortage idempotent work now also tests upstreams whose report is older than 1 s and more than twice the median of the others.

'Upstreams that were slow get work again' fails without it.

--- a/features/replay/floor.feature
+++ b/features/replay/floor.feature
@@ -49,9 +49,21 @@
     And 10 of the upstreams join after 8 s
     And 4 other upstreams that take 5 times as long
     When requests arrive at <percent> % of the capacity of all slots, 25 % of them idempotent
-    Then in no 2 s window with refused requests are too many of them left without work
+    Then in no 2 s window after it with refused requests are too many of them left without work
 
     Examples: more load than the healthy upstreams can serve
       | percent | seed |
       | 75      | 1    |
       | 90      | 2    |
+
+  Scenario Outline: Upstreams that were slow get work again while requests are refused, at <percent> % of load
+    Given 66 upstreams with spells of 9 s in which 85 % of runs fail, 21 s apart, from seed <seed>
+    And 83 entries before them, and 3 slots and 420 ms runs at each
+    And 10 of the upstreams take 5 times as long until 8 s
+    When requests arrive at <percent> % of the capacity of all slots, 25 % of them idempotent
+    Then in no 2 s window after it with refused requests are too many of them left without work
+
+    Examples: more load than the healthy upstreams can serve
+      | percent | seed |
+      | 60      | 1    |
+      | 75      | 2    |
--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from math import inf
 from random import Random
 from typing import TYPE_CHECKING, Final
 
@@ -64,6 +65,7 @@
     :param run_ms: run time of a request that succeeds.
     :param joined_at_ms: time at which upstreams join, by upstream.
     :param slow: upstreams whose runs take several times as long.
+    :param slow_until_ms: time at which these are as fast as the others again.
     """
 
     spells: dict[str, list[tuple[float, float]]]
@@ -74,11 +76,12 @@
     run_ms: float = _RUN_MS
     joined_at_ms: dict[str, float] = field(default_factory=dict)
     slow: frozenset[str] = frozenset()
+    slow_until_ms: float = inf
 
-    def run_ms_of(self, upstream: str) -> float:
+    def run_ms_of(self, upstream: str, at_ms: float) -> float:
         """Return the run time of a request that succeeds."""
-        factor = _SLOW_FACTOR if upstream in self.slow else 1
-        return self.run_ms * factor
+        is_slow = upstream in self.slow and at_ms < self.slow_until_ms
+        return self.run_ms * _SLOW_FACTOR if is_slow else self.run_ms
 
     def fails(self, upstream: str, at_ms: float, rng: Random) -> bool:
         """Return whether a run at the given time fails."""
@@ -181,14 +184,21 @@
     context.plan = replace(context.plan, joined_at_ms=joined_at_ms)
 
 
-@given('{number:d} other upstreams that take {factor:d} times as long')
-def slow_down(context: Context, number: int, factor: int) -> None:
+@given('{number:d} other upstreams that take 5 times as long')
+def slow_down(context: Context, number: int) -> None:
     """Make the first upstreams slow."""
-    assert factor == _SLOW_FACTOR
     slow = frozenset(list(context.plan.spells)[:number])
     context.plan = replace(context.plan, slow=slow)
 
 
+@given('{number:d} of the upstreams take 5 times as long until {seconds:d} s')
+def slow_down_until(context: Context, number: int, seconds: int) -> None:
+    """Make the first upstreams slow for some time."""
+    slow_down(context, number)
+    until_ms = float(seconds * _MS_PER_S)
+    context.plan = replace(context.plan, slow_until_ms=until_ms)
+
+
 @when(
     'requests arrive at {percent:d} % of the capacity of all slots,'
     ' {idempotent:d} % of them idempotent'
@@ -255,7 +265,9 @@
             for operation in ('once', 'again'):
                 is_bad = plan.fails(name, at_ms, rng)
                 ending = RunResult.FAILED if is_bad else RunResult.SUCCEEDED
-                run_ms = _FAILED_RUN_MS if is_bad else plan.run_ms_of(name)
+                run_ms = (
+                    _FAILED_RUN_MS if is_bad else plan.run_ms_of(name, at_ms)
+                )
                 found.append(
                     RunRecord(
                         at_ms + run_ms, name, operation, 1, ending.value, run_ms
@@ -304,12 +316,8 @@
         if from_ms - _WINDOW_MS <= each.at_ms < to_ms and each.has_failed
     }
     healthy = set(plan.spells) - failed
-    used = {
-        each.upstream
-        for each in result.started
-        if from_ms <= each.at_ms < to_ms
-    }
-    return unserved, len(healthy & used) / max(1, len(healthy))
+    used = healthy & _used(result, from_ms)
+    return unserved, len(used) / max(1, len(healthy))
 
 
 @then('at least {percent:d} % of the requests succeed')
@@ -352,39 +360,39 @@
         if each.at_ms < from_ms
     }
     avoided = {name for name, failed in last_failed.items() if failed}
-    tried = {
-        each.upstream
-        for each in result.started
-        if from_ms <= each.at_ms < from_ms + _WINDOW_MS
-    }
-    return len(avoided & tried) / max(1, len(avoided))
+    return len(avoided & _used(result, from_ms)) / max(1, len(avoided))
 
 
 @then(
-    'in no 2 s window with refused requests are too many of them left without'
-    ' work'
+    'in no 2 s window after it with refused requests are too many of them left'
+    ' without work'
 )
-def check_joined(context: Context) -> None:
-    """Check windows of two seconds from the time at which upstreams join.
+def check_changed(context: Context) -> None:
+    """Check windows of two seconds after upstreams have joined or recovered.
 
     In a window in which between 10 and 50 percent of the requests do not
-    succeed, at least 70 percent of the upstreams that joined must get work.
+    succeed, at least 70 percent of these upstreams must get work.
     """
     plan = context.plan
+    changed = plan.joined_at_ms.keys() or plan.slow
+    first_ms = max(plan.joined_at_ms.values(), default=plan.slow_until_ms)
     broken = []
     end_ms = int(plan.length_ms) - _WINDOW_MS
-    first_ms = int(max(plan.joined_at_ms.values()))
-    for from_ms in range(first_ms, end_ms, _WINDOW_STEP_MS):
+    for from_ms in range(int(first_ms), end_ms, _WINDOW_STEP_MS):
         unserved, _ = _window(plan, context.result, from_ms)
-        tried = {
-            each.upstream
-            for each in context.result.started
-            if from_ms <= each.at_ms < from_ms + _WINDOW_MS
-        }
-        share = len(tried & plan.joined_at_ms.keys()) / len(plan.joined_at_ms)
+        share = len(_used(context.result, from_ms) & changed) / len(changed)
         if (
             _MIN_UNSERVED_SHARE < unserved < _MAX_UNSERVED_SHARE
             and share < _MIN_USED_SHARE
         ):
             broken.append((from_ms, round(unserved, 2), round(share, 2)))
     assert not broken, broken
+
+
+def _used(result: ReplayResult, from_ms: float) -> set[str]:
+    """Return the upstreams that start work in a window."""
+    return {
+        each.upstream
+        for each in result.started
+        if from_ms <= each.at_ms < from_ms + _WINDOW_MS
+    }
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING, Final
 
 from ..registry import Registry
-from .loads import Pool, RoutingQuery, UpstreamLoad, least, sample
+from .loads import Pool, RoutingQuery, UpstreamLoad
 from .risk_policy import pick_trial
+from .sampling import least, sample
 
 if TYPE_CHECKING:
     from random import Random
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -10,18 +9,16 @@
 from .spell_estimate import SUSPECT_RISK, decayed_risk
 
 if TYPE_CHECKING:
-    from random import Random
-
     from .risk_policy import TrialRule
 
 # Load reports older than this are ignored.
 _REPORT_LIFE_MS: Final = 1000
-# Limit on random draws, since a draw may hit a member that is left out.
-_MAX_DRAWS: Final = 8
 # Longer than any real wait, so that avoided upstreams rank last.
 _AVOIDED_WAIT_MS: Final = 1e9
 # An upstream that seems to have stalled is avoided for this long.
 _STALL_AVOID_MS: Final = 1000
+# An upstream that takes this many times as long as the others is slow.
+_SLOW_FACTOR: Final = 2
 # Rounding and network time change a reported risk by less than this.
 _MAX_RISK_DRIFT: Final = 0.01
 
@@ -133,6 +130,18 @@
             return max(0, surplus) * each_ms
         return report.wait_ms + self.sent_since_report * each_ms
 
+    def may_be_fast_again(self, typical_ms: float, now_ms: float) -> bool:
+        """Return whether the upstream was slow by a report that is stale.
+
+        No work is sent to a slow upstream while others are faster, so that no
+        report shows that it has recovered.
+
+        :param typical_ms: run time of the service's other upstreams.
+        :param now_ms: monotonic time.
+        """
+        is_stale = now_ms - self.reported_at_ms > _REPORT_LIFE_MS
+        return is_stale and self.report.run_ms > _SLOW_FACTOR * typical_ms
+
     def is_avoided(self, now_ms: float) -> bool:
         """Return whether the upstream is treated as unreachable or stalled.
 
@@ -245,52 +254,9 @@
     trial: TrialRule | None = None
 
 
-def sample(
-    members: tuple[UpstreamLoad, ...],
-    count: int,
-    tried: frozenset[str],
-    rng: Random,
-) -> list[UpstreamLoad]:
-    """Return up to ``count`` random members that are not in ``tried``.
-
-    The cost doesn't grow with the number of members, except in the rare case
-    that every draw hits a member that was tried.
-
-    :param members: upstreams to draw from.
-    :param count: most upstreams to return.
-    :param tried: upstreams to leave out.
-    :param rng: source of randomness.
-    """
-    if not members:
-        return []
-    drawn: dict[str, UpstreamLoad] = {}
-    for _ in range(min(_MAX_DRAWS, 2 * count)):
-        member = members[int(rng.random() * len(members))]
-        if member.upstream not in tried:
-            drawn[member.upstream] = member
-        if len(drawn) == count:
-            break
-    if drawn or not tried:
-        return list(drawn.values())
-    return [each for each in members if each.upstream not in tried][:count]
-
-
-def least(
-    members: list[UpstreamLoad],
-    cost_ms: Callable[[UpstreamLoad], float],
-) -> UpstreamLoad | None:
-    """Return the member with the lowest cost, None if there are no members.
-
-    :param cost_ms: cost function.
-    """
-    return min(members, key=cost_ms, default=None)
-
-
 __all__ = (
     'LoadReport',
     'Pool',
     'RoutingQuery',
     'UpstreamLoad',
-    'least',
-    'sample',
 )
--- a/src/jackdawhead/policy/risk_policy.py
+++ b/src/jackdawhead/policy/risk_policy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from statistics import median
 from typing import TYPE_CHECKING, Final
 
 from .shortage import is_below_floor
@@ -88,6 +89,7 @@
     one of them through only now and then. During a shortage any work may be
     used: at upstreams that are at least as likely healthy as failing, and at
     all others while fewer upstreams are in use than the floor requires.
+    Idempotent work then also tests whether slow upstreams have recovered.
 
     The upstream is drawn at random. Entries learn of a spell at the same time,
     so that an order by age would have all of them try the same upstreams.
@@ -103,7 +105,13 @@
     is_unlimited = has_another_attempt and rule.has_shortage
     if not is_unlimited and rng.random() > _TRIAL_SHARE:
         return None
-    due = [each for each in loads if _is_due_for_trial(each, now_ms)]
+    typical_ms = median(each.report.run_ms for each in loads) if loads else 0
+    due = [
+        each
+        for each in loads
+        if _is_due_for_trial(each, now_ms)
+        or (is_unlimited and _may_be_fast_again(each, typical_ms, now_ms))
+    ]
     if not has_another_attempt and not is_below_floor(
         loads, rule.floor_percent, now_ms
     ):
@@ -127,6 +135,14 @@
     return risk > _MIN_TRIAL_RISK
 
 
+def _may_be_fast_again(
+    load: UpstreamLoad, typical_ms: float, now_ms: float
+) -> bool:
+    if load.is_avoided(now_ms):
+        return False
+    return load.may_be_fast_again(typical_ms, now_ms)
+
+
 def risk_limit(
     operation: Operation,
     attempt: int,
