--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -101,7 +101,7 @@
         'home': Vm('home', 'a', _IP, False, server.server_port, {}),
     }
     parts.board.vm_list.write(VmList(1, vms))
-    context.dialler.redial_peers()
+    context.dialler.redial()
     gevent.sleep(0)
 
 
