Read the change again: one piece for logic that stood twice, less per request

- The ends of drain marks and of exclusions use one function, pop_expired.
- The backoff of a dial is asked in one place, and the risk limit of a home too.
- The count of excluded homes is read when a line is logged, not for each request; the median run time only during a shortage, where it is used.
- The home notes accepted work without asking for its risk again: below the limit the time is not consulted, and only a failure, which sets it, takes the risk above.

--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -82,8 +82,7 @@
             return link
         dialling = self._dialling.get(vm)
         if dialling is None:
-            backoff = self._backoffs.get(vm)
-            if backoff is not None and backoff.until_ms > monotonic_ms():
+            if self._is_backing_off(vm):
                 return None
             dialling = gevent.spawn(self._dial, vm)
             self._dialling[vm] = dialling
@@ -167,19 +166,19 @@
 
     def _due_homes(self) -> list[str]:
         """Return a few excluded homes whose backoff is over."""
-        now_ms = monotonic_ms()
         due = (
             vm
             for vm in self._parts.routing.excluded_homes
             if vm not in self._dialling
             and vm not in self._peers
-            and (
-                vm not in self._backoffs
-                or self._backoffs[vm].until_ms <= now_ms
-            )
+            and not self._is_backing_off(vm)
         )
         return list(islice(due, _MAX_HOME_DIALS))
 
+    def _is_backing_off(self, vm: str) -> bool:
+        backoff = self._backoffs.get(vm)
+        return backoff is not None and backoff.until_ms > monotonic_ms()
+
     def _dial(self, name: str) -> None:
         vm = self._parts.board.vm_list.read().vms.get(name)
         if vm is None or not vm.stream_port:
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -48,7 +48,7 @@
         self._routing = parts.routing
         self._pauses = parts.pauses
         self._exchanges = Exchanges(parts, channels)
-        self._windows = ServiceWindows()
+        self._windows = ServiceWindows(parts.routing)
 
     def dispatch(self, request: CallerRequest) -> Answer:
         """Return an upstream's answer, or the refusal after the last attempt.
@@ -61,9 +61,7 @@
             case call:
                 answer = self._send(call)
                 log_answer(call, answer, self._board)
-                self._windows.note(
-                    call, answer, len(self._routing.excluded_homes)
-                )
+                self._windows.note(call, answer)
                 if isinstance(answer, Refused):
                     call.router.shortage.note_refused(
                         answer.reason, monotonic_ms()
--- a/src/jackdawhead/node/entry/members.py
+++ b/src/jackdawhead/node/entry/members.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from ...policy.expiry import pop_expired
 from ...policy.homes import HomeMap
 from ...policy.member_loads import Member
 from ...policy.subset import SubsetRule
@@ -114,14 +115,7 @@
         :param now_ms: monotonic time.
         :returns: homes whose exclusion has ended.
         """
-        due = tuple(
-            home
-            for home, until_ms in self._unreachable_until_ms.items()
-            if until_ms <= now_ms
-        )
-        for home in due:
-            self._unreachable_until_ms.pop(home)
-        return due
+        return pop_expired(self._unreachable_until_ms, now_ms)
 
 
 def _members_on(vm: Vm, home: str) -> Iterator[tuple[str, Member]]:
--- a/src/jackdawhead/node/entry/service_window.py
+++ b/src/jackdawhead/node/entry/service_window.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from .call_state import Call
     from .requests import Answer
+    from .routing import RoutingController
 
 _LOG_WINDOW_MS: Final = 1000.0
 
@@ -35,23 +36,27 @@
 
 
 class ServiceWindows:
-    """Logs a line per service and second in which a request was refused."""
+    """Logs a line per service and second in which a request was refused.
 
-    def __init__(self) -> None:
+    :param routing: source of the homes that are left out of the subsets.
+    """
+
+    def __init__(self, routing: RoutingController) -> None:
+        self._routing = routing
         self._windows: dict[str, _Window] = {}
 
-    def note(self, call: Call, answer: Answer, excluded_count: int) -> None:
+    def note(self, call: Call, answer: Answer) -> None:
         """Count a finished request; log the previous window if it is over.
 
         :param call: the request and its state.
         :param answer: answer that was given to the caller.
-        :param excluded_count: number of homes left out of the subsets.
         """
         now_ms = monotonic_ms()
         service = call.router.service.name
         window = self._windows.setdefault(service, _Window(now_ms))
         if now_ms - window.started_ms >= _LOG_WINDOW_MS:
             if window.refused:
+                excluded_count = len(self._routing.excluded_homes)
                 _log(call, window, now_ms, excluded_count)
             window = _Window(now_ms)
             self._windows[service] = window
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -12,7 +12,6 @@
 from ...clock import monotonic_ms
 from ...outcome import Outcome
 from ...policy.retries import HomeResendBudget
-from ...policy.spell_estimate import RISK_SCALE
 from ...policy.upstream_state import FinishedRun, UpstreamState
 from ...policy.work import Verdict
 from ...reasons import Reason
@@ -281,9 +280,9 @@
 
     def _refuse_risky(self) -> None:
         """Refuse queued requests whose risk limit is now exceeded."""
-        risk = RISK_SCALE * self._state.risk(monotonic_ms())
+        now_ms = monotonic_ms()
         for job in tuple(self._waiting.values()):
-            if risk <= job.submit.risk_limit:
+            if not self._state.exceeds_risk(job.submit.risk_limit, now_ms):
                 continue
             if self._state.admission.withdraw(job.work):
                 self._waiting.pop(job.work.work_id)
--- a/src/jackdawhead/policy/member_loads.py
+++ b/src/jackdawhead/policy/member_loads.py
@@ -6,6 +6,7 @@
 from statistics import median
 from typing import Final
 
+from .expiry import pop_expired
 from .loads import LoadReport, UpstreamLoad
 
 # An upstream counts as draining for this long after its last notice, as no
@@ -110,14 +111,7 @@
         :param now_ms: monotonic time.
         :returns: whether any upstream was unmarked.
         """
-        due = [
-            name
-            for name, until_ms in self._draining_until_ms.items()
-            if until_ms <= now_ms
-        ]
-        for name in due:
-            self._draining_until_ms.pop(name)
-        return bool(due)
+        return bool(pop_expired(self._draining_until_ms, now_ms))
 
     def avoid_home_until(self, home: str, until_ms: float) -> None:
         """Avoid all upstreams of a home that this node can't reach.
--- a/src/jackdawhead/policy/recovery_trials.py
+++ b/src/jackdawhead/policy/recovery_trials.py
@@ -21,7 +21,7 @@
         self._next_at_ms: float = 0
 
     def note_started(self, now_ms: float) -> None:
-        """Record that a trial starts, which may take longer than the interval.
+        """Record that work is accepted; a trial may outlast the interval.
 
         :param now_ms: monotonic time.
         """
--- a/src/jackdawhead/policy/risk_policy.py
+++ b/src/jackdawhead/policy/risk_policy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from statistics import median
 from typing import TYPE_CHECKING, Final
 
@@ -105,12 +106,16 @@
     is_unlimited = has_another_attempt and rule.has_shortage
     if not is_unlimited and rng.random() > _TRIAL_SHARE:
         return None
-    typical_ms = median(each.report.run_ms for each in loads) if loads else 0
+    # Outside a shortage no upstream counts as slow.
+    typical_ms = _typical_run_ms(loads) if is_unlimited else inf
     due = [
         each
         for each in loads
-        if _is_due_for_trial(each, now_ms)
-        or (is_unlimited and _may_be_fast_again(each, typical_ms, now_ms))
+        if not each.is_avoided(now_ms)
+        and (
+            _is_due_for_trial(each, now_ms)
+            or each.may_be_fast_again(typical_ms, now_ms)
+        )
     ]
     if not has_another_attempt and not is_below_floor(
         loads, rule.floor_percent, now_ms
@@ -127,20 +132,14 @@
     An upstream that is more likely healthy has just completed work again, and
     is tried at once to confirm that its spell is over.
     """
-    if load.is_avoided(now_ms):
-        return False
     risk = load.risk_now(now_ms)
     if risk > LIKELY_FAILING_RISK:
         return now_ms >= load.trial_at_ms
     return risk > _MIN_TRIAL_RISK
 
 
-def _may_be_fast_again(
-    load: UpstreamLoad, typical_ms: float, now_ms: float
-) -> bool:
-    if load.is_avoided(now_ms):
-        return False
-    return load.may_be_fast_again(typical_ms, now_ms)
+def _typical_run_ms(loads: Sequence[UpstreamLoad]) -> float:
+    return median(each.report.run_ms for each in loads) if loads else inf
 
 
 def risk_limit(
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -132,21 +132,27 @@
         :param risk_limit: highest risk that the entry accepts, in thousandths.
         :param now_ms: monotonic time.
         """
-        risk = self.risk(now_ms)
-        if RISK_SCALE * risk > risk_limit:
+        if self.exceeds_risk(risk_limit, now_ms):
             return False
-        if risk <= LIKELY_FAILING_RISK or risk_limit >= RISK_SCALE:
+        if risk_limit >= RISK_SCALE or self.risk(now_ms) <= LIKELY_FAILING_RISK:
             return True
         return self._trials.is_due(now_ms)
 
+    def exceeds_risk(self, risk_limit: int, now_ms: float) -> bool:
+        """Return whether the risk of failure is above a limit.
+
+        :param risk_limit: highest risk that the entry accepts, in thousandths.
+        :param now_ms: monotonic time.
+        """
+        return RISK_SCALE * self.risk(now_ms) > risk_limit
+
     def offer(self, work: Work, now_ms: float) -> Admission:
         """Start, queue or refuse work.
 
         :param now_ms: monotonic time.
         """
         admission = self.admission.offer(work, now_ms)
-        is_accepted = admission.verdict in _ACCEPTING_VERDICTS
-        if is_accepted and self.risk(now_ms) > LIKELY_FAILING_RISK:
+        if admission.verdict in _ACCEPTING_VERDICTS:
             self._trials.note_started(now_ms)
         return admission
 
