--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from functools import partial
 from math import inf
 from random import Random
 from typing import TYPE_CHECKING, Final
@@ -31,6 +32,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Set
+
     from behave.runner import Context
 
     from jackdawhead.replay.result import ReplayResult
@@ -283,10 +286,26 @@
     In a window in which between 10 and 50 percent of the requests do not
     succeed, at least 70 percent of the healthy upstreams must have work.
     """
+    _check_windows(
+        context, _WINDOW_MS, partial(_healthy_used_share, context.plan)
+    )
+
+
+def _check_windows(
+    context: Context,
+    first_ms: float,
+    used_share: Callable[[ReplayResult, float], float],
+) -> None:
+    """Check the share of upstreams that work, where some requests are unserved.
+
+    :param first_ms: start of the first window.
+    :param used_share: returns the share in the window that starts at a time.
+    """
     broken = []
     end_ms = int(context.plan.length_ms) - _WINDOW_MS
-    for from_ms in range(_WINDOW_MS, end_ms, _WINDOW_STEP_MS):
-        unserved, used = _window(context.plan, context.result, from_ms)
+    for from_ms in range(int(first_ms), end_ms, _WINDOW_STEP_MS):
+        unserved = _unserved_share(context.result, from_ms)
+        used = used_share(context.result, from_ms)
         if (
             _MIN_UNSERVED_SHARE < unserved < _MAX_UNSERVED_SHARE
             and used < _MIN_USED_SHARE
@@ -295,29 +314,43 @@
     assert not broken, broken
 
 
-def _window(
-    plan: FailurePlan, result: ReplayResult, from_ms: float
-) -> tuple[float, float]:
-    """Return the share of unsuccessful requests, and of upstreams in use.
-
-    The second share is taken over the healthy upstreams: those without a
-    failed run in the window or in the one before it.
-    """
-    to_ms = from_ms + _WINDOW_MS
+def _unserved_share(result: ReplayResult, from_ms: float) -> float:
+    """Return the share of unsuccessful requests that arrive in a window."""
     ended = [
         each.is_good
         for each in result.finished
-        if from_ms <= each.arrived_ms < to_ms
+        if from_ms <= each.arrived_ms < from_ms + _WINDOW_MS
     ]
-    unserved = 1 - sum(ended) / max(1, len(ended))
+    return 1 - sum(ended) / max(1, len(ended))
+
+
+def _healthy_used_share(
+    plan: FailurePlan, result: ReplayResult, from_ms: float
+) -> float:
+    """Return the share of the healthy upstreams that run work in a window.
+
+    Those without a failed run in the window or in the one before it count as
+    healthy.
+    """
+    to_ms = from_ms + _WINDOW_MS
     failed = {
         each.upstream
         for each in result.started
         if from_ms - _WINDOW_MS <= each.at_ms < to_ms and each.has_failed
     }
-    healthy = set(plan.spells) - failed
-    used = healthy & _used(result, from_ms)
-    return unserved, len(used) / max(1, len(healthy))
+    return _used_share(set(plan.spells) - failed, result, from_ms)
+
+
+def _used_share(
+    upstreams: Set[str], result: ReplayResult, from_ms: float
+) -> float:
+    """Return the share of some upstreams that run work in a window."""
+    used = {
+        each.upstream
+        for each in result.started
+        if from_ms <= each.at_ms < from_ms + _WINDOW_MS
+    }
+    return len(used & upstreams) / max(1, len(upstreams))
 
 
 @then('at least {percent:d} % of the requests succeed')
@@ -339,17 +372,7 @@
     in which between 10 and 50 percent of the requests do not succeed, at least
     70 percent of the avoided upstreams must get work.
     """
-    broken = []
-    end_ms = int(context.plan.length_ms) - _WINDOW_MS
-    for from_ms in range(_WINDOW_MS, end_ms, _WINDOW_STEP_MS):
-        unserved, _ = _window(context.plan, context.result, from_ms)
-        tried = _tried_share(context.result, from_ms)
-        if (
-            _MIN_UNSERVED_SHARE < unserved < _MAX_UNSERVED_SHARE
-            and tried < _MIN_USED_SHARE
-        ):
-            broken.append((from_ms, round(unserved, 2), round(tried, 2)))
-    assert not broken, broken
+    _check_windows(context, _WINDOW_MS, _tried_share)
 
 
 def _tried_share(result: ReplayResult, from_ms: float) -> float:
@@ -360,7 +383,7 @@
         if each.at_ms < from_ms
     }
     avoided = {name for name, failed in last_failed.items() if failed}
-    return len(avoided & _used(result, from_ms)) / max(1, len(avoided))
+    return _used_share(avoided, result, from_ms)
 
 
 @then(
@@ -376,23 +399,4 @@
     plan = context.plan
     changed = plan.joined_at_ms.keys() or plan.slow
     first_ms = max(plan.joined_at_ms.values(), default=plan.slow_until_ms)
-    broken = []
-    end_ms = int(plan.length_ms) - _WINDOW_MS
-    for from_ms in range(int(first_ms), end_ms, _WINDOW_STEP_MS):
-        unserved, _ = _window(plan, context.result, from_ms)
-        share = len(_used(context.result, from_ms) & changed) / len(changed)
-        if (
-            _MIN_UNSERVED_SHARE < unserved < _MAX_UNSERVED_SHARE
-            and share < _MIN_USED_SHARE
-        ):
-            broken.append((from_ms, round(unserved, 2), round(share, 2)))
-    assert not broken, broken
-
-
-def _used(result: ReplayResult, from_ms: float) -> set[str]:
-    """Return the upstreams that start work in a window."""
-    return {
-        each.upstream
-        for each in result.started
-        if from_ms <= each.at_ms < from_ms + _WINDOW_MS
-    }
+    _check_windows(context, first_ms, partial(_used_share, changed))
