Move the planned stop of a node into a module of its own

Behaviour unchanged. The times of the stop are a frozen StopPlan on the blackboard in place of a flag, so that entry and home can decide by the time that is left.

--- a/src/jackdawhead/blackboard.py
+++ b/src/jackdawhead/blackboard.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from .config.load import LoadedConfig
     from .config.sources import SourceFile
+    from .policy.stopping import StopPlan
 
 _DIGEST_HEX_DIGITS: Final = 15
 _HEX_BASE: Final = 16
@@ -157,7 +158,7 @@
 class Blackboard:
     """All topics of a node.
 
-    :param leaving: whether this node is shutting down.
+    :param stop: schedule of the planned stop, none while no stop is requested.
     :param own_service: service of the upstream on the same VM, to which the
         callers of this node belong; empty if the settings do not name it.
     """
@@ -166,9 +167,14 @@
         default_factory=lambda: Topic(ActiveConfig()),
     )
     vm_list: Topic[VmList] = field(default_factory=lambda: Topic(VmList()))
-    leaving: Topic[bool] = field(default_factory=lambda: Topic(False))
+    stop: Topic[StopPlan | None] = field(default_factory=lambda: Topic(None))
     own_service: Topic[str] = field(default_factory=lambda: Topic(''))
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this node is shutting down."""
+        return self.stop.read() is not None
+
 
 __all__ = (
     'ActiveConfig',
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -102,7 +102,7 @@
         'zone': parts.settings.zone,
         'incarnation': parts.identity.incarnation,
         'ready': node.is_ready,
-        'leaving': parts.board.leaving.read(),
+        'leaving': parts.board.leaving,
         'config_version': active.version,
         'config_digest': (active.loaded.config.digest if active.loaded else ''),
         'config_refused': (
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -108,7 +108,7 @@
                 _stream(response, body, answer.body_bytes)
         else:
             _fill_refusal(response, answer, names, self._caller_policy())
-        if self._board.leaving.read():
+        if self._board.leaving:
             response.set_header('Connection', 'close')
 
     def _note_disconnect(
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -78,7 +78,7 @@
         return Heartbeat(
             config_id.version,
             config_id.digest,
-            board.leaving.read(),
+            board.leaving,
             board.vm_list.read().version,
         )
 
--- a/src/jackdawhead/node/home/session.py
+++ b/src/jackdawhead/node/home/session.py
@@ -96,7 +96,7 @@
         if upstream is None or operation is None:
             self._refuse(submit, Reason.NO_UPSTREAM)
             return
-        if self._board.leaving.read():
+        if self._board.leaving:
             self._refuse(submit, Reason.NODE_LEAVING)
             return
         now_ms = monotonic_ms()
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -11,7 +11,6 @@
 from gevent.event import Event
 
 from ..audit import AuditKind
-from ..clock import monotonic_ms, seconds
 from ..memory import freeze_startup_objects
 from ..wire.messages import CrashReport, DrainUpdate
 from .admin import admin_server, ready_server
@@ -21,6 +20,7 @@
 from .entry.request_stats import RequestStats
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
+from .shutdown import Shutdown
 from .supervision import supervise
 
 if TYPE_CHECKING:
@@ -32,9 +32,6 @@
     from .platform_client import PlatformSource
     from .settings_watch import SettingsWatch
 
-_DRAIN_POLL_MS: Final = 20
-# A drain ends once no request has been in progress for this long.
-_DRAIN_QUIET_MS: Final = 300
 _PEER_SYNC_TIMEOUT_MS: Final = 3000
 
 
@@ -84,7 +81,7 @@
         """Whether the node accepts new requests."""
         board = self.parts.board
         has_config = board.config.read().loaded is not None
-        return self._started and has_config and not board.leaving.read()
+        return self._started and has_config and not board.leaving
 
     @property
     def active_requests(self) -> int:
@@ -120,7 +117,7 @@
         with ExitStack() as stack:
             self._start(stack)
             self._stopping.wait()
-            self._drain()
+            Shutdown(self.parts, self._channels, self._callers).run()
         if self._loop_failure is not None:
             raise self._loop_failure
 
@@ -195,41 +192,6 @@
         freeze_startup_objects()
         self._started = True
 
-    def _drain(self) -> None:
-        """Stop accepting requests and finish those in progress."""
-        self.parts.board.leaving.write(True)
-        self.parts.audit.record(
-            AuditKind.NODE_LEAVING,
-            self._settings.vm,
-            'received a stop signal',
-        )
-        self._channels.send_heartbeats()
-        drain_end_ms = monotonic_ms() + self._settings.drain_ms
-        gevent.sleep(seconds(self._settings.accept_while_leaving_ms))
-        self._callers.close()
-        closed_ms = monotonic_ms()
-        last_active_ms = closed_ms
-        while monotonic_ms() < drain_end_ms:
-            if self._has_activity(closed_ms):
-                last_active_ms = monotonic_ms()
-            if monotonic_ms() - last_active_ms > _DRAIN_QUIET_MS:
-                return
-            gevent.sleep(seconds(_DRAIN_POLL_MS))
-
-    def _has_activity(self, closed_ms: float) -> bool:
-        """Return whether a request is in progress or may still arrive.
-
-        :param closed_ms: monotonic time at which the listener was closed,
-            in milliseconds.
-        """
-        if self._callers.active or self.parts.home.active_requests:
-            return True
-        since_close_ms = monotonic_ms() - closed_ms
-        return (
-            self._callers.connections > 0
-            and since_close_ms < self._settings.drain_idle_ms
-        )
-
     def _broadcast_drain(self, upstream: str, draining: bool) -> None:
         self.parts.routing.note_drain(upstream, draining)
         self._channels.gossip.broadcast(DrainUpdate(upstream, draining))
