Decide whether work fits into the time left before a planned stop

Callers got 502 for requests that a stopping node had taken and passed on shortly before its process ended: nothing asks whether the time that is left is enough. This adds the decision, without I/O, and no use of it yet:

- fits_before_stop compares a high estimate with the time until the process ends, of which a tenth of a second is kept for the last answers;
- a plan can be ended early, so that nothing is taken any more from the moment at which the process has decided to end.

--- /dev/null
+++ b/features/policy/stopping.feature
@@ -0,0 +1,44 @@
+Feature: A stopping node takes only work that it can finish
+
+  Scenario Outline: Work of <work> ms offered <since> ms after the signal <verdict>
+    Given a planned stop that ends 5100 ms after its signal
+    Then work of <work> ms that is offered <since> ms after the signal <verdict>
+
+    Examples:
+      | work | since | verdict  |
+      | 900  | 0     | fits     |
+      | 900  | 4000  | fits     |
+      | 900  | 4200  | does not |
+      | 900  | 4900  | does not |
+      | 1    | 5090  | does not |
+      | 0    | 5100  | does not |
+      | 0    | 9000  | does not |
+      | 6000 | 0     | does not |
+
+  Scenario: A node that does not stop takes any work
+    Given no planned stop
+    Then work of 60000 ms that is offered 9000 ms after the signal fits
+
+  Scenario: Once a stop has ended early no work fits
+    Given a planned stop that ends 5100 ms after its signal
+    When it ends 3000 ms after its signal
+    Then work of 1 ms that is offered 3001 ms after the signal does not
+
+  Scenario: Before any answer the configured run time is the estimate
+    Given an operation with an expected run time of 200 ms
+    Then the high estimate is 600 ms
+
+  Scenario: The estimate follows the times seen
+    Given an operation with an expected run time of 200 ms
+    When 40 answers take 900 ms
+    Then the high estimate is between 900 and 950 ms
+
+  Scenario: The estimate covers nearly all times that vary
+    Given an operation with an expected run time of 20 ms
+    When 1000 answers take 100 to 900 ms
+    Then at most 1 in 100 further answers exceeds its estimate
+
+  Scenario: A row of quick answers does not make the estimate too low
+    Given an operation with an expected run time of 200 ms
+    When 40 answers take 5 ms
+    Then the high estimate is 600 ms
--- /dev/null
+++ b/features/steps/stopping_policy_steps.py
@@ -0,0 +1,104 @@
+"""Steps about the decisions of a stopping node, without any process."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from jackdawhead.config.model import Operation, WorkClass
+from jackdawhead.policy.completion_times import CompletionTimes
+from jackdawhead.policy.stopping import StopPlan, fits_before_stop
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_SIGNAL_MS = 1_000_000.0
+_CLOSES_AFTER_MS = 2600
+_DEADLINE_MS = 60_000
+_SEED = 7
+_FURTHER_ANSWERS = 1000
+
+
+@given('a planned stop that ends {after:d} ms after its signal')
+def plan_stop(context: Context, after: int) -> None:
+    """Create the plan of a stop."""
+    context.plan = StopPlan(
+        _SIGNAL_MS, _SIGNAL_MS + _CLOSES_AFTER_MS, _SIGNAL_MS + after
+    )
+
+
+@given('no planned stop')
+def plan_no_stop(context: Context) -> None:
+    """Decide as a node that does not stop."""
+    context.plan = None
+
+
+@when('it ends {after:d} ms after its signal')
+def end_early(context: Context, after: int) -> None:
+    """End the stop before its time is over."""
+    context.plan = context.plan.ending_at(_SIGNAL_MS + after)
+
+
+@then(
+    'work of {work:d} ms that is offered {since:d} ms after the signal'
+    ' {verdict}'
+)
+def check_fit(context: Context, work: int, since: int, verdict: str) -> None:
+    """Check whether work is accepted."""
+    is_accepted = fits_before_stop(context.plan, work, _SIGNAL_MS + since)
+    assert is_accepted is (verdict == 'fits')
+
+
+@given('an operation with an expected run time of {expected:d} ms')
+def configure_operation(context: Context, expected: int) -> None:
+    """Create an operation of which no answer has been seen."""
+    context.operation = Operation(
+        'lookup', True, WorkClass.SHORT, _DEADLINE_MS, expected
+    )
+    context.times = CompletionTimes()
+
+
+@when('{count:d} answers take {took:d} ms')
+def see_answers(context: Context, count: int, took: int) -> None:
+    """Note times that are all the same."""
+    for _ in range(count):
+        context.times.note(context.operation.name, took)
+
+
+@when('{count:d} answers take {low:d} to {high:d} ms')
+def see_varied_answers(
+    context: Context, count: int, low: int, high: int
+) -> None:
+    """Note times that vary."""
+    context.rng = Random(_SEED)
+    context.range_ms = (low, high)
+    for _ in range(count):
+        context.times.note(
+            context.operation.name, context.rng.uniform(low, high)
+        )
+
+
+@then('the high estimate is {expected:d} ms')
+def check_estimate(context: Context, expected: int) -> None:
+    """Compare the estimate."""
+    assert context.times.high_ms(context.operation) == expected
+
+
+@then('the high estimate is between {low:d} and {high:d} ms')
+def check_estimate_range(context: Context, low: int, high: int) -> None:
+    """Check the bounds of the estimate."""
+    found = context.times.high_ms(context.operation)
+    assert low <= found <= high, found
+
+
+@then('at most 1 in {share:d} further answers exceeds its estimate')
+def check_coverage(context: Context, share: int) -> None:
+    """Compare further times with the estimate before each of them."""
+    exceeded = 0
+    for _ in range(_FURTHER_ANSWERS):
+        took_ms = context.rng.uniform(*context.range_ms)
+        exceeded += took_ms > context.times.high_ms(context.operation)
+        context.times.note(context.operation.name, took_ms)
+    assert exceeded * share <= _FURTHER_ANSWERS, exceeded
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Final
+
+# Reserved at the end of a stop, to send the last answers and close links.
+_CLOSING_MS: Final = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,5 +30,34 @@
         """
         return max(0, self.ends_at_ms - now_ms)
 
+    def has_time_for(self, work_ms: float, now_ms: float) -> bool:
+        """Return whether work that begins now ends before the process does.
+
+        :param work_ms: high estimate of the time until the answer is
+            complete, waits included.
+        :param now_ms: monotonic time.
+        """
+        return work_ms + _CLOSING_MS <= self.remaining_ms(now_ms)
+
+    def ending_at(self, now_ms: float) -> StopPlan:
+        """Return the plan with an earlier end, from which on no work fits.
+
+        :param now_ms: monotonic time of the end.
+        """
+        return replace(self, ends_at_ms=min(self.ends_at_ms, now_ms))
+
+
+def fits_before_stop(
+    plan: StopPlan | None, work_ms: float, now_ms: float
+) -> bool:
+    """Return whether this node may accept work.
+
+    :param plan: schedule of the planned stop, none while the node runs.
+    :param work_ms: high estimate of the time until the answer is complete,
+        waits included.
+    :param now_ms: monotonic time.
+    """
+    return plan is None or plan.has_time_for(work_ms, now_ms)
+
 
-__all__ = ('StopPlan',)
+__all__ = ('StopPlan', 'fits_before_stop')
