Send a request that met an unreachable home on to homes with a link

Cause: while a region is cut off, each dial to one of its homes takes up to 250 ms, and each of the five attempts of a request may choose another of them. Nothing told the choice which homes have a link.

After a dial that failed, a request goes to upstreams whose homes have a link; if all of these were tried, back to one that was only busy, and waits there. New feature: 10 nodes of which 8 are cut off, 200 lookups at 100 a second to one of the others.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -135,9 +135,19 @@
 @when('callers send {count:d} lookups to all nodes')
 def send_lookups(context: Context, count: int) -> None:
     """Send distinct lookups at 100 per second."""
+    send_lookups_to(context, count, *context.fleet.nodes)
+
+
+@when('callers send {count:d} lookups to node {position:d}')
+def send_lookups_to_node(context: Context, count: int, position: int) -> None:
+    """Send distinct lookups to one node."""
+    send_lookups_to(context, count, node_at(context, position))
+
+
+def send_lookups_to(context: Context, count: int, *vms: str) -> None:
+    """Send distinct lookups at 100 per second to some nodes in turn."""
     addresses = tuple(
-        Address('127.0.0.1', node.caller_port)
-        for node in context.fleet.nodes.values()
+        Address('127.0.0.1', context.fleet.nodes[vm].caller_port) for vm in vms
     )
     rate_per_s = 100.0
     plan = LoadPlan(addresses, _lookup, rate_per_s, count / rate_per_s)
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -433,7 +433,7 @@
     """Record that the home of an upstream refuses a request."""
     context.tried = TriedUpstreams(set())
     context.tried.note_sent(name)
-    context.tried.note_refused(name, Reason(reason))
+    context.tried.note_refused(name, Reason(reason), may_return=True)
 
 
 @then('it goes to "{name}" next, and may wait there')
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -62,6 +62,13 @@
             return self._local
         return self._dialler.link_to(vm)
 
+    def is_linked(self, vm: str) -> bool:
+        """Return whether requests can be sent to a node without dialling it.
+
+        :param vm: VM of the node.
+        """
+        return vm == self._local.vm or self._dialler.is_linked(vm)
+
     def accept_tickets(self, server: TicketServer) -> None:
         """Start accepting ticket requests forwarded by other nodes.
 
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -88,8 +88,15 @@
             self._dialling[vm] = dialling
             dialling.link(lambda _: self._dialling.pop(vm, None))
         dialling.join(seconds(_MAX_DIAL_WAIT_MS))
+        return self._links[vm] if self.is_linked(vm) else None
+
+    def is_linked(self, vm: str) -> bool:
+        """Return whether there is a link to a node that is ready for use.
+
+        :param vm: VM of the node.
+        """
         link = self._links.get(vm)
-        return link if link is not None and link.is_ready else None
+        return link is not None and link.is_ready
 
     def dial_seeds(self) -> None:
         """Dial the seed nodes named in the settings."""
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -201,10 +201,21 @@
         budget.settle_reservation(
             _attempt_end(answer), was_reserved=is_reserved
         )
-        if isinstance(answer, Refused) and uses_risk_balancer(call.router):
-            call.tried.note_refused(load.upstream, answer.reason)
+        if isinstance(answer, Refused):
+            self._note_refused(call, load, answer.reason)
         return answer
 
+    def _note_refused(
+        self, call: Call, load: UpstreamLoad, reason: Reason
+    ) -> None:
+        if reason is Reason.PEER_UNREACHABLE:
+            call.tried.note_unreachable(
+                self._exchanges.linked_upstreams(call.router)
+            )
+        call.tried.note_refused(
+            load.upstream, reason, may_return=uses_risk_balancer(call.router)
+        )
+
     def _may_resend(self, call: Call, answer: Answer, attempt: int) -> bool:
         if call.left_ms() <= 0:
             return False
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -21,6 +21,7 @@
 from .requests import Answer, Refused, UpstreamAnswer
 
 if TYPE_CHECKING:
+    from ...policy.service_router import ServiceRouter
     from ..channels import Channels
     from ..parts import NodeParts
     from .attempts import Attempt
@@ -98,6 +99,16 @@
             return self._answer(call, reply.copy.attempt, reply.message)
         return self._refused(reply.copy.attempt, reply.message)
 
+    def linked_upstreams(self, router: ServiceRouter) -> dict[str, bool]:
+        """Return for each upstream whether its home can be used without a dial.
+
+        :param router: router of the service.
+        """
+        return {
+            load.upstream: self._channels.is_linked(load.home)
+            for load in router.loads
+        }
+
     def _await_reply(
         self,
         call: Call,
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -98,6 +98,12 @@
         if load.home in self.view.unreachable_homes:
             until_ms = timeline.now_ms + _AVOID_UNREACHABLE_HOME_MS
             request.router.avoid_home_until(load.home, until_ms)
+            request.tried.note_unreachable(
+                {
+                    each.upstream: each.home not in self.view.unreachable_homes
+                    for each in request.router.loads
+                }
+            )
             answer = HomeAnswer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
             self._end_attempt(request, answer)
             return
@@ -192,8 +198,12 @@
         load.note_done()
         request.copies.remove(copy)
         self._record_outcome(request, load, answer, now_ms - copy.sent_ms)
-        if answer.reason and uses_risk_balancer(request.router):
-            request.tried.note_refused(load.upstream, answer.reason)
+        if answer.reason:
+            request.tried.note_refused(
+                load.upstream,
+                answer.reason,
+                may_return=uses_risk_balancer(request.router),
+            )
         if answer.is_good:
             self._cancel_copies(request)
         if not request.copies:
