Trailers of an answer are no longer added to its last header

What callers saw: an answer in chunks whose trailer came in one block with its head had its last header renamed: 'X-Last: a' with the trailer 'X-Trailer: b' became 'x-lastx-trailer: ab'. Where the last header was the seal, the answer was refused as malformed; where it was the echoed id, it was dropped.

Cause: the parser reports trailers by the same calls as headers, and the first trailer continued the name of the last header, since the value's state is reset at the end of the head.

Trailers are dropped, as before where they came in a later block.

--- a/features/path/cut_answers.feature
+++ b/features/path/cut_answers.feature
@@ -91,3 +91,8 @@
       | a HEAD           | HEAD   | 200    | HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,, |
       | a 204            | POST   | 204    | HTTP/1.1 204 No Content,X-Request-Id: <id>,, |
       | a 304            | GET    | 304    | HTTP/1.1 304 Not Modified,X-Request-Id: <id>,Content-Length: 2,, |
+
+  Scenario: Trailers leave the headers unchanged
+    When its answer to a POST on a kept connection is "HTTP/1.1 200 OK,X-Request-Id: <id>,Transfer-Encoding: chunked,X-Last: a,,2,hi,0,X-Trailer: b,,"
+    Then the caller gets 200 with "hi"
+    And the caller gets the header "X-Last" of "a"
--- a/src/jackdawhead/node/home/answer_reader.py
+++ b/src/jackdawhead/node/home/answer_reader.py
@@ -80,6 +80,8 @@
         self.answers.append(Answer())
 
     def _on_header_field(self, text: str) -> None:
+        if self.answers[-1].has_head:
+            return  # a trailer
         headers = self.answers[-1].headers
         if self._is_in_value or not headers:
             headers.append([text, ''])
@@ -88,6 +90,8 @@
         self._is_in_value = False
 
     def _on_header_value(self, text: str) -> None:
+        if self.answers[-1].has_head:
+            return
         self.answers[-1].headers[-1][1] += text
         self._is_in_value = True
 
