Answers of an unknown version or transfer coding are no answers

What callers saw: an answer with 'Transfer-Encoding: gzip', or gzip before chunked, was passed on as a whole 200 with the coded bytes as its body, and without the header that names the coding, since it concerns one connection only. An answer that claimed HTTP/2.0 was passed on too.

Cause: the reader took any transfer coding as decoded, and any version that the parser knows as HTTP/1.

The run ends as when the connection breaks: unknown, 502, and not resent unless idempotent.

Not mended: 'RTSP/1.0 200 OK' is read as HTTP/1.0, since the parser does not tell the protocol.

--- a/features/path/cut_answers.feature
+++ b/features/path/cut_answers.feature
@@ -68,6 +68,9 @@
       | a chunk size of more than 64 bits | POST   | kept | HTTP/1.1 200 OK,X-Request-Id: <id>,Transfer-Encoding: chunked,,10000000000000002,hi,0,,<close> |
       | a chunk size with a sign          | POST   | kept | HTTP/1.1 200 OK,X-Request-Id: <id>,Transfer-Encoding: chunked,,+2,hi,0,,<close> |
       | a chunk size with an underscore   | POST   | kept | HTTP/1.1 200 OK,X-Request-Id: <id>,Transfer-Encoding: chunked,,0_2,hi,0,,<close> |
+      | a coding that is not known        | POST   | kept | HTTP/1.1 200 OK,X-Request-Id: <id>,Transfer-Encoding: gzip,,hi<close> |
+      | chunks that are coded again       | POST   | kept | HTTP/1.1 200 OK,X-Request-Id: <id>,Transfer-Encoding: gzip,Transfer-Encoding: chunked,,2,hi,0,,<close> |
+      | another version                   | POST   | kept | HTTP/2.0 200 OK,X-Request-Id: <id>,Content-Length: 2,,hi<close> |
 
   Scenario Outline: <what> is whole, to a <method> on a <kind> connection
     When its answer to a <method> on a <kind> connection is "<script>"
--- a/src/jackdawhead/node/home/answer_reader.py
+++ b/src/jackdawhead/node/home/answer_reader.py
@@ -25,17 +25,21 @@
 _FIRST_FINAL_STATUS: Final = 200
 _NO_LENGTH: Final = -1
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
+_VERSIONS: Final = frozenset(('HTTP/1.0', 'HTTP/1.1'))
+_CODINGS: Final = frozenset(((), ('chunked',)))
 
 
 class Answer:
     """One answer, filled in as its bytes arrive.
 
     :param status: HTTP status.
+    :param version: HTTP version, for example ``HTTP/1.1``.
     :param headers: all headers, in their order.
     """
 
     def __init__(self) -> None:
         self.status = 0
+        self.version = ''
         self.headers: HeaderPairs = []
         self.body = bytearray()
         self.has_head = False
@@ -54,6 +58,16 @@
         length = self.get('Content-Length') or ''
         return int(length) if length.isdecimal() else _NO_LENGTH
 
+    @property
+    def has_unknown_framing(self) -> bool:
+        """Whether its version or transfer coding cannot be decoded."""
+        codings = tuple(
+            text.lower()
+            for name, text in self.headers
+            if name.lower() == 'transfer-encoding'
+        )
+        return self.version not in _VERSIONS or codings not in _CODINGS
+
     @property
     def allows_reuse(self) -> bool:
         """Whether the connection can carry another request afterwards."""
@@ -98,6 +112,7 @@
     def _on_headers_complete(self) -> bool:
         answer = self.answers[-1]
         answer.status = self.get_code()
+        answer.version = self.get_http_version()
         answer.has_head = True
         self._is_in_value = False
         return self._has_no_body
@@ -156,6 +171,8 @@
             if answer is None:
                 self._check_before_head()
                 self.receive()
+            elif answer.has_unknown_framing:
+                raise HTTPParseError('unknown version or transfer coding')
             elif is_own(answer):
                 self._answer = answer
                 return answer
