--- a/features/steps/scripted_steps.py
+++ b/features/steps/scripted_steps.py
@@ -7,6 +7,7 @@
 from itertools import count
 from typing import TYPE_CHECKING, Final
 
+import gevent
 from behave import given, then, when
 from gevent import socket
 
@@ -23,6 +24,7 @@
 _SERVICE: Final = 'registry-desk'
 _TIMEOUT_S: Final = 30.0
 _DEADLINE_MS: Final = 1500
+_SETTLE_S: Final = 0.2
 _BLOCK_BYTES: Final = 65_536
 _HEADERS: Final = {'not_run': 'X-Not-Run'}
 _ECHOED: Final = {**_HEADERS, 'echoed_id': 'X-Request-Id'}
@@ -187,36 +189,32 @@
     )
 
 
-@when('its answers to two requests are "{first}" and "{second}"')
+@when('its answers to two requests are "{first}" and, later, "{second}"')
 def answer_twice(context: Context, first: str, second: str) -> None:
-    """Send two registrations with different ids, one after the other."""
+    """Send two registrations with different ids."""
     answer_two(context, first, second, ('one', 'two'))
 
 
-@when('its answers to two requests of one id are "{first}" and "{second}"')
+@when(
+    'its answers to two requests of one id are "{first}" and, later, "{second}"'
+)
 def answer_same_id(context: Context, first: str, second: str) -> None:
     """Send two registrations of two callers who chose the same id."""
     answer_two(context, first, second, ('same', 'same'))
 
 
-@when('its answers to two requests without id are "{first}" and "{second}"')
-def answer_no_id(context: Context, first: str, second: str) -> None:
-    """Send two registrations without an id."""
-    answer_two(context, first, second, ('', ''))
-
-
 def answer_two(
     context: Context, first: str, second: str, ids: tuple[str, str]
 ) -> None:
-    """Send two registrations, the second one on the connection of the first."""
-    upstream = context.scripted
+    """Send two registrations, the second one after all bytes of the first."""
     serve_one(context)
     context.paths = []
     for script, request_id in zip((first, second), ids, strict=True):
         path = f'/cultivars/{next(_numbers)}'
-        upstream.scripts[path] = [script]
+        context.scripted.scripts[path] = [script]
         context.paths.append(path)
         context.received = send(context, 'POST', path, request_id)
+        gevent.sleep(_SETTLE_S)
 
 
 @then('the caller gets no whole success')
