Connections that carried an answer without an id are closed

What callers saw: where an echoed id is configured, an answer without one is taken as the answer to the request at hand, since upstreams refuse without an id. After an error without an id on a kept connection, a second copy of it came as the answer to the next request: another request's error (MIXED), and another request's 503 as the promise that this one had not run (REFUSED), or a second run of it.

Cause: only refusals that were recognised closed their connection; any other answer without an id kept it, and its copy can't be told from the next answer.

All answers that a kept connection has carried now have an id, so that a copy of one is dropped, and an answer without an id is the one expected.

Weighed: to believe no refusal without the id. The upstreams of the users' platform refuse without it (503 and 421 in its examples), so every refusal of work that isn't idempotent would end as unknown. To drop them and read on would hold such work to its deadline. Cost: a new connection for each answer without an id that is no refusal; upstreams that echo pay nothing.

--- a/features/path/extra_answers.feature
+++ b/features/path/extra_answers.feature
@@ -13,6 +13,8 @@
       | a refusal with the id ends its connection | another | HTTP/1.1 503 Full,X-Request-Id: <id>,X-Not-Run: 1,Content-Length: 0,, |
       | a refusal by outcome ends its connection | another | HTTP/1.1 503 Full,X-Outcome: not-run,Content-Length: 0,, |
       | a refusal twice ends its connection     | another | HTTP/1.1 429 Many,X-Not-Run: 1,Content-Length: 0,,HTTP/1.1 429 Many,X-Not-Run: 1,Content-Length: 0,, |
+      | an error without id ends its connection | another | HTTP/1.1 500 Error,Content-Length: 2,,no |
+      | a success without id ends its connection | another | HTTP/1.1 200 OK,Content-Length: 2,,hi |
       | a refusal behind an answer ends it      | another | HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,,hiHTTP/1.1 503 Full,X-Not-Run: 1,Content-Length: 0,, |
       | a refusal later on ends it              | another | HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,,hi<pause>HTTP/1.1 503 Full,X-Not-Run: 1,Content-Length: 0,, |
       | a part of an answer later on ends it    | another | HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,,hi<pause>HTTP/1.1 5 |
--- a/src/jackdawhead/node/home/answer_classifier.py
+++ b/src/jackdawhead/node/home/answer_classifier.py
@@ -36,6 +36,33 @@
     SHED = auto()
 
 
+def is_own(answer: Answer, names: HeaderNames, request_id: str | None) -> bool:
+    """Return whether an answer belongs to a request, by the echoed id.
+
+    An answer without an id is accepted, since upstreams may refuse work
+    without one. It cannot be a copy of an earlier answer: connections that
+    carried an answer without an id are closed.
+
+    :param answer: the answer, of which the headers are used.
+    :param names: configured names of the headers.
+    :param request_id: id of the request, if it has one.
+    """
+    echoed = _echoed_id(answer, names)
+    return echoed is None or echoed == request_id
+
+
+def is_identified(answer: Answer, names: HeaderNames) -> bool:
+    """Return whether a copy of an answer would be known by its echoed id.
+
+    An upstream may send a second copy at the point where the next answer is
+    expected. If no echoed id is configured, this cannot be known.
+
+    :param answer: the answer, of which the headers are used.
+    :param names: configured names of the headers.
+    """
+    return not names.echoed_id or _echoed_id(answer, names) is not None
+
+
 def rejection_of(
     answer: Answer,
     names: HeaderNames,
@@ -84,8 +111,18 @@
     return answer.get(names.outcome) == Outcome.NOT_RUN.value
 
 
+def _echoed_id(answer: Answer, names: HeaderNames) -> str | None:
+    return answer.get(names.echoed_id) if names.echoed_id else None
+
+
 def _has_header(answer: Answer, name: str) -> bool:
     return bool(name) and answer.get(name) is not None
 
 
-__all__ = ('Rejection', 'rejection_of', 'retry_after_ms_of')
+__all__ = (
+    'Rejection',
+    'is_identified',
+    'is_own',
+    'rejection_of',
+    'retry_after_ms_of',
+)
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -14,8 +14,15 @@
 from ...reasons import Reason
 from ...wire.messages import Body, Head, Message
 from ..credit import CHUNK_BYTES
-from .answer_classifier import Rejection, rejection_of, retry_after_ms_of
+from .answer_classifier import (
+    Rejection,
+    is_identified,
+    is_own,
+    rejection_of,
+    retry_after_ms_of,
+)
 from .answer_reader import Answer, AnswerReader, HTTPParseError
+from .execution_result import ExecutionResult
 from .overdue_resend import OpenConnections, await_answer
 from .request_body import send_body
 from .request_head import answer_headers, request_head
@@ -32,23 +39,6 @@
 _MIN_OVERDUE_MS: Final = 250
 
 
-@dataclass(frozen=True, slots=True)
-class ExecutionResult:
-    """Result of an execution.
-
-    :param final: last message to the entry, not delivered yet.
-    :param run_ms: run time, without the time spent waiting for the caller.
-    :param avoid_ms: time for which the upstream asked to get no work.
-    :param found_silent: whether a pooled connection had gone silent.
-    """
-
-    ending: RunResult
-    final: Message
-    run_ms: float
-    avoid_ms: int = 0
-    found_silent: bool = False
-
-
 class _DeadlineError(Exception):
     """The deadline of the request passed."""
 
@@ -146,7 +136,7 @@
             if refused is not None:
                 return refused
             final = self._stream_answer(reader, answer)
-            if reader.is_reusable and not answering.has_unsent_body:
+            if self._may_reuse(answering, reader, answer):
                 answering.note_answer(answer)
                 self._target.pool.release(opened.detach(answering))
         return self._result(self._ending_of(answer), final)
@@ -196,12 +186,14 @@
             connection.has_unsent_body = True
 
     def _is_own(self, answer: Answer) -> bool:
-        """Return whether an answer belongs to this request, by echoed id."""
-        name = self._target.names.echoed_id
-        if not name:
-            return True
-        echoed = answer.get(name)
-        return echoed is None or echoed == self._job.header(name)
+        names = self._target.names
+        return is_own(answer, names, self._job.header(names.echoed_id))
+
+    def _may_reuse(
+        self, connection: Connection, reader: AnswerReader, answer: Answer
+    ) -> bool:
+        is_clean = reader.is_reusable and not connection.has_unsent_body
+        return is_clean and is_identified(answer, self._target.names)
 
     def _overdue_after_ms(self) -> float:
         return max(_MIN_OVERDUE_MS, _OVERDUE_FACTOR * self._target.expected_ms)
