Two requests of one id do not follow each other on a connection

What callers saw: if two callers chose the same request id, a second copy of the answer to the first could come as the answer to the second, whole and with the right id.

Cause: an extra answer is known by its id alone, and ids come from callers; a request that returns to the upstream that refused it has its id too.

The connection remembers the id that it answered last and is closed where the next request has the same one; an extra answer comes at the point where the next one is expected. Callers whose ids are all equal pay a new connection for each request; ids that differ pay nothing.

--- a/features/path/extra_answers.feature
+++ b/features/path/extra_answers.feature
@@ -44,6 +44,12 @@
       | another request's refusal  | HTTP/1.1 503 Full,X-Request-Id: one,X-Not-Run: 1,Content-Length: 0,, |
       | another request's error    | HTTP/1.1 500 Error,X-Request-Id: one,Content-Length: 0,, |
 
+  Scenario: Two requests of one id do not use one connection
+    Given an upstream with a node, answers echo the request id
+    When its answers to two requests of one id are "HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,,hi" and, later, "HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,,ok"
+    Then the caller gets 200 with "ok"
+    And the second request came on another connection
+
   Scenario: Only another request's refusal leaves the outcome unknown
     Given an upstream with a node, answers echo the request id
     When its answer to a POST on a kept connection is "HTTP/1.1 503 Full,X-Request-Id: other,X-Not-Run: 1,Content-Length: 0,,<pause><close>"
--- a/src/jackdawhead/node/home/connections.py
+++ b/src/jackdawhead/node/home/connections.py
@@ -40,6 +40,8 @@
     :param max_idle_ms: time after which an idle connection is closed.
     :param has_unsent_body: whether a request body on it was sent only partly,
         so that it cannot carry another request.
+    :param answered_id: id of the request that it answered last. A second
+        copy of that answer could be taken for the next one with this id.
     """
 
     sock: Socket
@@ -47,12 +49,15 @@
     idle_since_ms: float = 0
     max_idle_ms: float = _MAX_IDLE_MS
     has_unsent_body: bool = False
+    answered_id: str | None = None
 
-    def note_answer(self, answer: Answer) -> None:
+    def note_answer(self, answer: Answer, request_id: str | None) -> None:
         """Apply the keep-alive timeout that the upstream announced.
 
         :param answer: latest answer on this connection.
+        :param request_id: id of its request, if answers are told by it.
         """
+        self.answered_id = request_id
         found = _KEEP_ALIVE_TIMEOUT.search(answer.get('Keep-Alive') or '')
         if found is not None:
             announced_ms = _MS_PER_S * int(found.group(1))
@@ -84,11 +89,14 @@
         """
         self._max_connections = max_connections
 
-    def acquire(self, only_recent: bool) -> Connection:
+    def acquire(
+        self, only_recent: bool, request_id: str | None = None
+    ) -> Connection:
         """Return an idle connection or open a new one.
 
         :param only_recent: reuse only a connection that has just carried an
             answer, since an older one may have failed silently.
+        :param request_id: id by which the answer is told from others, if any.
         :raises OSError: if the upstream does not accept a connection.
         """
         now_ms = monotonic_ms()
@@ -98,7 +106,11 @@
             if only_recent and idle_ms > _VERIFIED_FOR_MS:
                 break
             self._idle.pop()
-            if idle_ms < connection.max_idle_ms and is_idle(connection.sock):
+            is_ambiguous = (
+                request_id is not None and connection.answered_id == request_id
+            )
+            is_expired = idle_ms >= connection.max_idle_ms
+            if not (is_ambiguous or is_expired) and is_idle(connection.sock):
                 return connection
             connection.close()
         self._close_expired(now_ms)
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -98,7 +98,9 @@
     def _attempt(self) -> ExecutionResult:
         pool = self._target.pool
         try:
-            connection = pool.acquire(not self._target.operation.idempotent)
+            connection = pool.acquire(
+                not self._target.operation.idempotent, self._echoed_id()
+            )
         except OSError:
             return self._unreachable()
         try:
@@ -137,7 +139,7 @@
                 return refused
             final = self._stream_answer(reader, answer)
             if self._may_reuse(answering, reader, answer):
-                answering.note_answer(answer)
+                answering.note_answer(answer, self._echoed_id())
                 self._target.pool.release(opened.detach(answering))
         return self._result(self._ending_of(answer), final)
 
@@ -186,8 +188,12 @@
             connection.has_unsent_body = True
 
     def _is_own(self, answer: Answer) -> bool:
-        names = self._target.names
-        return is_own(answer, names, self._job.header(names.echoed_id))
+        return is_own(answer, self._target.names, self._echoed_id())
+
+    def _echoed_id(self) -> str | None:
+        """Return the id that the answer must echo, if it must echo one."""
+        name = self._target.names.echoed_id
+        return self._job.header(name) if name else None
 
     def _may_reuse(
         self, connection: Connection, reader: AnswerReader, answer: Answer
