A Retry-After of an upstream has bounds; other texts count as missing

What callers saw: after a refusal with 'Retry-After: inf', or of 400 digits, 502 with outcome unknown and reason cancelled, though the upstream had proved that the request did not run; after '-5' a 'Retry-After: -5' of the fleet's own and -5000 ms; after 10^15, 10^18 ms. '1_0', '1e3' and '+5' counted as numbers. Where another node was the entry, more than 64 bits of milliseconds did not fit into the message that carries them, and the upstream was avoided for as long.

Cause: the header was read by float(), which accepts all of these, and inf ended the task that ran the request by an OverflowError.

One decoder takes digits and a fraction, up to an hour.

--- a/features/steps/scripted_steps.py
+++ b/features/steps/scripted_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from dataclasses import dataclass
 from itertools import count
 from typing import TYPE_CHECKING, Final
@@ -135,6 +136,13 @@
     return int(first.split(' ')[1]), headers
 
 
+def with_digits(text: str) -> str:
+    """Replace ``<400 digits>`` by a number of so many digits."""
+    return re.sub(
+        r'<(\d+) digits>', lambda found: '9' * int(found.group(1)), text
+    )
+
+
 def dechunk(coded: bytes) -> tuple[bytes, bool]:
     """Return the body, and whether its last chunk was received."""
     body = b''
@@ -178,7 +186,7 @@
     if kind != 'new':
         serve_one(context)
     context.path = f'/cultivars/{next(_numbers)}'
-    upstream.scripts[context.path] = script.split(' then ')
+    upstream.scripts[context.path] = with_digits(script).split(' then ')
     context.received = send(
         context,
         method,
@@ -211,12 +219,51 @@
     context.paths = []
     for script, request_id in zip((first, second), ids, strict=True):
         path = f'/cultivars/{next(_numbers)}'
-        context.scripted.scripts[path] = [script]
+        context.scripted.scripts[path] = [with_digits(script)]
         context.paths.append(path)
         context.received = send(context, 'POST', path, request_id)
         gevent.sleep(_SETTLE_S)
 
 
+@when('a caller sends the deadline "{text}"')
+@when('a caller sends the deadline ""')
+def send_deadline(context: Context, text: str = '') -> None:
+    """Send one registration."""
+    context.path = f'/cultivars/{next(_numbers)}'
+    context.received = send(
+        context,
+        'POST',
+        context.path,
+        'own',
+        f'X-Deadline-Ms: {with_digits(text)}\r\n',
+    )
+
+
+@when('a caller sends the raw head "{line}" and "{rest}"')
+@when('a caller sends the raw head "{line}" and ""')
+def send_raw(context: Context, line: str, rest: str = '') -> None:
+    """Send a registration with a line that is no valid framing."""
+    node = context.fleet.nodes[node_at(context, 1)]
+    head = f'POST /cultivars/raw HTTP/1.1\r\nHost: x\r\n{with_digits(line)}'
+    body = rest.replace(',', '\r\n')
+    with socket.create_connection((_IP, node.caller_port), _TIMEOUT_S) as sock:
+        sock.sendall(f'{head}\r\n\r\n{body}'.encode('latin-1'))
+        context.first_line = sock.recv(_BLOCK_BYTES).partition(b'\r\n')[0]
+
+
+@then('the status line starts with "{text}"')
+def check_status_line(context: Context, text: str) -> None:
+    """Check the status line of the answer to raw bytes."""
+    assert context.first_line.startswith(text.encode()), context.first_line
+
+
+@then('the upstream received a deadline of {least:d} to {most:d} ms')
+def check_deadline(context: Context, least: int, most: int) -> None:
+    """Check the deadline that the upstream was given."""
+    arrived = context.scripted.arrivals(context.path)[0]
+    assert least <= int(arrived.deadline_ms) <= most, arrived
+
+
 @then('the caller gets no whole success')
 def check_no_success(context: Context) -> None:
     """Check that the caller can't take the answer as complete."""
--- a/src/jackdawhead/node/home/answer_classifier.py
+++ b/src/jackdawhead/node/home/answer_classifier.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ...outcome import Outcome
+from ...wire.header_numbers import retry_after_ms
 
 if TYPE_CHECKING:
     from ...config.model import HeaderNames
@@ -17,7 +18,6 @@
 _SERVICE_UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
 _DEFAULT_RETRY_AFTER_MS: Final = 100
-_MS_PER_S: Final = 1000
 
 
 class Rejection(Enum):
@@ -96,11 +96,12 @@
 
 
 def retry_after_ms_of(answer: Answer) -> int:
-    """Return the delay of a ``Retry-After`` header in ms (RFC 9110)."""
-    try:
-        return int(float(answer.get('Retry-After') or '') * _MS_PER_S)
-    except ValueError:
-        return _DEFAULT_RETRY_AFTER_MS
+    """Return the delay of a ``Retry-After`` header, 100 ms without one.
+
+    :param answer: the answer, of which the headers are used.
+    """
+    asked_ms = retry_after_ms(answer.get('Retry-After') or '')
+    return _DEFAULT_RETRY_AFTER_MS if asked_ms is None else asked_ms
 
 
 def _says_not_run(answer: Answer, names: HeaderNames) -> bool:
--- /dev/null
+++ b/src/jackdawhead/wire/header_numbers.py
@@ -0,0 +1,27 @@
+"""Decoders of the numbers in HTTP headers.
+
+A text that is not a plain decimal number counts as missing. A number above its
+bound counts as the bound, however many digits it has.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+
+_MS_PER_S: Final = 1000
+_MAX_RETRY_AFTER_S: Final = 3600
+_SECONDS: Final = re.compile(r'\d+(?:\.\d+)?', re.ASCII)
+
+
+def retry_after_ms(text: str) -> int | None:
+    """Return the delay of a ``Retry-After`` header, at most an hour.
+
+    :param text: seconds, which may have a fraction.
+    """
+    if _SECONDS.fullmatch(text.strip()) is None:
+        return None
+    return round(_MS_PER_S * min(_MAX_RETRY_AFTER_S, float(text)))
+
+
+__all__ = ('retry_after_ms',)
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -41,6 +41,7 @@
     method: str
     path: str
     request_id: str
+    deadline_ms: str
     connection: int
 
 
@@ -106,7 +107,11 @@
     headers = {name.lower(): text for name, _, text in pairs}
     reader.read(int(headers.get('content-length', '0')))
     return ReceivedRequest(
-        method, path, headers.get('x-request-id', ''), connection
+        method,
+        path,
+        headers.get('x-request-id', ''),
+        headers.get('x-deadline-ms', ''),
+        connection,
     )
 
 
