A caller's deadline has bounds, and one of 0 ms has passed

What callers saw: a deadline of 400 digits was answered with 500, one of 5,000 with 500 as well. A deadline of 0 counted as none: the request was sent to an upstream with the whole time of its operation.

Cause: int() takes any number of digits up to 4,300, and the timer and the message to the home do not; above, int() itself raises. 0 stood for 'no deadline' throughout.

The decoder takes up to an hour, which was the limit of the dispatcher already. 0 is refused as 'deadline', not run.

--- a/features/path/numbers.feature
+++ b/features/path/numbers.feature
@@ -49,6 +49,8 @@
       | passed on             | 0001500              | 1     | 1500  |
       | over the operation's  | 1000000000000000000  | 8500  | 10000 |
       | over 64 bits          | 18446744073709551616 | 8500  | 10000 |
+      | over any bound        | <400 digits>         | 8500  | 10000 |
+      | over any bound        | <5000 digits>        | 8500  | 10000 |
       | missing               |                      | 8500  | 10000 |
       | missing, no number    | -5                   | 8500  | 10000 |
       | missing, no number    | +1500                | 8500  | 10000 |
@@ -59,6 +61,10 @@
       | missing, no number    | nan                  | 8500  | 10000 |
       | missing, no number    | ²                    | 8500  | 10000 |
 
+  Scenario: The deadline 0 of a caller has passed
+    When a caller sends the deadline "0"
+    Then the caller gets 504 with "deadline"
+
   Scenario Outline: The Keep-Alive timeout "<text>" of an upstream <keeps>
     When its answers to two requests are "HTTP/1.1 200 OK,X-Request-Id: <id>,Keep-Alive: <text>,Content-Length: 2,,hi" and, later, "HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,,ok"
     Then the caller gets 200 with "ok"
--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -7,6 +7,7 @@
 import gevent
 
 from ...clock import seconds
+from ...wire.header_numbers import deadline_ms
 from ..home.request_head import HOP_BY_HOP
 from ..http_server import HEADERS_KEY
 from .requests import CallerRequest
@@ -37,8 +38,12 @@
     :param idle_ms: longest time for reading, unless the caller sent a
         deadline.
     :raises OSError: if the body is truncated, malformed or too slow.
+    :raises TimeoutError: if the deadline has passed.
     """
-    timeout_ms = _deadline_ms(environ, names) or idle_ms
+    allowed_ms = _deadline_ms(environ, names)
+    if allowed_ms == 0:
+        raise TimeoutError('the caller sent a deadline of 0 ms')
+    timeout_ms = allowed_ms or idle_ms
     with gevent.Timeout(seconds(timeout_ms), TimeoutError):
         return _caller_request(environ, names, length)
 
@@ -76,7 +81,7 @@
         target=target,
         headers=_end_to_end_headers(environ, names),
         organisation=_organisation(environ, names),
-        deadline_ms=_deadline_ms(environ, names),
+        deadline_ms=_deadline_ms(environ, names) or 0,
         body_bytes=body_bytes,
         chunk=chunk,
         last=last,
@@ -109,9 +114,8 @@
     return str(organisation or fallback)[:_MAX_ORGANISATION_CHARS]
 
 
-def _deadline_ms(environ: dict[str, Any], names: HeaderNames) -> int:
-    text = environ.get(_environ_key(names.deadline_ms), '')
-    return int(text) if text.isdecimal() else 0
+def _deadline_ms(environ: dict[str, Any], names: HeaderNames) -> int | None:
+    return deadline_ms(environ.get(_environ_key(names.deadline_ms), ''))
 
 
 def _environ_key(header: str) -> str:
--- a/src/jackdawhead/wire/header_numbers.py
+++ b/src/jackdawhead/wire/header_numbers.py
@@ -11,6 +11,9 @@
 
 _MS_PER_S: Final = 1000
 _MAX_RETRY_AFTER_S: Final = 3600
+_MAX_DEADLINE_MS: Final = 3_600_000
+# More digits than any bound has; int() refuses numbers of some thousands.
+_MAX_DIGITS: Final = 18
 _SECONDS: Final = re.compile(r'\d+(?:\.\d+)?', re.ASCII)
 
 
@@ -24,4 +27,22 @@
     return round(_MS_PER_S * min(_MAX_RETRY_AFTER_S, float(text)))
 
 
-__all__ = ('retry_after_ms',)
+def deadline_ms(text: str) -> int | None:
+    """Return the deadline that a caller sets, at most an hour.
+
+    :param text: whole milliseconds.
+    """
+    return _whole(text.strip(), _MAX_DEADLINE_MS)
+
+
+def _whole(text: str, most: int) -> int | None:
+    if not text.isascii() or not text.isdecimal():
+        return None
+    digits = text.lstrip('0') or '0'
+    return most if len(digits) > _MAX_DIGITS else min(most, int(digits))
+
+
+__all__ = (
+    'deadline_ms',
+    'retry_after_ms',
+)
