--- a/features/path/numbers.feature
+++ b/features/path/numbers.feature
@@ -76,9 +76,11 @@
       | keeps the connection         | the same | max=7 timeout=5              |
       | is bounded                   | the same | timeout=1000000000000000000  |
       | is bounded                   | the same | timeout=<400 digits>         |
+      | is read whole                | the same | timeout=0000000005           |
       | is missing                   | the same | timeout=-5                   |
       | is missing                   | the same | timeout=inf                  |
       | is missing                   | the same | timeout=5x                   |
+      | is missing                   | the same | notimeout=0                  |
       | ends the connection          | another  | timeout=0                    |
 
   Scenario Outline: A request with <what> is refused
--- a/src/jackdawhead/node/home/connections.py
+++ b/src/jackdawhead/node/home/connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -11,6 +10,7 @@
 
 from ...clock import monotonic_ms, seconds
 from ...sockets import is_idle
+from ...wire.header_numbers import keep_alive_ms
 from ...wire.stream import set_no_delay
 
 if TYPE_CHECKING:
@@ -27,8 +27,6 @@
 _MAX_IDLE_MS: Final = 60_000
 # An upstream may close slightly before its announced keep-alive timeout.
 _KEEP_ALIVE_MARGIN_MS: Final = 500
-_MS_PER_S: Final = 1000
-_KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d{1,6})')
 
 
 @dataclass(slots=True)
@@ -58,9 +56,8 @@
         :param request_id: id of its request, if answers are told by it.
         """
         self.answered_id = request_id
-        found = _KEEP_ALIVE_TIMEOUT.search(answer.get('Keep-Alive') or '')
-        if found is not None:
-            announced_ms = _MS_PER_S * int(found.group(1))
+        announced_ms = keep_alive_ms(answer.get('Keep-Alive') or '')
+        if announced_ms is not None:
             self.max_idle_ms = min(
                 _MAX_IDLE_MS, announced_ms - _KEEP_ALIVE_MARGIN_MS
             )
--- a/src/jackdawhead/wire/header_numbers.py
+++ b/src/jackdawhead/wire/header_numbers.py
@@ -12,6 +12,10 @@
 _MS_PER_S: Final = 1000
 _MAX_RETRY_AFTER_S: Final = 3600
 _MAX_DEADLINE_MS: Final = 3_600_000
+_MAX_KEEP_ALIVE_S: Final = 3600
+_KEEP_ALIVE: Final = re.compile(
+    r'(?:^|[,;\s])timeout=(\d+)(?=$|[,;\s])', re.ASCII | re.IGNORECASE
+)
 # More digits than any bound has; int() refuses numbers of some thousands.
 _MAX_DIGITS: Final = 18
 _SECONDS: Final = re.compile(r'\d+(?:\.\d+)?', re.ASCII)
@@ -35,6 +39,16 @@
     return _whole(text.strip(), _MAX_DEADLINE_MS)
 
 
+def keep_alive_ms(text: str) -> int | None:
+    """Return the timeout of a ``Keep-Alive`` header, at most an hour.
+
+    :param text: parameters, of which ``timeout`` has whole seconds.
+    """
+    found = _KEEP_ALIVE.search(text)
+    timeout_s = _whole(found.group(1), _MAX_KEEP_ALIVE_S) if found else None
+    return None if timeout_s is None else _MS_PER_S * timeout_s
+
+
 def _whole(text: str, most: int) -> int | None:
     if not text.isascii() or not text.isdecimal():
         return None
