A chunk without a size is a malformed request body

What callers saw: 500 in place of 400 for a body in chunks with an empty line where a size is due. If it came after the first 64 KiB, the task that passes the body on ended, and the upstream waited for the rest until the deadline.

Cause: gevent's reader raises ValueError for it, and OSError for every other malformed chunk; only the latter was expected.

Signs, underscores, blanks, prefixes and sizes of more than 64 bits were refused before.

--- a/features/path/numbers.feature
+++ b/features/path/numbers.feature
@@ -100,6 +100,7 @@
       | a chunk size with a sign        | HTTP/1.1 400 | Transfer-Encoding: chunked                    | +2,hi,0,, |
       | a negative chunk size           | HTTP/1.1 400 | Transfer-Encoding: chunked                    | -2,hi,0,, |
       | a chunk size with an underscore | HTTP/1.1 400 | Transfer-Encoding: chunked                    | 0_2,hi,0,, |
+      | a chunk size that is empty      | HTTP/1.1 400 | Transfer-Encoding: chunked                    | ,hi,0,, |
       | a chunk size with a blank       | HTTP/1.1 400 | Transfer-Encoding: chunked                    | 2 ,hi,0,, |
       | a chunk size with a prefix      | HTTP/1.1 400 | Transfer-Encoding: chunked                    | 0x2,hi,0,, |
       | a chunk size over 64 bits       | HTTP/1.1 400 | Transfer-Encoding: chunked                    | 10000000000000002,hi,0,, |
--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 import gevent
@@ -66,8 +67,9 @@
     chunked = environ.get('HTTP_TRANSFER_ENCODING', '').lower() == 'chunked'
     chunk = b''
     last = True
+    read_body = partial(_read_body, body)
     if length or chunked:
-        chunk = body.read(_MAX_BUFFERED_BODY_BYTES)
+        chunk = read_body(_MAX_BUFFERED_BODY_BYTES)
         last = length == len(chunk) or len(chunk) < _MAX_BUFFERED_BODY_BYTES
     if last and length and len(chunk) < length:
         raise OSError(f'request body truncated: {len(chunk)} of {length} bytes')
@@ -85,12 +87,24 @@
         body_bytes=body_bytes,
         chunk=chunk,
         last=last,
-        read_body=body.read,
+        read_body=read_body,
         host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
         request_id=header_of(environ, names.request_id),
     )
 
 
+def _read_body(body: Input, most: int) -> bytes:
+    """Return the next bytes of a body, none at its end.
+
+    :raises OSError: if it is truncated or malformed.
+    """
+    try:
+        return bytes(body.read(most))
+    except ValueError as error:
+        # gevent raises it for a chunk without a size.
+        raise OSError(f'malformed request body: {error}') from error
+
+
 def _end_to_end_headers(
     environ: dict[str, Any], names: HeaderNames
 ) -> HeaderPairs:
