--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 import gevent
 
 from ...clock import seconds
+from ...wire.header_numbers import deadline_ms
 from ..home.request_head import HOP_BY_HOP
 from ..http_server import HEADERS_KEY
 from .requests import CallerRequest
@@ -37,8 +39,12 @@
     :param idle_ms: longest time for reading, unless the caller sent a
         deadline.
     :raises OSError: if the body is truncated, malformed or too slow.
+    :raises TimeoutError: if the deadline has passed.
     """
-    timeout_ms = _deadline_ms(environ, names) or idle_ms
+    allowed_ms = _deadline_ms(environ, names)
+    if allowed_ms == 0:
+        raise TimeoutError('the caller sent a deadline of 0 ms')
+    timeout_ms = allowed_ms or idle_ms
     with gevent.Timeout(seconds(timeout_ms), TimeoutError):
         return _caller_request(environ, names, length)
 
@@ -61,8 +67,9 @@
     chunked = environ.get('HTTP_TRANSFER_ENCODING', '').lower() == 'chunked'
     chunk = b''
     last = True
+    read_body = partial(_read_body, body)
     if length or chunked:
-        chunk = body.read(_MAX_BUFFERED_BODY_BYTES)
+        chunk = read_body(_MAX_BUFFERED_BODY_BYTES)
         last = length == len(chunk) or len(chunk) < _MAX_BUFFERED_BODY_BYTES
     if last and length and len(chunk) < length:
         raise OSError(f'request body truncated: {len(chunk)} of {length} bytes')
@@ -76,16 +83,28 @@
         target=target,
         headers=_end_to_end_headers(environ, names),
         organisation=_organisation(environ, names),
-        deadline_ms=_deadline_ms(environ, names),
+        deadline_ms=_deadline_ms(environ, names) or 0,
         body_bytes=body_bytes,
         chunk=chunk,
         last=last,
-        read_body=body.read,
+        read_body=read_body,
         host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
         request_id=header_of(environ, names.request_id),
     )
 
 
+def _read_body(body: Input, most: int) -> bytes:
+    """Return the next bytes of a body, none at its end.
+
+    :raises OSError: if it is truncated or malformed.
+    """
+    try:
+        return bytes(body.read(most))
+    except ValueError as error:
+        # gevent raises it for a chunk without a size.
+        raise OSError(f'malformed request body: {error}') from error
+
+
 def _end_to_end_headers(
     environ: dict[str, Any], names: HeaderNames
 ) -> HeaderPairs:
@@ -109,9 +128,8 @@
     return str(organisation or fallback)[:_MAX_ORGANISATION_CHARS]
 
 
-def _deadline_ms(environ: dict[str, Any], names: HeaderNames) -> int:
-    text = environ.get(_environ_key(names.deadline_ms), '')
-    return int(text) if text.isdecimal() else 0
+def _deadline_ms(environ: dict[str, Any], names: HeaderNames) -> int | None:
+    return deadline_ms(environ.get(_environ_key(names.deadline_ms), ''))
 
 
 def _environ_key(header: str) -> str:
