Hold store entries to the bounds of VM lists

What callers saw: one odd entry in the store, and no upstream at all. With an id of more than 128 bytes, with a space or with a newline in it, the adapter accepted the entry, the list codec refused the list that contained it, and parse_vm_list takes all or nothing: every later list was refused as well.

The three ids left a node with 0 of 3 upstreams; 17 other odd entries (slots, seq and born beyond 64 bits, 100,001 slots, a warm-up of 31 years, octets above 255 or with a leading zero, 0.0.0.0, multicast, broadcast, Arabic digits, names and addresses that end in a newline) were listed as a fourth upstream. Slots and starts beyond 64 bits cannot be encoded with msgpack.

Cause: the adapter and the codec each had their own bounds, and numbers had none. The pattern of names ended in '$', which also matches before a newline.

Now node/listed_types has all types and bounds.

Invalid Unicode and NaN in a document are handled in json_parts, which takes over the fallback of config_document; NaN in a part affects only that part.

--- /dev/null
+++ b/features/platform/odd_entries.feature
@@ -0,0 +1,71 @@
+Feature: One odd entry or item affects no other
+
+  Scenario Outline: An entry with <field> as <json> is refused alone
+    Given a store with 3 upstreams and a configuration
+    When an entry with "<field>" as <json> is written under "odd"
+    And the source is read
+    Then a node that gets the list knows 3 upstreams
+    And nodes that get the list from that node know 3 upstreams
+
+    Examples: numbers out of bounds
+      | field         | json                                |
+      | slots         | 100001                              |
+      | slots         | 18446744073709551616                |
+      | slots         | 1000000000000000000000000000000     |
+      | slots         | -1                                  |
+      | slots         | 1e3                                 |
+      | seq           | 18446744073709551616                |
+      | born          | -1                                  |
+      | born          | 9223372036854775807                 |
+      | born          | 18446744073709551616                |
+      | coldRemaining | "999999999s"                        |
+      | coldRemaining | "99999999999999999999s"             |
+
+    Examples: addresses that no VM has
+      | field   | json                   |
+      | address | "300.1.0.9:8145"       |
+      | address | "10.1.0.9:0"           |
+      | address | "10.1.0.9:65536"       |
+      | address | "10.1.0.9:8145\n"      |
+      | address | "10.1.0.09:8145"       |
+      | address | "0.0.0.0:8145"         |
+      | address | "0.1.0.9:8145"         |
+      | address | "224.0.0.1:8145"       |
+      | address | "255.255.255.255:8145" |
+      | address | "\u0661\u0660.1.0.9:8145" |
+
+    Examples: names and nesting
+      | field   | json      |
+      | service | "desk\n"  |
+      | zone    | "a\n"     |
+      | version | null      |
+      | extra   | deep      |
+
+  Scenario Outline: An entry under <key> is refused alone
+    Given a store with 3 upstreams and a configuration
+    When an entry is written under <key>
+    And the source is read
+    Then a node that gets the list knows 3 upstreams
+    And nodes that get the list from that node know 3 upstreams
+
+    Examples:
+      | key                   |
+      | a key of 200 bytes    |
+      | a key with a space    |
+      | a key with a newline  |
+      | a key with a slash    |
+      | a key that ends early |
+
+  Scenario Outline: A list that is <odd> leaves the last one in force
+    Given a node with a list of 2 VMs
+    When the node gets a list that is <odd>
+    Then it knows 2 VMs
+    When the node gets a list of 3 VMs
+    Then it knows 3 VMs
+
+    Examples:
+      | odd                       |
+      | cut short                 |
+      | an object                 |
+      | nested too deeply         |
+      | made of odd entries alone |
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 _DAY_MS: Final = 86_400_000
-NAME_PATTERN: Final = '^[a-z0-9][a-z0-9_-]{0,62}$'
+NAME_PATTERN: Final = r'^[a-z0-9][a-z0-9_-]{0,62}\Z'
 _HEADER_PATTERN: Final = '^([A-Za-z0-9][A-Za-z0-9-]{0,62})?$'
 _HOST_PATTERN: Final = '^[a-z0-9.-]{1,253}$'
 _IP_PORT_PATTERN: Final = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
--- a/src/jackdawhead/node/upstream_list.py
+++ b/src/jackdawhead/node/upstream_list.py
@@ -5,6 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from .listed_types import (
+    BornMs,
+    ColdMs,
+    Instance,
+    Ip,
+    Name,
+    Port,
+    Revision,
+    Slots,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -15,9 +26,10 @@
 class ListedUpstream:
     """An upstream, as listed by the platform.
 
+    The types bound what ``msgspec.convert`` accepts.
+
     :param instance: identity of the current start of the upstream.
-    :param slots: number of requests that it runs at once, 0 to follow the
-        service.
+    :param slots: number of requests that it runs at once.
     :param cold_ms: remaining time in milliseconds for which it is slow
         after its start.
     :param leaving: whether it accepts no new requests.
@@ -26,16 +38,16 @@
         upstreams at one address, the later one is running.
     """
 
-    instance: str
-    service: str
-    zone: str
-    ip: str
-    port: int
-    slots: int
-    cold_ms: int
+    instance: Instance
+    service: Name
+    zone: Name
+    ip: Ip
+    port: Port
+    slots: Slots
+    cold_ms: ColdMs
     leaving: bool
-    born_ms: int
-    created_revision: int
+    born_ms: BornMs
+    created_revision: Revision
 
 
 def vm_name(ip: str) -> str:
--- a/src/jackdawhead/node/vm_list_codec.py
+++ b/src/jackdawhead/node/vm_list_codec.py
@@ -2,48 +2,48 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Annotated, Final
+from typing import TYPE_CHECKING, Final
 
 import msgspec
-from msgspec import Meta
 from returns.result import Failure, Result, Success
 
 from ..blackboard import UpstreamDetails, Vm, VmList
-from ..config.schema import NAME_PATTERN
 from ..wire.messages import VmListDelta
+from .listed_types import (
+    BornMs,
+    ColdMs,
+    Ip,
+    Name,
+    OptionalInstance,
+    OptionalPort,
+    OptionalSlots,
+    Port,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-_MAX_PORT: Final = 65_535
-# No slash: it separates the parts of an upstream's identity.
-_INSTANCE_PATTERN: Final = '^[A-Za-z0-9._:-]{0,128}$'
-_Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
-_Ip = Annotated[str, Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
-_Port = Annotated[int, Meta(ge=0, le=_MAX_PORT)]
-_NonNegativeInt = Annotated[int, Meta(ge=0)]
-
 
 class _ListedDetails(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Optional details of one upstream, as published by the platform."""
 
-    instance: Annotated[str, Meta(pattern=_INSTANCE_PATTERN)] = ''
-    born_ms: _NonNegativeInt = 0
-    slots: _NonNegativeInt = 0
-    cold_ms: _NonNegativeInt = 0
+    instance: OptionalInstance = ''
+    born_ms: BornMs = 0
+    slots: OptionalSlots = 0
+    cold_ms: ColdMs = 0
     leaving: bool = False
 
 
 class _ListedVm(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """One VM, as published by the platform."""
 
-    name: _Name
-    zone: _Name
-    ip: _Ip
+    name: Name
+    zone: Name
+    ip: Ip
     leaving: bool = False
-    stream_port: _Port = 0
-    upstream_ports: dict[_Name, _Port] = {}
-    details: dict[_Name, _ListedDetails] = {}
+    stream_port: OptionalPort = 0
+    upstream_ports: dict[Name, Port] = {}
+    details: dict[Name, _ListedDetails] = {}
 
 
 _DECODER: Final = msgspec.json.Decoder(list[_ListedVm])
@@ -82,7 +82,7 @@
     """Difference between a VM list and an earlier one."""
 
     changed: list[_ListedVm]
-    gone: list[_Name]
+    gone: list[Name]
 
 
 _CHANGE_DECODER: Final = msgspec.json.Decoder(_Change)
--- a/src/jackdawhead/platform/config_document.py
+++ b/src/jackdawhead/platform/config_document.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass, field
 from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 from msgspec import Meta
 
+from ..json_parts import DECODE_ERRORS, decode_parts
+
 _DEFAULT_MAX_CONNECTIONS: Final = 100
-# Raised for malformed JSON, wrong types and nesting that is too deep.
-DECODE_ERRORS: Final = (msgspec.DecodeError, ValueError, RecursionError)
 
 _SpecT = TypeVar('_SpecT')
 
@@ -130,16 +129,6 @@
         return None
 
 
-def _decode(body: bytes) -> _Document:
-    """Decode a document; invalid UTF-8 affects only the resource it is in."""
-    try:
-        return msgspec.json.decode(body, type=_Document)
-    except DECODE_ERRORS:
-        plain = json.loads(body.decode(errors='replace'))
-    text = json.dumps(plain, ensure_ascii=False)
-    return msgspec.json.decode(text.encode(errors='replace'), type=_Document)
-
-
 def read_document(body: bytes) -> Document:
     """Parse a document, skipping resources without a kind or a name.
 
@@ -147,7 +136,7 @@
     :raises ValueError: if it is not a document with a version.
     """
     try:
-        document = _decode(body)
+        document = decode_parts(body, _Document)
     except DECODE_ERRORS as error:
         raise ValueError(str(error)) from error
     resources = []
@@ -161,7 +150,6 @@
 
 
 __all__ = (
-    'DECODE_ERRORS',
     'Document',
     'LimitsSpec',
     'RouteSpec',
--- a/src/jackdawhead/platform/upstream_entries.py
+++ b/src/jackdawhead/platform/upstream_entries.py
@@ -8,16 +8,15 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from ..config.schema import NAME_PATTERN
+from ..json_parts import DECODE_ERRORS
+from ..node.listed_types import BornMs, IpPort, Name, Slots
 from ..node.upstream_list import ListedUpstream
-from .config_document import DECODE_ERRORS
 from .formats import parse_duration_ms
 from .names import UPSTREAM_KEY_PREFIX
 from .store_types import StoredItem
 
-_MAX_PORT: Final = 65_535
 _DRAINING_STATE: Final = 'draining'
-_Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
+_MAX_SEQ: Final = 9_223_372_036_854_775_807
 
 
 class _Record(msgspec.Struct, frozen=True):
@@ -32,15 +31,15 @@
     :param born: Unix time in milliseconds at which the upstream started.
     """
 
-    service: _Name
-    address: Annotated[str, Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')]
-    zone: _Name
+    service: Name
+    address: IpPort
+    zone: Name
     version: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Slots
     state: Literal['ready', 'draining']
     cold: str = msgspec.field(name='coldRemaining')
-    seq: int
-    born: Annotated[int, Meta(ge=0)] = 0
+    seq: Annotated[int, Meta(le=_MAX_SEQ)]
+    born: BornMs = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_Record)
@@ -53,28 +52,27 @@
     :returns: the upstream, or why the entry is invalid.
     """
     try:
-        record = _DECODER.decode(item.value)
-        cold_ms = parse_duration_ms(record.cold)
+        return Success(_read(item))
     except DECODE_ERRORS as error:
         return Failure(str(error))
+
+
+def _read(item: StoredItem) -> ListedUpstream:
+    record = _DECODER.decode(item.value)
     ip, _, port = record.address.partition(':')
-    instance = item.key.removeprefix(UPSTREAM_KEY_PREFIX)
-    if not 0 < int(port) <= _MAX_PORT or not instance or '/' in instance:
-        return Failure(f'invalid key {item.key!r} or port {record.address!r}')
-    return Success(
-        ListedUpstream(
-            instance=instance,
-            service=record.service,
-            zone=record.zone,
-            ip=ip,
-            port=int(port),
-            slots=record.slots,
-            cold_ms=cold_ms,
-            leaving=record.state == _DRAINING_STATE,
-            born_ms=record.born,
-            created_revision=item.created_revision or item.revision,
-        )
-    )
+    fields = {
+        'instance': item.key.removeprefix(UPSTREAM_KEY_PREFIX),
+        'service': record.service,
+        'zone': record.zone,
+        'ip': ip,
+        'port': int(port),
+        'slots': record.slots,
+        'cold_ms': parse_duration_ms(record.cold),
+        'leaving': record.state == _DRAINING_STATE,
+        'born_ms': record.born,
+        'created_revision': item.created_revision or item.revision,
+    }
+    return msgspec.convert(fields, ListedUpstream)
 
 
 __all__ = ('decode_record',)
