Read VM lists entry by entry, and log a refusal once

What callers saw: a list in which one VM could not be read was refused whole, also by nodes that got it from another node. The last list stayed in force, and so did upstreams that had left; new ones got no work.

The same refused entry was logged at each read of the store.

Cause: parse_vm_list and apply_change decoded the whole text with one type.

Now the outer form is decoded first, then each entry. A refused entry is left out; in a change the former entry of that VM goes too, so that nodes that got the list and nodes that got the change agree. A text whose outer form cannot be read, or none of whose entries is valid, is refused as a whole, since it tells nothing. RefusalLog notes each refused entry once for each content, and remembers a thousand.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -56,6 +56,23 @@
       | a key with a slash    |
       | a key that ends early |
 
+  Scenario Outline: A VM that is <odd> in a list is refused alone
+    Given a list of 3 VMs, one of which is <odd>
+    When a node gets the list
+    Then it knows 2 VMs
+    When a node of version 1 gets the list as a change
+    Then it knows 2 VMs
+
+    Examples:
+      | odd                     |
+      | a number                |
+      | null                    |
+      | without an address      |
+      | with an unknown field   |
+      | with a port too large   |
+      | with a number too large |
+      | not Unicode             |
+
   Scenario Outline: A list that is <odd> leaves the last one in force
     Given a node with a list of 2 VMs
     When the node gets a list that is <odd>
@@ -69,3 +86,23 @@
       | an object                 |
       | nested too deeply         |
       | made of odd entries alone |
+
+  Scenario: A refused entry is logged once for each content
+    Given a store with 3 upstreams and a configuration
+    When an entry with "slots" as 0 is written under "odd"
+    And the source is read
+    And the store has lost its history
+    And the source is read
+    Then 1 line says "entry-refused"
+    When an entry with "slots" as -1 is written under "odd"
+    And the source is read
+    Then 2 lines say "entry-refused"
+
+  Scenario: A VM refused in each list is logged once for each content
+    Given a list of 3 VMs, one of which is a number
+    When a node gets the list 5 times
+    Then 1 line says "entry-refused"
+
+  Scenario: Refused entries are remembered up to a bound
+    When 5000 different entries are refused
+    Then the log of refused entries remembers at most 1000
--- a/src/jackdawhead/node/membership.py
+++ b/src/jackdawhead/node/membership.py
@@ -9,6 +9,7 @@
 from ..audit import AuditKind
 from ..wire.messages import VmListRequest, VmListSnapshot
 from .list_history import ListHistory
+from .refusal_log import RefusalLog
 from .vm_list_codec import apply_change, list_text, parse_vm_list
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
     from ..blackboard import Blackboard, VmList
     from ..wire.messages import VmListDelta
     from .links import Link
+    from .listed_vms import RefusedVm
 
 
 class MembershipController:
@@ -31,6 +33,7 @@
         self._board = board
         self._audit = audit
         self._history = ListHistory()
+        self._refusals = RefusalLog()
         self.announce: Callable[[Link | None], None] | None = None
 
     def offer(
@@ -44,11 +47,12 @@
         :param version: version assigned by the platform.
         :param text: the list as published, in JSON.
         :param source: link that delivered the list, if any.
-        :returns: whether the list was newer and well-formed.
+        :returns: whether the list was newer and could be read; entries of it
+            that are not valid are left out.
         """
         if version <= self._board.vm_list.read().version:
             return False
-        match parse_vm_list(version, text):
+        match parse_vm_list(version, text, self._note_refused):
             case Success(vm_list):
                 self._accept(vm_list, source)
                 return True
@@ -83,7 +87,7 @@
         if change.base != current.version:
             link.send(VmListRequest(current.version))
             return
-        match apply_change(current, change):
+        match apply_change(current, change, self._note_refused):
             case Success(vm_list):
                 self._accept(vm_list, link)
             case Failure(message):
@@ -113,6 +117,9 @@
         if self.announce is not None:
             self.announce(source)
 
+    def _note_refused(self, refused: RefusedVm) -> None:
+        self._refusals.note(refused.name, refused.content, refused.cause)
+
     def _audit_differences(self, previous: VmList, current: VmList) -> None:
         for name in sorted(current.vms.keys() - previous.vms.keys()):
             self._audit.record(
--- a/src/jackdawhead/node/vm_list_codec.py
+++ b/src/jackdawhead/node/vm_list_codec.py
@@ -2,90 +2,45 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
-
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..blackboard import UpstreamDetails, Vm, VmList
+from ..blackboard import VmList
+from ..json_parts import DECODE_ERRORS, decode_parts
 from ..wire.messages import VmListDelta
-from .listed_types import (
-    BornMs,
-    ColdMs,
-    Ip,
-    Name,
-    OptionalInstance,
-    OptionalPort,
-    OptionalSlots,
-    Port,
-)
-
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-
-class _ListedDetails(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Optional details of one upstream, as published by the platform."""
+from .listed_vms import OnRefused, RefusedVm, read_vms
 
-    instance: OptionalInstance = ''
-    born_ms: BornMs = 0
-    slots: OptionalSlots = 0
-    cold_ms: ColdMs = 0
-    leaving: bool = False
 
+class _Change(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Difference between a VM list and an earlier one."""
 
-class _ListedVm(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """One VM, as published by the platform."""
-
-    name: Name
-    zone: Name
-    ip: Ip
-    leaving: bool = False
-    stream_port: OptionalPort = 0
-    upstream_ports: dict[Name, Port] = {}
-    details: dict[Name, _ListedDetails] = {}
+    changed: list[msgspec.Raw]
+    gone: list[str]
 
 
-_DECODER: Final = msgspec.json.Decoder(list[_ListedVm])
+def _ignore(_: RefusedVm) -> None:
+    """Do nothing."""
 
 
-def parse_vm_list(version: int, text: str) -> Result[VmList, str]:
-    """Decode and validate a VM list.
+def parse_vm_list(
+    version: int, text: str, on_refused: OnRefused = _ignore
+) -> Result[VmList, str]:
+    """Decode and validate a VM list, each entry on its own.
 
     :param version: version assigned by the platform.
     :param text: JSON text published by the platform.
-    :returns: the list, or why the text is invalid.
+    :param on_refused: called with each entry that is left out.
+    :returns: the list, or why the text is invalid. A list without any valid
+        entry is invalid, unless it is empty.
     """
     try:
-        listed = _DECODER.decode(text)
-    except msgspec.DecodeError as error:
+        entries = decode_parts(text, list[msgspec.Raw])
+    except DECODE_ERRORS as error:
         return Failure(str(error))
-    return Success(VmList(version, _by_name(listed)))
-
-
-def _to_vm(listed: _ListedVm) -> Vm:
-    return Vm(
-        name=listed.name,
-        zone=listed.zone,
-        ip=listed.ip,
-        leaving=listed.leaving,
-        stream_port=listed.stream_port,
-        upstream_ports=listed.upstream_ports,
-        details={
-            service: UpstreamDetails(**msgspec.structs.asdict(each))
-            for service, each in listed.details.items()
-        },
-    )
-
-
-class _Change(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Difference between a VM list and an earlier one."""
-
-    changed: list[_ListedVm]
-    gone: list[Name]
-
-
-_CHANGE_DECODER: Final = msgspec.json.Decoder(_Change)
+    vms = read_vms(entries, on_refused)
+    if entries and not vms:
+        return Failure(f'none of {len(entries)} entries is valid')
+    return Success(VmList(version, vms))
 
 
 def list_text(vm_list: VmList) -> str:
@@ -124,28 +79,33 @@
     return VmListDelta(base, current.version, text)
 
 
-def apply_change(before: VmList, change: VmListDelta) -> Result[VmList, str]:
+def apply_change(
+    before: VmList, change: VmListDelta, on_refused: OnRefused = _ignore
+) -> Result[VmList, str]:
     """Apply a change to a VM list.
 
+    A changed VM whose entry is not valid is left out of the later list, like
+    from a complete list.
+
     :param before: the list that the change is based on.
     :param change: the change to apply.
+    :param on_refused: called with each entry that is left out.
     :returns: the later list, or why the change is invalid.
     """
     try:
-        decoded = _CHANGE_DECODER.decode(change.text)
-    except msgspec.DecodeError as error:
+        decoded = decode_parts(change.text, _Change)
+    except DECODE_ERRORS as error:
         return Failure(str(error))
-    vms = {
-        name: vm for name, vm in before.vms.items() if name not in decoded.gone
-    }
-    vms.update(_by_name(decoded.changed))
+    refused: list[RefusedVm] = []
+    changed = read_vms(decoded.changed, refused.append)
+    for each in refused:
+        on_refused(each)
+    gone = {*decoded.gone, *(vm.name for vm in refused)}
+    vms = {name: vm for name, vm in before.vms.items() if name not in gone}
+    vms.update(changed)
     return Success(VmList(change.version, vms))
 
 
-def _by_name(listed: Iterable[_ListedVm]) -> dict[str, Vm]:
-    return {each.name: _to_vm(each) for each in listed}
-
-
 __all__ = (
     'apply_change',
     'build_change',
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -11,6 +11,7 @@
 from ..logs import log_event
 from ..node.platform_client import PlatformSource, PublishedValue
 from ..node.platform_watch import CONFIG_KEY, VMS_KEY
+from ..node.refusal_log import RefusalLog
 from ..node.upstream_list import ListedUpstreams
 from ..policy.removal_grace_period import (
     DEFAULT_REREGISTRATION_MS,
@@ -60,6 +61,7 @@
         self._revision: int | None = None
         self._poll_in_flight: AsyncResult | None = None
         self._pending: dict[str, PublishedValue] = {}
+        self._refusals = RefusalLog()
 
     @property
     def call_count(self) -> int:  # type: ignore[override]
@@ -158,7 +160,7 @@
                 cause = str(decode_error)
                 self._upstreams.remove(item.key)
         if cause:
-            log_event('entry-refused', subject=item.key, cause=cause)
+            self._refusals.note(item.key, item.value, cause)
 
     def _publish_vms(self, revision: int) -> None:
         now_ms = monotonic_ms()
