Bound what a valid but absurd entry does to others

What callers saw: an entry of another writer with a start in the far future kept every later, true entry under its key out for good, and took the place of the true upstream at its address. An entry of another service in a zone that is not known moved the whole VM there, with the true upstream beside it, which then got no work. An entry with a port of the nodes themselves sent requests back to the node as new ones.

Cause: starts were compared whatever they said, and by nothing else; a VM took zone and upstreams from any entry at its address.

A start more than a minute ahead of the own clock is no order; then the store's order holds, which is right except for a moment after a late write. An earlier start is still held back, but believed when it has been the store's last word for two heartbeats, since a live upstream writes again within one. Both fail safe when the own clock is wrong. Entries of unknown zones, which no node uses, and with ports of the nodes, which are the same on all VMs, are refused.

Weighed and left: an entry that names the address of another VM's upstream with a plausible start. An address may pass on to another upstream, so the later start gets the work; its id goes with each request, and another upstream refuses it as not run.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -56,6 +56,42 @@
       | a key with a slash    |
       | a key that ends early |
 
+  Scenario: A start in the far future keeps no later start of the upstream out
+    Given a store with 1 upstreams and a configuration
+    When the entry of "i-0" is written with "born" as 9007199254740991
+    And the source is read
+    Then 1 upstreams are known, 0 of them leaving
+    When the entry of "i-0" is written with "state" as "draining"
+    And the source is read
+    Then 1 upstreams are known, 1 of them leaving
+
+  Scenario: A start in the far future does not outlast others at its address
+    Given a store with 1 upstreams and a configuration
+    When the entry of "odd" is written with "born" as 9007199254740991
+    And the entry of "i-1" is written with "slots" as 4
+    And the source is read
+    Then the upstream at 10.1.0.1 is "i-1"
+
+  Scenario: An earlier start that stays the last word is believed
+    Given a store with 1 upstreams and a configuration
+    When the source is read
+    And an earlier start of the upstream overwrites the entry as draining
+    And the source is read until an upstream is leaving
+    Then 1 upstreams are known, 1 of them leaving
+
+  Scenario Outline: An entry of another service with <field> as <json> moves no VM
+    Given a store with 3 upstreams and a configuration
+    When an entry of "ledger" on 10.1.0.1 with "<field>" as <json> is written
+    And the source is read
+    Then a node that gets the list knows 3 upstreams
+    And the VM 10.1.0.1 is in zone "a" with 1 upstream
+
+    Examples: an unknown zone, a stream port and a port for callers
+      | field   | json            |
+      | zone    | "nowhere"       |
+      | address | "10.1.0.1:7000" |
+      | address | "10.1.0.1:8147" |
+
   Scenario Outline: A VM that is <odd> in a list is refused alone
     Given a list of 3 VMs, one of which is <odd>
     When a node gets the list
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -29,7 +29,11 @@
 from jackdawhead.node.home.answer_reader import AnswerReader, HTTPParseError
 from jackdawhead.node.request_framing import framing_problem
 from jackdawhead.node.request_headers import RequestHeaders
-from jackdawhead.node.upstream_list import ListedUpstreams
+from jackdawhead.node.upstream_list import (
+    ListedUpstreams,
+    ListingRules,
+    Moment,
+)
 from jackdawhead.node.vm_list_codec import parse_vm_list
 from jackdawhead.platform.store import _decode_changes, _decode_page
 from jackdawhead.platform.store_types import StoredItem
@@ -184,8 +188,10 @@
     decoded = decode_record(StoredItem('servers/i-3', 5, body, 3))
     if isinstance(decoded, Failure):
         return
-    listed = ListedUpstreams(7000, RemovalGracePeriod(0, 0))
-    listed.put('servers/i-3', decoded.unwrap())
+    upstream = decoded.unwrap()
+    rules = ListingRules(frozenset((upstream.zone,)), frozenset())
+    listed = ListedUpstreams(7000, rules, RemovalGracePeriod(0, 0), 0)
+    assert not listed.put('servers/i-3', upstream, Moment(0, 0))
     text = json.dumps(listed.changed_vms(0))
     if not isinstance(parse_vm_list(1, text), Success):
         context.problems.append((body, text))
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -27,6 +27,7 @@
 
 _ZONES = {'a': 'here', 'b': 'here'}
 _EXPIRY_MS = 40.0
+_NODE_PORTS = frozenset((7000, 8147))
 _HOLD_WAIT_S = 2.3
 _STREAM_KEY = 'a-shared-key-for-tests-only'
 _SETTINGS = """\
@@ -348,7 +349,7 @@
     for number in range(count):
         context.store.put(f'servers/i-{number}', upstream_entry(number + 1))
     context.source = StoreSource(
-        Address('127.0.0.1', port), _ZONES, 7000, _EXPIRY_MS
+        Address('127.0.0.1', port), _ZONES, 7000, _EXPIRY_MS, _NODE_PORTS
     )
     context.known = {}
 
--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -83,6 +83,7 @@
                 settings.zones,
                 settings.node.stream_address.port,
                 settings.expiry_ms,
+                settings.node.listener_ports,
             )
             watch = SettingsWatch(
                 settings.node,
--- a/src/jackdawhead/clock.py
+++ b/src/jackdawhead/clock.py
@@ -25,7 +25,10 @@
 
 
 def wall_ms() -> int:
-    """Return the time of day in milliseconds since 1970, for display only."""
+    """Return the time of day in milliseconds since 1970.
+
+    Only for display, and to bound what other clocks say: it may be wrong.
+    """
     return int(time.time() * _MS_PER_S)
 
 
--- a/src/jackdawhead/config/settings.py
+++ b/src/jackdawhead/config/settings.py
@@ -87,6 +87,18 @@
     accept_while_leaving_ms: int = 0
     drain_idle_ms: int = 3000
 
+    @property
+    def listener_ports(self) -> frozenset[int]:
+        """Ports of all listeners of the node."""
+        addresses = [
+            self.caller_address,
+            self.stream_address,
+            self.admin_address,
+        ]
+        if self.ready_address is not None:
+            addresses.append(self.ready_address)
+        return frozenset(each.port for each in addresses)
+
 
 def load_settings(folder: Path) -> Result[NodeSettings, tuple[Problem, ...]]:
     """Load the settings of a node.
--- a/src/jackdawhead/node/upstream_list.py
+++ b/src/jackdawhead/node/upstream_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from .listed_types import (
     BornMs,
@@ -21,6 +21,10 @@
 
     from ..policy.removal_grace_period import RemovalGracePeriod
 
+# A start that is further in the future than clocks of VMs differ is no order:
+# without this bound one entry would keep all later ones out.
+_MAX_CLOCK_DIFFERENCE_MS: Final = 60_000
+
 
 @dataclass(frozen=True, slots=True)
 class ListedUpstream:
@@ -50,6 +54,18 @@
     created_revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """A time by both clocks.
+
+    :param monotonic_ms: monotonic time in milliseconds.
+    :param unix_ms: milliseconds since 1970 by the clock of this VM.
+    """
+
+    monotonic_ms: float
+    unix_ms: float
+
+
 def vm_name(ip: str) -> str:
     """Return a name for a VM that is known only by its address.
 
@@ -58,34 +74,92 @@
     return ip.replace('.', '-')
 
 
+@dataclass(frozen=True, slots=True)
+class ListingRules:
+    """What an upstream's entry must agree with to be listed.
+
+    :param zones: the platform's availability zones.
+    :param node_ports: ports that the nodes listen on, the same on all VMs.
+    """
+
+    zones: frozenset[str]
+    node_ports: frozenset[int]
+
+    def objection(self, upstream: ListedUpstream) -> str:
+        """Return why an upstream must not be listed, empty if it may be.
+
+        No node would use an upstream of an unknown zone, but it would take
+        its whole VM there. Work sent to a node's own listener comes back to
+        that node as new requests.
+
+        :param upstream: the upstream, as the platform lists it.
+        """
+        if upstream.zone not in self.zones:
+            return f'unknown zone {upstream.zone!r}'
+        if upstream.port in self.node_ports:
+            return f'port {upstream.port} is one of the nodes themselves'
+        return ''
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """A listed upstream.
+
+    :param start_ms: Unix time of its start, by which entries are ordered, 0 if
+        unknown.
+    """
+
+    upstream: ListedUpstream
+    start_ms: int
+
+    @property
+    def order(self) -> tuple[int, int, str]:
+        """Sorts entries by the start of their upstreams."""
+        upstream = self.upstream
+        return self.start_ms, upstream.created_revision, upstream.instance
+
+
+@dataclass(frozen=True, slots=True)
+class _EarlierStart:
+    """An entry of an earlier start than that of the entry before it.
+
+    :param since_ms: monotonic time from which it has been the platform's last
+        word.
+    """
+
+    entry: _Entry
+    since_ms: float
+
+
 def compose_vms(
-    upstreams: Iterable[ListedUpstream],
+    entries: Iterable[_Entry],
     stream_port: int,
 ) -> list[dict[str, Any]]:
     """Build the VM list in jackdawhead's own format.
 
-    :param upstreams: all listed upstreams, in any order.
+    :param entries: all listed upstreams, in any order.
     :param stream_port: stream port of the node on each VM.
     """
     vms: dict[str, dict[str, Any]] = {}
-    for each in sorted(upstreams, key=_start_order):
+    for each in sorted(entries, key=lambda entry: entry.order):
+        upstream = each.upstream
         vm = vms.setdefault(
-            each.ip,
+            upstream.ip,
             {
-                'name': vm_name(each.ip),
-                'ip': each.ip,
+                'name': vm_name(upstream.ip),
+                'ip': upstream.ip,
                 'stream_port': stream_port,
                 'upstream_ports': {},
                 'details': {},
             },
         )
-        vm['zone'] = each.zone
-        vm['upstream_ports'][each.service] = each.port
-        vm['details'][each.service] = {
-            'instance': each.instance,
-            'born_ms': each.born_ms,
-            'slots': each.slots,
-            'leaving': each.leaving,
+        vm['zone'] = upstream.zone
+        vm['upstream_ports'][upstream.service] = upstream.port
+        vm['details'][upstream.service] = {
+            'instance': upstream.instance,
+            'born_ms': upstream.born_ms,
+            'slots': upstream.slots,
+            'leaving': upstream.leaving,
         }
     return [vms[ip] for ip in sorted(vms)]
 
@@ -94,32 +168,53 @@
     """All listed upstreams by the key of their entry.
 
     :param stream_port: stream port of the node on each VM.
+    :param rules: what entries must agree with.
     :param grace_period: delays removals until a missing entry can be trusted.
+    :param expiry_ms: time within which a live upstream writes its entry again.
     """
 
     def __init__(
-        self, stream_port: int, grace_period: RemovalGracePeriod
+        self,
+        stream_port: int,
+        rules: ListingRules,
+        grace_period: RemovalGracePeriod,
+        expiry_ms: float,
     ) -> None:
         self.grace_period = grace_period
         self._stream_port = stream_port
-        self._upstreams: dict[str, ListedUpstream] = {}
+        self._rules = rules
+        self._expiry_ms = expiry_ms
+        self._entries: dict[str, _Entry] = {}
+        self._earlier_starts: dict[str, _EarlierStart] = {}
         self._pending_removals: set[str] = set()
         self._vms: list[dict[str, Any]] | None = None
         self._has_changed = True
 
-    def put(self, key: str, upstream: ListedUpstream) -> str:
+    def put(self, key: str, upstream: ListedUpstream, now: Moment) -> str:
         """Add or replace an entry.
 
+        An entry of an earlier start than the known one is a late write of an
+        upstream that is gone, and is held back. If it stays the platform's
+        last word, the later start is gone, or was never one.
+
         :param key: key of the entry.
         :param upstream: the listed upstream.
+        :param now: time at which the entry was read.
         :returns: why the entry is refused, empty if it is accepted.
         """
-        known = self._upstreams.get(key)
-        if known is not None and upstream.born_ms < known.born_ms:
-            return f'start {upstream.born_ms} is before {known.born_ms}'
+        objection = self._rules.objection(upstream)
+        if objection:
+            self.remove(key)
+            return objection
+        entry = _Entry(upstream, _believed_start_ms(upstream.born_ms, now))
+        known = self._entries.get(key)
         self._pending_removals.discard(key)
-        self._upstreams[key] = upstream
-        self._has_changed = self._has_changed or upstream != known
+        if known is not None and 0 < entry.start_ms < known.start_ms:
+            earlier = self._earlier_starts.get(key)
+            since_ms = earlier.since_ms if earlier else now.monotonic_ms
+            self._earlier_starts[key] = _EarlierStart(entry, since_ms)
+            return f'start {entry.start_ms} is before {known.start_ms}'
+        self._replace(key, entry)
         return ''
 
     def remove(self, key: str) -> None:
@@ -127,7 +222,7 @@
 
         :param key: key of the entry.
         """
-        if key in self._upstreams:
+        if key in self._entries:
             self._pending_removals.add(key)
 
     def keep_only(self, keys: set[str]) -> None:
@@ -135,7 +230,7 @@
 
         :param keys: keys of the entries to keep.
         """
-        self._pending_removals.update(self._upstreams.keys() - keys)
+        self._pending_removals.update(self._entries.keys() - keys)
 
     def changed_vms(self, now_ms: float) -> list[dict[str, Any]] | None:
         """Apply due removals and return the VM list if it has changed.
@@ -144,22 +239,47 @@
         :returns: the list, or ``None`` if it is unchanged.
         """
         if not self.grace_period.remaining_ms(now_ms):
-            for gone in self._pending_removals:
-                self._upstreams.pop(gone)
-                self._has_changed = True
-            self._pending_removals.clear()
+            self._apply_removals()
+            self._apply_earlier_starts(now_ms)
         if not self._has_changed:
             return None
         self._has_changed = False
-        vms = compose_vms(self._upstreams.values(), self._stream_port)
+        vms = compose_vms(self._entries.values(), self._stream_port)
         if vms == self._vms:
             return None
         self._vms = vms
         return vms
 
-
-def _start_order(upstream: ListedUpstream) -> tuple[int, int, str]:
-    return upstream.born_ms, upstream.created_revision, upstream.instance
-
-
-__all__ = ('ListedUpstream', 'ListedUpstreams', 'compose_vms', 'vm_name')
+    def _replace(self, key: str, entry: _Entry) -> None:
+        self._has_changed = self._has_changed or entry != self._entries.get(key)
+        self._entries[key] = entry
+        self._earlier_starts.pop(key, None)
+
+    def _apply_removals(self) -> None:
+        for gone in self._pending_removals:
+            self._entries.pop(gone)
+            self._earlier_starts.pop(gone, None)
+            self._has_changed = True
+        self._pending_removals.clear()
+
+    def _apply_earlier_starts(self, now_ms: float) -> None:
+        due_since_ms = now_ms - self._expiry_ms
+        for key, earlier in tuple(self._earlier_starts.items()):
+            if earlier.since_ms <= due_since_ms:
+                self._replace(key, earlier.entry)
+
+
+def _believed_start_ms(born_ms: int, now: Moment) -> int:
+    """Return the start of an upstream, 0 if no clock can have shown it."""
+    is_possible = born_ms <= now.unix_ms + _MAX_CLOCK_DIFFERENCE_MS
+    return born_ms if is_possible else 0
+
+
+__all__ = (
+    'ListedUpstream',
+    'ListedUpstreams',
+    'ListingRules',
+    'Moment',
+    'compose_vms',
+    'vm_name',
+)
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -7,12 +7,12 @@
 from gevent.event import AsyncResult
 from returns.result import Failure, Result, Success
 
-from ..clock import monotonic_ms
+from ..clock import monotonic_ms, wall_ms
 from ..logs import log_event
 from ..node.platform_client import PlatformSource, PublishedValue
 from ..node.platform_watch import CONFIG_KEY, VMS_KEY
 from ..node.refusal_log import RefusalLog
-from ..node.upstream_list import ListedUpstreams
+from ..node.upstream_list import ListedUpstreams, ListingRules, Moment
 from ..policy.removal_grace_period import (
     DEFAULT_REREGISTRATION_MS,
     RemovalGracePeriod,
@@ -43,6 +43,7 @@
     :param stream_port: port on which the nodes of all VMs accept streams.
     :param expiry_ms: time without a heartbeat after which an upstream's entry
         may expire.
+    :param node_ports: ports that the nodes listen on, the same on all VMs.
     """
 
     def __init__(
@@ -51,12 +52,15 @@
         zones: Mapping[str, str],
         stream_port: int,
         expiry_ms: float,
+        node_ports: frozenset[int],
     ) -> None:
         self._client = StoreClient(address)
         self._zones = zones
         self._upstreams = ListedUpstreams(
             stream_port,
+            ListingRules(frozenset(zones), node_ports),
             RemovalGracePeriod(expiry_ms, DEFAULT_REREGISTRATION_MS),
+            expiry_ms,
         )
         self._revision: int | None = None
         self._poll_in_flight: AsyncResult | None = None
@@ -155,7 +159,8 @@
         cause = ''
         match decode_record(item):
             case Success(upstream):
-                cause = self._upstreams.put(item.key, upstream)
+                now = Moment(monotonic_ms(), wall_ms())
+                cause = self._upstreams.put(item.key, upstream, now)
             case Failure(decode_error):
                 cause = str(decode_error)
                 self._upstreams.remove(item.key)
