Give an upstream no more work at once than it accepts connections

What callers saw: an upstream whose entry gives 100,000 slots would be sent all work that the service has, since its home admitted as much at once and told entries that it was free; beyond its connections the upstream resets.

Cause: listed slots were taken as they are. A request needs a connection of its own, so slots are bounded by the connections of the service, at the home and in the entries' estimate of the wait.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -92,6 +92,13 @@
       | address | "10.1.0.1:7000" |
       | address | "10.1.0.1:8147" |
 
+  Scenario: An upstream gets no more work at once than it accepts connections
+    Given a home whose upstream accepts 330 connections
+    When the list gives its upstream 100000 slots
+    Then the home uses 330 slots, and so do the entries
+    When the list gives its upstream 3 slots
+    Then the home uses 3 slots, and so do the entries
+
   Scenario Outline: A VM that is <odd> in a list is refused alone
     Given a list of 3 VMs, one of which is <odd>
     When a node gets the list
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -149,6 +149,15 @@
     detection: DetectionPolicy
     poison: PoisonPolicy
 
+    def slots_for(self, listed: int) -> int:
+        """Return the slots of an upstream; no request runs off a connection.
+
+        :param listed: slots that the VM list gives, 0 if it gives none.
+        """
+        if not listed:
+            return self.slots_per_upstream
+        return min(listed, self.connections_per_upstream)
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -154,8 +154,9 @@
             if service is None or vm.zone not in service.zones:
                 continue
             details = vm.upstream_details(service_name)
-            if details.slots:
-                service = replace(service, slots_per_upstream=details.slots)
+            service = replace(
+                service, slots_per_upstream=service.slots_for(details.slots)
+            )
             name = vm.upstream_id(service_name)
             specs[name] = UpstreamSpec(
                 name,
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -157,7 +157,7 @@
         load = self._members.find(status.upstream)
         if load is None:
             return
-        slots = load.slots or self.service.slots_per_upstream
+        slots = self.service.slots_for(load.slots)
         report = LoadReport(status.wait_ms, status.run_ms, slots, status.free)
         load.note_report(report, now_ms)
         load.note_risk(status.risk / RISK_SCALE, now_ms)
