Count the age of running work only as far as events were handled

Cause: admission by deadline takes the age of running work for its run time once it exceeds the average. After the process was not scheduled, requests and answers of that time are read in any order, so that work counts as running whose answer waits in a socket.

A watcher of the event loop notes the time whenever all events are handled. The age of running work ends there. Work that runs long while events are handled counts as before.

The clock is one write for each iteration of the loop.

--- a/src/jackdawhead/blackboard.py
+++ b/src/jackdawhead/blackboard.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING, Final, Generic, TypeVar
 
 if TYPE_CHECKING:
@@ -159,6 +160,8 @@
     """All topics of a node.
 
     :param stop: schedule of the planned stop, none while no stop is requested.
+    :param handled_until_ms: monotonic time up to which this process has handled
+        the events of its sockets.
     :param own_service: service of the upstream on the same VM, to which the
         callers of this node belong; empty if the settings do not name it.
     """
@@ -168,6 +171,7 @@
     )
     vm_list: Topic[VmList] = field(default_factory=lambda: Topic(VmList()))
     stop: Topic[StopPlan | None] = field(default_factory=lambda: Topic(None))
+    handled_until_ms: Topic[float] = field(default_factory=lambda: Topic(inf))
     own_service: Topic[str] = field(default_factory=lambda: Topic(''))
 
     @property
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -10,10 +10,12 @@
 
 from ...config.settings import Address
 from ...policy.homes import HomeMap
+from ..loop_clock import follow_event_loop
 from .upstream import HomeEvents, HomeUpstream, UpstreamSpec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from contextlib import ExitStack
     from random import Random
 
     from ...audit import AuditTrail
@@ -89,8 +91,15 @@
             if not self._has_queued_work():
                 self._work_queued.clear()
 
-    def close(self) -> None:
-        """Close all upstreams."""
+    def start(self, stack: ExitStack) -> None:
+        """Follow the event loop, for the age of running work.
+
+        :param stack: closes all upstreams on exit.
+        """
+        stack.callback(self._close)
+        follow_event_loop(self._board, stack)
+
+    def _close(self) -> None:
         for upstream in self.all():
             upstream.close()
 
@@ -137,6 +146,7 @@
                 self._work_queued.set,
                 self._recorder.note_end,
                 self._on_status,
+                self._board.handled_until_ms.read,
             ),
             is_new=is_new,
         )
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -52,12 +52,14 @@
     :param on_queued: called when a request is queued.
     :param on_run_end: called with upstream, fingerprint and end of each run.
     :param on_status: called with a report that all entries need at once.
+    :param handled_until_ms: time up to which ends of runs are known.
     """
 
     on_drain: Callable[[str, bool], None]
     on_queued: Callable[[], None]
     on_run_end: Callable[[str, int, FinishedRun], None]
     on_status: Callable[[UpstreamStatus], None]
+    handled_until_ms: Callable[[], float]
 
 
 class HomeUpstream:
@@ -83,6 +85,7 @@
         self._state = UpstreamState(
             spec.name, spec.service, rng, audit.record, is_new=is_new
         )
+        self._state.admission.handled_until_ms = events.handled_until_ms
         self._pool = ConnectionPool(
             spec.address, spec.service.connections_per_upstream
         )
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -127,7 +127,7 @@
         admin.start()
         stack.callback(admin.stop, 0)
         self._start_ready(stack)
-        stack.callback(self.parts.home.close)
+        self.parts.home.start(stack)
         self._channels.start(stack)
         self._callers.start()
         stack.callback(self._callers.stop, 0)
--- a/src/jackdawhead/policy/admission.py
+++ b/src/jackdawhead/policy/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from ..config.model import WorkClass
@@ -13,6 +14,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from ..clock import Clock
     from ..config.model import Service
 
 START: Final = Admission(Verdict.START)
@@ -24,6 +26,9 @@
 
     :param service: limits and operations.
     :param rng: randomizes the time after which refused callers retry.
+
+    The attribute ``handled_until_ms`` returns the monotonic time up to which
+    ends of runs are known: those of later ones may not have been read yet.
     """
 
     def __init__(self, service: Service, rng: Random) -> None:
@@ -32,6 +37,7 @@
         self._running: dict[int, Work] = {}
         self._started_ms: dict[int, float] = {}
         self._running_long = 0
+        self.handled_until_ms: Clock = lambda: inf
         self.run_times = RunTimes(service.operations)
 
     @property
@@ -125,12 +131,17 @@
         )
 
     def mean_age_ms(self, now_ms: float) -> float:
-        """Return the mean time for which the running short work has run.
+        """Return the mean time for which the short work is known to have run.
+
+        Load pattern: more busy processes than cores. After the home was not
+        scheduled for some time, requests and answers of that time are read in
+        any order, so work that still counts as running may have ended.
 
         :param now_ms: monotonic time.
         """
+        known_ms = min(now_ms, self.handled_until_ms())
         ages = [
-            now_ms - self._started_ms[work.work_id]
+            max(0, known_ms - self._started_ms[work.work_id])
             for work in self._running.values()
             if work.work_class is WorkClass.SHORT
         ]
