Numbers in messages between nodes have bounds

What callers saw where a node sends a number that is none for the field: a refusal with -5000 ms was passed on as 'Retry-After: -5'; a length of -5 bytes as the length of the body; an upstream avoided for 10^18 ms was avoided for good; a negative run time drew all work; a version of 2^64 - 1 outdated every later one; a negative credit held a body until its deadline.

Cause: fields were checked by type alone.

The bounds admit all that this build sends, among it a negative number of free slots while more requests run than there are slots.

--- /dev/null
+++ b/features/steps/field_steps.py
@@ -0,0 +1,52 @@
+"""Steps about the numbers in messages between nodes."""
+
+from __future__ import annotations
+
+from dataclasses import fields, replace
+from typing import TYPE_CHECKING, Any, Final
+
+from behave import then, when
+from returns.result import Success
+
+from jackdawhead.wire import messages
+from jackdawhead.wire.codec import decode, encode
+from jackdawhead.wire.messages import Message
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_LENGTH_BYTES: Final = 4
+# A value within all bounds, by the type of a field.
+_PLAIN: Final[dict[str, Any]] = {
+    'int': 200,
+    'str': 'a',
+    'bytes': b'a',
+    'bool': True,
+    'HeaderPairs': [],
+}
+
+
+def message_of(kind: str) -> Message:
+    """Return a message with plain values."""
+    message_type = getattr(messages, kind)
+    plain = [_PLAIN[str(each.type)] for each in fields(message_type)]
+    message: Message = message_type(*plain)
+    return message
+
+
+@when('a message "{kind}" has the {field} {number:d}')
+def change_field(context: Context, kind: str, field: str, number: int) -> None:
+    """Encode and decode a message with one changed field."""
+    sent = replace(message_of(kind), **{field: number})
+    context.field = field
+    context.decoded = decode(encode(sent)[_LENGTH_BYTES:])
+
+
+@then('it is decoded as {result}')
+def check_decoded(context: Context, result: str) -> None:
+    """Compare the changed field, or check that the message is refused."""
+    if result == 'malformed':
+        assert not isinstance(context.decoded, Success), context.decoded
+    else:
+        message = context.decoded.unwrap()
+        assert getattr(message, context.field) == int(result), message
--- a/src/jackdawhead/wire/codec.py
+++ b/src/jackdawhead/wire/codec.py
@@ -13,6 +13,7 @@
 import msgpack
 from returns.result import Failure, Result, Success
 
+from .field_bounds import Bounds, bounds_of
 from .messages import MESSAGE_CODES, MESSAGE_TYPES, Message
 
 MAX_FRAME_BYTES: Final = 1_200_000
@@ -35,6 +36,15 @@
     kind: tuple(_WIRE_TYPES[str(each.type)] for each in fields(kind))
     for kind in MESSAGE_CODES
 }
+_PositionedBounds = tuple[tuple[int, Bounds], ...]
+_INT_FIELDS: Final[dict[type[Message], _PositionedBounds]] = {
+    kind: tuple(
+        (position, bounds_of(name))
+        for position, name in enumerate(names)
+        if _FIELD_TYPES[kind][position] is int
+    )
+    for kind, names in _FIELD_NAMES.items()
+}
 _pack = msgpack.Packer(use_bin_type=True).pack
 
 
@@ -70,6 +80,8 @@
     arguments: list[Any] = parts[1:]
     if not _has_valid_fields(kind, arguments):
         return Failure(f'wrong fields for {kind.__name__}')
+    if not _apply_bounds(kind, arguments):
+        return Failure(f'number out of bounds in {kind.__name__}')
     return Success(kind(*arguments))
 
 
@@ -81,6 +93,17 @@
     return all(_is_header_pairs(part) for part in pairs)
 
 
+def _apply_bounds(kind: type[Message], arguments: list[Any]) -> bool:
+    """Reduce numbers above a bound; return whether all others are within."""
+    for position, bounds in _INT_FIELDS[kind]:
+        number = arguments[position]
+        if number > bounds.most and bounds.clamps:
+            arguments[position] = bounds.most
+        elif not bounds.least <= number <= bounds.most:
+            return False
+    return True
+
+
 def _is_header_pairs(part: list[Any]) -> bool:
     return all(
         isinstance(pair, list)
