Slots, address and start of an upstream's entry have bounds

What was seen: an entry of another writer with 10^18 slots was taken, so that the home admitted as many requests at once and the entries preferred it for its free slots; one with digits of another script in its address was taken; a start of more than 2^53 ms outdated every real one.

Cause: the numbers had a lower bound only, and the pattern's digits were those of any script.

The bound of slots is that of the configuration, 100,000; such an entry names no upstream, like one of 0 slots.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -59,6 +59,26 @@
       | address       | "somewhere:80"      |
       | slots         | "3"                 |
       | slots         | 0                   |
+      | slots         | -1                  |
+      | slots         | 2.5                 |
+      | slots         | true                |
+      | slots         | 100001              |
+      | slots         | 1000000000000000000 |
+      | slots         | 18446744073709551616 |
+      | address       | "10.1.0.9:+80"      |
+      | address       | "10.1.0.9:8_0"      |
+      | address       | "10.1.0.9:8٠"       |
+      | address       | "1٠.1.0.9:80"       |
+      | address       | "10.1.0.9:80\\n"     |
+      | address       | "10.1.0.9:0"        |
+      | address       | "10.1.0.9:-1"       |
+      | born          | -1                  |
+      | born          | 9007199254740992    |
+      | born          | 18446744073709551616 |
+      | coldRemaining | "-1s"               |
+      | coldRemaining | "infs"              |
+      | coldRemaining | "1_0s"              |
+      | coldRemaining | "1٠s"               |
       | coldRemaining | 5                   |
       | coldRemaining | "soon"              |
       | seq           | 1.5                 |
--- a/src/jackdawhead/node/vm_list_codec.py
+++ b/src/jackdawhead/node/vm_list_codec.py
@@ -16,10 +16,12 @@
     from collections.abc import Iterable
 
 _MAX_PORT: Final = 65_535
+MAX_SLOTS: Final = 100_000
+MAX_BORN_MS: Final = 9_007_199_254_740_991
 # No slash: it separates the parts of an upstream's identity.
 _INSTANCE_PATTERN: Final = '^[A-Za-z0-9._:-]{0,128}$'
 _Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
-_Ip = Annotated[str, Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
+_Ip = Annotated[str, Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}$')]
 _Port = Annotated[int, Meta(ge=0, le=_MAX_PORT)]
 _NonNegativeInt = Annotated[int, Meta(ge=0)]
 
@@ -28,8 +30,8 @@
     """Optional details of one upstream, as published by the platform."""
 
     instance: Annotated[str, Meta(pattern=_INSTANCE_PATTERN)] = ''
-    born_ms: _NonNegativeInt = 0
-    slots: _NonNegativeInt = 0
+    born_ms: Annotated[int, Meta(ge=0, le=MAX_BORN_MS)] = 0
+    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)] = 0
     cold_ms: _NonNegativeInt = 0
     leaving: bool = False
 
@@ -147,6 +149,8 @@
 
 
 __all__ = (
+    'MAX_BORN_MS',
+    'MAX_SLOTS',
     'apply_change',
     'build_change',
     'changed_vm_names',
--- a/src/jackdawhead/platform/upstream_entries.py
+++ b/src/jackdawhead/platform/upstream_entries.py
@@ -10,12 +10,14 @@
 
 from ..config.schema import NAME_PATTERN
 from ..node.upstream_list import ListedUpstream
+from ..node.vm_list_codec import MAX_BORN_MS, MAX_SLOTS
 from .config_document import DECODE_ERRORS
 from .formats import parse_duration_ms
 from .names import UPSTREAM_KEY_PREFIX
 from .store_types import StoredItem
 
 _MAX_PORT: Final = 65_535
+_ADDRESS_PATTERN: Final = r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$'
 _DRAINING_STATE: Final = 'draining'
 _Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 
@@ -33,14 +35,14 @@
     """
 
     service: _Name
-    address: Annotated[str, Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')]
+    address: Annotated[str, Meta(pattern=_ADDRESS_PATTERN)]
     zone: _Name
     version: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal['ready', 'draining']
     cold: str = msgspec.field(name='coldRemaining')
     seq: int
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: Annotated[int, Meta(ge=0, le=MAX_BORN_MS)] = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_Record)
