Credit of a body does not exceed its window

What could happen: a node that grants more bytes than it received, up to 2^64, switches the flow control of that body off, and the sender keeps as much of the body in memory as the other side sends.

Cause: grants were added without a bound. What a receiver can grant is what was sent to it, so the credit is never above the window.

--- a/features/steps/field_steps.py
+++ b/features/steps/field_steps.py
@@ -1,13 +1,15 @@
-"""Steps about the numbers in messages between nodes."""
+"""Steps about the numbers in messages between nodes, and their credit."""
 
 from __future__ import annotations
 
 from dataclasses import fields, replace
 from typing import TYPE_CHECKING, Any, Final
 
-from behave import then, when
+import gevent
+from behave import given, then, when
 from returns.result import Success
 
+from jackdawhead.node.credit import WINDOW_BYTES, CreditGate
 from jackdawhead.wire import messages
 from jackdawhead.wire.codec import decode, encode
 from jackdawhead.wire.messages import Message
@@ -16,6 +18,7 @@
     from behave.runner import Context
 
 _LENGTH_BYTES: Final = 4
+_TIMEOUT_S: Final = 0.1
 # A value within all bounds, by the type of a field.
 _PLAIN: Final[dict[str, Any]] = {
     'int': 200,
@@ -50,3 +53,28 @@
     else:
         message = context.decoded.unwrap()
         assert getattr(message, context.field) == int(result), message
+
+
+@given('a sender of a body that has spent its window')
+def make_gate(context: Context) -> None:
+    """Create the flow control of a body and spend all its credit."""
+    context.gate = CreditGate()
+    context.gate.acquire(WINDOW_BYTES)
+
+
+@when('it is granted {credit:d} bytes')
+def grant(context: Context, credit: int) -> None:
+    """Grant credit, as the receiver of the body does."""
+    context.gate.grant(credit)
+
+
+@then('it may send {number:d} bytes before it waits')
+def check_credit(context: Context, number: int) -> None:
+    """Spend all the credit but a byte, and then that byte."""
+    with gevent.Timeout(_TIMEOUT_S):
+        if number:
+            context.gate.acquire(number - 1)
+            context.gate.acquire(1)
+    with gevent.Timeout(_TIMEOUT_S, False):
+        context.gate.acquire(1)
+        raise AssertionError('it does not wait')
--- a/features/wire/bounds.feature
+++ b/features/wire/bounds.feature
@@ -63,3 +63,17 @@
       | VmListSnapshot | version         | 18446744073709551615 | malformed |
       | VmListDelta    | base            | -1                   | malformed |
       | Pong           | serial          | -1                   | malformed |
+
+  Scenario Outline: A sender that is granted <credit> bytes stays within its window
+    Given a sender of a body that has spent its window
+    When it is granted <credit> bytes
+    Then it may send <bytes> bytes before it waits
+
+    Examples:
+      | credit               | bytes  |
+      | 0                    | 0      |
+      | 1                    | 1      |
+      | 16384                | 16384  |
+      | 262144               | 262144 |
+      | 262145               | 262144 |
+      | 18446744073709551615 | 262144 |
--- a/src/jackdawhead/node/credit.py
+++ b/src/jackdawhead/node/credit.py
@@ -30,11 +30,13 @@
             self._has_credit.clear()
 
     def grant(self, byte_count: int) -> None:
-        """Add credit.
+        """Add credit, up to the window.
 
         :param byte_count: number of bytes that the receiver has forwarded.
         """
-        self._remaining_bytes += byte_count
+        self._remaining_bytes = min(
+            WINDOW_BYTES, self._remaining_bytes + byte_count
+        )
         if self._remaining_bytes > 0:
             self._has_credit.set()
 
