A published version that is no counter is refused

What was seen: a version of Infinity or null ended the reader of the platform by an error that it did not expect; 1.5, true, '1_0' and digits of another script were taken as 1, 1, 10 and 7; a version above 2^53, which no other node accepts in a message, was activated and announced.

Cause: the version was converted by int(). It is now an integer of JSON within the bounds that messages have, or the read has failed.

--- a/features/steps/field_steps.py
+++ b/features/steps/field_steps.py
@@ -7,9 +7,10 @@
 
 import gevent
 from behave import given, then, when
-from returns.result import Success
+from returns.result import Failure, Success
 
 from jackdawhead.node.credit import WINDOW_BYTES, CreditGate
+from jackdawhead.node.platform_client import decode_published
 from jackdawhead.wire import messages
 from jackdawhead.wire.codec import decode, encode
 from jackdawhead.wire.messages import Message
@@ -78,3 +79,22 @@
     with gevent.Timeout(_TIMEOUT_S, False):
         context.gate.acquire(1)
         raise AssertionError('it does not wait')
+
+
+@when('the platform publishes a value with the version {text}')
+def publish(context: Context, text: str) -> None:
+    """Decode the body of the platform's answer."""
+    body = f'{{"version": {text}, "value": {{}}}}'
+    context.decoded = decode_published(body.encode())
+
+
+@then('the value is refused')
+def check_value_refused(context: Context) -> None:
+    """Check that the reader is told why."""
+    assert isinstance(context.decoded, Failure), context.decoded
+
+
+@then('the value has the version {version:d}')
+def check_version(context: Context, version: int) -> None:
+    """Compare the version."""
+    assert context.decoded.unwrap().version == version
--- a/features/wire/bounds.feature
+++ b/features/wire/bounds.feature
@@ -77,3 +77,26 @@
       | 262144               | 262144 |
       | 262145               | 262144 |
       | 18446744073709551615 | 262144 |
+
+  Scenario Outline: A published value with the version <json> is refused
+    When the platform publishes a value with the version <json>
+    Then the value is refused
+
+    Examples:
+      | json                 |
+      | -1                   |
+      | 9007199254740992     |
+      | 18446744073709551616 |
+      | 1.5                  |
+      | 1e400                |
+      | Infinity             |
+      | NaN                  |
+      | true                 |
+      | null                 |
+      | "1_0"                |
+      | "٧"                  |
+      | []                   |
+
+  Scenario: A published value with a version in its bounds is read
+    When the platform publishes a value with the version 9007199254740991
+    Then the value has the version 9007199254740991
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -13,6 +13,7 @@
 
 from ..clock import seconds
 from ..config.sources import MAX_CONFIG_BYTES
+from ..wire.field_bounds import MAX_VERSION
 
 if TYPE_CHECKING:
     from ..config.settings import Address
@@ -99,9 +100,28 @@
         return Success(None)
     if response.status_code != _OK:
         return Failure(f'status {response.status_code}')
-    body = response.read(2 * MAX_CONFIG_BYTES)
-    plain = json.loads(body)
-    return Success(PublishedValue(int(plain['version']), plain['value']))
+    return decode_published(response.read(2 * MAX_CONFIG_BYTES))
+
 
+def decode_published(body: bytes) -> Result[PublishedValue, str]:
+    """Decode the platform's answer to a read.
 
-__all__ = ('PlatformClient', 'PlatformSource', 'PublishedValue')
+    :param body: JSON with the version and the value.
+    :returns: the value, or why it is refused.
+    :raises ValueError: if the body is not JSON.
+    :raises KeyError: if a field is missing.
+    """
+    plain = json.loads(body)
+    version = plain['version']
+    is_int = isinstance(version, int) and not isinstance(version, bool)
+    if not is_int or not 0 <= version <= MAX_VERSION:
+        return Failure(f'invalid version {version!r}')
+    return Success(PublishedValue(version, plain['value']))
+
+
+__all__ = (
+    'PlatformClient',
+    'PlatformSource',
+    'PublishedValue',
+    'decode_published',
+)
