An announced length has a bound in the usual size of transfers

What could happen: one answer that announces 2^64 - 1 bytes, of which none needs to have come, made the usual size of its operation 1.8 x 10^18 bytes, so that an upstream in another zone cost more than any wait, until some 300 further answers.

Before: the row of 2^64 - 1 failed; after, one such answer counts as 1 GiB, the largest body of a request by default.

--- a/features/policy/answers.feature
+++ b/features/policy/answers.feature
@@ -21,3 +21,13 @@
       | bytes behind an answer           | id=r1,len=2,hi;junk            | "hi"      | not kept |
       | an interim answer before it      | interim;id=r1,len=2,hi         | "hi"      | kept     |
       | an answer that closes            | id=r1,close,len=2,hi           | "hi"      | not kept |
+
+  Scenario Outline: An announced length of <bytes> bytes has a bound in the usual size
+    Given a service whose answers have 1000 bytes
+    When an answer of <bytes> bytes is announced
+    Then the usual size is at most <usual> bytes
+
+    Examples:
+      | bytes                | usual     |
+      | 2000                 | 1100      |
+      | 18446744073709551615 | 107375083 |
--- a/features/steps/field_steps.py
+++ b/features/steps/field_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the numbers in messages between nodes, and their credit."""
+"""Steps about the numbers that come from other nodes and from upstreams."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 from jackdawhead.node.credit import WINDOW_BYTES, CreditGate
 from jackdawhead.node.platform_client import decode_published
+from jackdawhead.policy.transfer_sizes import TransferSizes
 from jackdawhead.wire import messages
 from jackdawhead.wire.codec import decode, encode
 from jackdawhead.wire.messages import Message
@@ -98,3 +99,22 @@
 def check_version(context: Context, version: int) -> None:
     """Compare the version."""
     assert context.decoded.unwrap().version == version
+
+
+@given('a service whose answers have {number:d} bytes')
+def make_sizes(context: Context, number: int) -> None:
+    """Create the usual size of an operation."""
+    context.sizes = TransferSizes()
+    context.sizes.note('lookup', number)
+
+
+@when('an answer of {number:d} bytes is announced')
+def note_size(context: Context, number: int) -> None:
+    """Add one size, of which no byte needs to have arrived."""
+    context.sizes.note('lookup', number)
+
+
+@then('the usual size is at most {number:d} bytes')
+def check_usual(context: Context, number: int) -> None:
+    """Compare the average."""
+    assert context.sizes.usual('lookup') <= number, context.sizes
--- a/src/jackdawhead/policy/transfer_sizes.py
+++ b/src/jackdawhead/policy/transfer_sizes.py
@@ -6,6 +6,8 @@
 
 # Weight of the latest size in the moving average.
 _NEW_SIZE_WEIGHT: Final = 0.1
+# An upstream may announce any length, and send nothing.
+_MAX_BYTES: Final = 1_073_741_824
 
 
 class TransferSizes:
@@ -20,9 +22,10 @@
         :param operation: name of the operation.
         :param byte_count: bytes of both together.
         """
-        known = self._average_bytes.get(operation, byte_count)
+        bounded = min(_MAX_BYTES, byte_count)
+        known = self._average_bytes.get(operation, bounded)
         self._average_bytes[operation] = known + _NEW_SIZE_WEIGHT * (
-            byte_count - known
+            bounded - known
         )
 
     def usual(self, operation: str) -> float:
