Follow the store through odd answers

What callers saw: an answer of the store with one odd item was refused whole, again and again: no change of the list or the configuration arrived any more. Deep nesting raised RecursionError, which restarted the loop each half second, and at the start kept the node from becoming ready. A revision beyond 62 bits was followed, so that no later change was newer. Pages that repeat were read forever, with one priced call after the other.

'A change made while pages are read' needs no odd answer: the watch began at the highest revision of all pages, and a change of the first page, made while the second was read, was lost.

Now each item is decoded alone and as far as it can be read. The watch begins at the first page's revision, advances to the latest change that the store has reached, and past changes that cannot be read. After an answer that cannot be read all items are read instead, with the backoff of other failures. A call ends after 8 s and its wait, also if the answer drips.

The stand-in store has a hook that alters its answers. The fuzz test of answers calls the same code under its new name.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -35,7 +35,8 @@
     Moment,
 )
 from jackdawhead.node.vm_list_codec import parse_vm_list
-from jackdawhead.platform.store import _decode_changes, _decode_page
+from jackdawhead.platform.store import _decode_changes
+from jackdawhead.platform.store_pages import Pages
 from jackdawhead.platform.store_types import StoredItem
 from jackdawhead.platform.upstream_entries import decode_record
 from jackdawhead.policy.removal_grace_period import RemovalGracePeriod
@@ -211,11 +212,11 @@
     def check(plain: Any, field: str) -> None:
         for body in (plain, {field: plain}, {field: [plain]}):
             encoded = msgspec.json.encode(without_surrogates(body))
-            context.read = (_decode_page(encoded), _decode_changes(encoded))
+            context.read = (Pages().add(encoded), _decode_changes(encoded))
 
     check_examples(check, count, plain=_PLAIN, field=st.sampled_from(fields))
     for body in (_DEEP_NESTING.encode(), b'\xff', b''):
-        context.read = (_decode_page(body), _decode_changes(body))
+        context.read = (Pages().add(body), _decode_changes(body))
 
 
 def without_surrogates(plain: Any) -> Any:
--- a/src/jackdawhead/platform/store.py
+++ b/src/jackdawhead/platform/store.py
@@ -2,24 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final, TypeVar
+from typing import TYPE_CHECKING, Final
 from urllib.parse import quote
 
 import msgspec
-from gevent import socket
+from gevent import Timeout, socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
 
 from ..clock import seconds
-from .store_types import (
-    Page,
-    Snapshot,
-    StoredItem,
-    StoreFailure,
-    WatchEvents,
-)
+from .store_pages import Pages, decode_answer
+from .store_types import Snapshot, StoreFailure, WatchEvents, read_item
 
 if TYPE_CHECKING:
     from gevent.socket import socket as Socket
@@ -29,6 +24,8 @@
 _HTTP_OK: Final = 200
 _HTTP_GONE: Final = 410
 _CALL_TIMEOUT_MS: Final = 2000
+# An answer may arrive slowly, but not forever.
+_MAX_CALL_MS: Final = 8000
 # TCP keep-alive detects a dead connection within this time, also while a
 # watch waits for changes.
 _DEAD_CONNECTION_MS: Final = 3000
@@ -39,9 +36,6 @@
 _CALL_ERRORS: Final = (OSError, HTTPParseError, msgspec.DecodeError, ValueError)
 
 
-_DecodedT = TypeVar('_DecodedT')
-
-
 class _KeepAlivePool(ConnectionPool):
     """Detects dead connections with TCP keep-alive probes."""
 
@@ -88,23 +82,18 @@
         """Return all items whose keys start with a prefix, page by page.
 
         The snapshot has the revision of its first page, so that a watch from
-        there includes changes made while later pages were read.
+        there includes changes made while later pages were read. It is not
+        complete if the pages don't end.
 
         :param prefix: key prefix, empty for all items.
         """
-        found: list[StoredItem] = []
+        pages = Pages()
         target = f'/kv-range?prefix={quote(prefix, safe="")}'
-        result = self._call(target, 0).bind(_decode_page)
-        first: Page | None = None
-        while isinstance(result, Success):
-            page = result.unwrap()
-            first = first or page
-            found.extend(page.found)
-            if not page.has_more or not page.found:
-                return Success(Snapshot(first.at, tuple(found)))
-            after = quote(page.found[-1].key, safe='')
-            result = self._call(f'{target}&after={after}', 0).bind(_decode_page)
-        return Failure(result.failure())
+        result = self._call(target, 0).bind(pages.add)
+        while isinstance(result, Success) and pages.may_continue:
+            after = quote(pages.last_key, safe='')
+            result = self._call(f'{target}&after={after}', 0).bind(pages.add)
+        return result.map(lambda _: pages.snapshot)
 
     def watch(
         self,
@@ -129,8 +118,10 @@
     ) -> Result[bytes, StoreFailure]:
         self.call_count += 1
         client = _KeepAliveClient(self._address, wait_ms)
+        limit_s = seconds(_MAX_CALL_MS + wait_ms)
         try:
-            return _send_get(client, target)
+            with Timeout(limit_s, TimeoutError('the answer never ends')):
+                return _send_get(client, target)
         except _CALL_ERRORS as error:
             return Failure(StoreFailure(f'{type(error).__name__}: {error}'))
         finally:
@@ -149,22 +140,11 @@
     return Failure(StoreFailure(f'status {status}', status == _HTTP_GONE))
 
 
-def _decode_page(body: bytes) -> Result[Page, StoreFailure]:
-    return _decode(body, Page)
-
-
 def _decode_changes(body: bytes) -> Result[Snapshot, StoreFailure]:
-    found = _decode(body, WatchEvents)
-    return found.map(lambda each: Snapshot(each.at, tuple(each.events)))
-
-
-def _decode(
-    body: bytes, kind: type[_DecodedT]
-) -> Result[_DecodedT, StoreFailure]:
-    try:
-        return Success(msgspec.json.decode(body, type=kind))
-    except msgspec.DecodeError as error:
-        return Failure(StoreFailure(f'{kind.__name__}: {error}'))
+    found = decode_answer(body, WatchEvents)
+    return found.map(
+        lambda each: Snapshot(each.at, tuple(map(read_item, each.events)))
+    )
 
 
 __all__ = ('StoreClient',)
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -116,10 +116,12 @@
         match result:
             case Success(snapshot):
                 grace_period.note_answer(monotonic_ms())
-                self._apply(snapshot)
-                return ''
+                return self._apply(snapshot)
             case Failure(failure):
                 grace_period.note_failure(start_ms)
+                if failure.is_unreadable:
+                    # The next watch would have the same answer.
+                    self._revision = None
                 return str(failure.cause)
         raise AssertionError('a result is a success or a failure')
 
@@ -128,20 +130,26 @@
             return self._client.range(_ALL_KEYS)
         return self._client.watch(_ALL_KEYS, self._revision, wait_ms)
 
-    def _apply(self, snapshot: Snapshot) -> None:
-        if self._revision is None:
+    def _apply(self, snapshot: Snapshot) -> str:
+        """Apply an answer.
+
+        :returns: why the same call would have the same answer, empty if it
+            would not.
+        """
+        known = self._revision
+        self._revision = _next_revision(snapshot, known)
+        if known is None and snapshot.is_complete:
             present = {each.key for each in snapshot.stored_items}
             self._upstreams.keep_only(present)
-            self._revision = snapshot.revision
         for each in snapshot.stored_items:
-            # An answer without changes does not advance the revision: the
-            # store may have withheld changes and report them later.
-            self._revision = max(self._revision, each.revision)
             if each.key == CONFIG_ITEM_KEY:
                 self._apply_config(each)
             elif each.key.startswith(UPSTREAM_KEY_PREFIX):
                 self._apply_upstream(each)
         self._publish_vms(self._revision)
+        if snapshot.stored_items and self._revision == known:
+            return f'changes of no revision after {known}'
+        return ''
 
     def _apply_config(self, item: StoredItem) -> None:
         if item.is_deleted:
@@ -178,6 +186,29 @@
             self._pending[VMS_KEY] = PublishedValue(version, vms)
 
 
+def _next_revision(snapshot: Snapshot, known: int | None) -> int:
+    """Return the revision from which to watch after an answer.
+
+    An answer without changes does not advance it: the store may have withheld
+    changes and report them later. A change of a revision that the store has
+    not reached says nothing about others.
+
+    :param snapshot: the answer.
+    :param known: revision of the watch, ``None`` if all items were read.
+    """
+    if known is None:
+        return snapshot.revision
+    if not snapshot.stored_items:
+        return known
+    reached = (
+        each.revision
+        for each in snapshot.stored_items
+        if each.revision <= snapshot.revision
+    )
+    latest = max(reached, default=0)
+    return latest if latest > known else max(known, snapshot.revision)
+
+
 def _is_history_lost(result: Result[Snapshot, StoreFailure]) -> bool:
     if isinstance(result, Success):
         return False
--- a/src/jackdawhead/platform/store_types.py
+++ b/src/jackdawhead/platform/store_types.py
@@ -6,30 +6,65 @@
 
 import msgspec
 
+from ..json_parts import DECODE_ERRORS
+from ..node.listed_types import Revision
+
 
 class StoredItem(msgspec.Struct, frozen=True):
     """An item, or the record of its removal.
 
+    :param key: empty if it cannot be read.
+
     :param revision: store revision of its latest change.
     :param created_revision: store revision of its creation.
     :param is_deleted: whether it was removed.
     """
 
+    key: str = ''
+    revision: Revision = 0
+    value: bytes = b''
+    created_revision: Revision = msgspec.field(default=0, name='createdRev')
+    is_deleted: bool = msgspec.field(default=False, name='deleted')
+
+
+class _Content(msgspec.Struct, frozen=True):
+    """An item without the numbers that say when it was written."""
+
     key: str
-    revision: int = 0
     value: bytes = b''
-    created_revision: int = msgspec.field(default=0, name='createdRev')
     is_deleted: bool = msgspec.field(default=False, name='deleted')
 
 
+class _Key(msgspec.Struct, frozen=True):
+    """The key of an item that cannot be read."""
+
+    key: str
+
+
+def read_item(raw: msgspec.Raw) -> StoredItem:
+    """Decode as much of an item as can be read.
+
+    :param raw: JSON text of the item.
+    :returns: the item; without a value if only its key can be read, and
+        without a key if nothing can.
+    """
+    for kind in (StoredItem, _Content, _Key):
+        try:
+            fields = msgspec.json.decode(raw, type=kind)
+        except DECODE_ERRORS:
+            continue
+        return msgspec.convert(fields, StoredItem, from_attributes=True)
+    return StoredItem()
+
+
 class Page(msgspec.Struct, frozen=True):
     """One page of a range of items.
 
     :param at: store revision that the page reflects.
     """
 
-    at: int = msgspec.field(name='atRev')
-    found: list[StoredItem] = msgspec.field(name='items', default=[])
+    at: Revision = msgspec.field(name='atRev')
+    found: list[msgspec.Raw] = msgspec.field(name='items', default=[])
     has_more: bool = msgspec.field(default=False, name='hasMore')
 
 
@@ -39,8 +74,8 @@
     :param at: store revision at which the watch returned.
     """
 
-    at: int = msgspec.field(name='atRev')
-    events: list[StoredItem] = []
+    at: Revision = msgspec.field(name='atRev')
+    events: list[msgspec.Raw] = []
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +84,12 @@
 
     :param revision: store revision up to which all changes are included;
         later ones may be missing.
+    :param is_complete: whether items that are not included do not exist.
     """
 
     revision: int
     stored_items: tuple[StoredItem, ...]
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,10 +98,20 @@
 
     :param is_history_lost: whether the store no longer keeps the requested
         changes, so that all items have to be read again.
+    :param is_unreadable: whether the store has answered, with something else
+        than the call is for.
     """
 
     cause: str
     is_history_lost: bool = False
+    is_unreadable: bool = False
 
 
-__all__ = ('Page', 'Snapshot', 'StoreFailure', 'StoredItem', 'WatchEvents')
+__all__ = (
+    'Page',
+    'Snapshot',
+    'StoreFailure',
+    'StoredItem',
+    'WatchEvents',
+    'read_item',
+)
--- a/standins/store.py
+++ b/standins/store.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import parse_qs
@@ -23,6 +24,8 @@
 _MS_PER_S: Final = 1000
 _ITEMS_PER_PAGE: Final = 50
 
+Alter = Callable[[str, dict[str, Any]], Any]
+
 
 @dataclass(frozen=True, slots=True)
 class _Change:
@@ -42,11 +45,13 @@
 
     The attribute ``mode`` is ``up``, ``down``, ``lost`` (the next watch is
     told that the history is no longer kept) or ``mute`` (watches are not told
-    of changes).
+    of changes). The attribute ``alter`` is called with the path of a call and
+    its answer, and returns the answer to send, as plain data or as bytes.
     """
 
     def __init__(self) -> None:
         self.mode = 'up'
+        self.alter: Alter = _unaltered
         self.calls: list[str] = []
         self._revision = 1
         self._stored: dict[str, _Change] = {}
@@ -127,7 +132,7 @@
             'hasMore': len(keys) > _ITEMS_PER_PAGE,
             'atRev': self._revision,
         }
-        return send_json(start_response, '200 OK', payload)
+        return self._send('/kv-range', payload, start_response)
 
     def _watch(
         self, query: dict[str, str], start_response: Any
@@ -148,10 +153,24 @@
             left_s = end - time.monotonic()
             if events or left_s <= 0:
                 payload = {'events': events, 'atRev': self._revision}
-                return send_json(start_response, '200 OK', payload)
+                return self._send('/kv-watch', payload, start_response)
             self._changed.clear()
             self._changed.wait(left_s)
 
+    def _send(
+        self, path: str, payload: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        answer = self.alter(path, payload)
+        if not isinstance(answer, bytes):
+            return send_json(start_response, '200 OK', answer)
+        length = str(len(answer))
+        start_response('200 OK', [('Content-Length', length)])
+        return [answer]
+
+
+def _unaltered(_: str, payload: dict[str, Any]) -> dict[str, Any]:
+    return payload
+
 
 def _as_json(change: _Change) -> dict[str, Any]:
     if change.value is None:
