Refuse at a stopping entry what cannot be finished before its end

Callers on kept connections got 502, or no answer, for requests that the entry had taken and passed on 4 s and more after SIGTERM. accept_while_leaving_ms only closes the listener; on an open connection the entry took requests until its process ended and never asked whether the time left was enough.

The entry now compares the request's deadline, or else a high estimate of its completion time, with the time until the end, before the first and each further attempt and before a second copy. A home may queue the work only if the deadline fits, since nothing else bounds the wait. As a home is then told not to queue work without a redirect token, the redirects from busy homes get the limit that the tokens gave them. A tenth of the stop is kept for work that takes longer than estimated, so that the verdict does not hang on a timer. A node that ends early takes nothing from the moment of that decision, so that nothing is passed on while it closes its links.

--- /dev/null
+++ b/features/fleet/stopping.feature
@@ -0,0 +1,24 @@
+Feature: A stopping node finishes what it has taken and refuses the rest
+
+  Background:
+    Given a fleet in front of "registry-desk" whose stops take 5100 ms and close the listener after 2600 ms
+
+  Scenario Outline: Kept connections carry <method> until the stopping node has gone
+    Given 180 kept connections to the entry, which has answered <method>
+    When each sends one <method> of 900 ms at a moment of its own until 5.4 s after the entry got SIGTERM
+    Then each request that an upstream began has its whole answer
+    And each refused request was not run and its connection was closed
+    And each request without an answer was not run, and its connection was closed at the end of the process
+    And the requests of the first 1 s are served
+    And some requests are refused as "node-leaving"
+
+    Examples:
+      | method |
+      | GET    |
+      | POST   |
+
+  Scenario: Requests near the end of a stop do not wait in queues that outlast it
+    Given 40 kept connections to the entry, which has answered POST
+    When each sends one POST of 900 ms 2500 ms after the entry got SIGTERM
+    Then each refused request was not run and its connection was closed
+    And every request has an answer, and each that an upstream began its whole one
--- a/features/policy/budget.feature
+++ b/features/policy/budget.feature
@@ -24,6 +24,10 @@
     Given a retry budget of 10 of 100 requests
     Then a request that 5 homes have refused as overloaded is given up
 
+  Scenario: Redirects from busy homes are limited
+    Given a retry budget of 10 of 100 requests
+    Then a request that 6 homes have refused as busy is given up
+
   Scenario: Homes may use a fifth of the retry budget
     Given a retry budget of 10 of 100 requests
     When a home runs 100 requests, each on a connection that breaks
--- a/features/policy/stopping.feature
+++ b/features/policy/stopping.feature
@@ -7,8 +7,8 @@
     Examples:
       | work | since | verdict  |
       | 900  | 0     | fits     |
-      | 900  | 4000  | fits     |
-      | 900  | 4200  | does not |
+      | 900  | 3600  | fits     |
+      | 900  | 3800  | does not |
       | 900  | 4900  | does not |
       | 1    | 5090  | does not |
       | 0    | 5100  | does not |
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -568,10 +568,10 @@
     assert attempt - 1 == number, attempt
 
 
-@then('a request that {number:d} homes have refused as overloaded is given up')
-def check_no_more_attempts(context: Context, number: int) -> None:
+@then('a request that {number:d} homes have refused as {reason} is given up')
+def check_no_more_attempts(context: Context, number: int, reason: str) -> None:
     """Check that the last of these refusals allows no further attempt."""
-    end = AttemptEnd(Outcome.NOT_RUN, Reason.OVERLOADED)
+    end = AttemptEnd(Outcome.NOT_RUN, Reason(reason))
     assert context.budget.may_resend(end, number - 1, 0, 2)
     assert not context.budget.may_resend(end, number, 0, 2)
 
--- a/src/jackdawhead/node/entry/answer_body.py
+++ b/src/jackdawhead/node/entry/answer_body.py
@@ -7,7 +7,7 @@
 from ...wire.messages import Body, Credit, Head
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from .attempts import Attempt, PendingAttempts
 
@@ -23,6 +23,7 @@
     :param attempt: attempt that received the answer.
     :param head: head of the answer, with the first chunk.
     :param chunk_timeout_ms: longest wait for each further chunk.
+    :param on_complete: called when the last chunk has arrived.
     """
 
     def __init__(
@@ -31,14 +32,16 @@
         attempt: Attempt,
         head: Head,
         chunk_timeout_ms: float,
+        on_complete: Callable[[], None] | None = None,
     ) -> None:
         self._attempts = attempts
         self._attempt = attempt
         self._chunk = head.chunk
         self._last = head.last
         self._chunk_timeout_ms = chunk_timeout_ms
+        self._on_complete = on_complete
         if head.last:
-            attempts.end(attempt)
+            self._complete()
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield all chunks.
@@ -77,7 +80,7 @@
         self._chunk = message.chunk
         self._last = message.last
         if message.last:
-            self._attempts.end(self._attempt)
+            self._complete()
         return message.chunk
 
     def close(self) -> None:
@@ -85,5 +88,10 @@
         if not self._last:
             self._attempts.cancel(self._attempt)
 
+    def _complete(self) -> None:
+        self._attempts.end(self._attempt)
+        if self._on_complete is not None:
+            self._on_complete()
+
 
 __all__ = ('AnswerBody', 'CutAnswerError')
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -25,6 +25,7 @@
 from .exchanges import Exchanges
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
 from .service_window import ServiceWindows
+from .stop_limits import STOP_REFUSAL, StopLimits
 
 if TYPE_CHECKING:
     from ..channels import Channels
@@ -47,7 +48,8 @@
         self._board = parts.board
         self._routing = parts.routing
         self._pauses = parts.pauses
-        self._exchanges = Exchanges(parts, channels)
+        self._limits = StopLimits(parts.board)
+        self._exchanges = Exchanges(parts, channels, self._limits)
         self._windows = ServiceWindows(parts.routing)
 
     def dispatch(self, request: CallerRequest) -> Answer:
@@ -119,7 +121,8 @@
             call.runs += outcome is not Outcome.NOT_RUN
             call.note_outcome(outcome)
             if not self._may_resend(call, answer, attempt_number):
-                return _final_answer(call, answer, fallback)
+                answer = _final_answer(call, answer, fallback)
+                return self._limits.with_retry_time(answer)
             if isinstance(answer, UpstreamAnswer):
                 answer.body.close()
                 fallback = fallback if answer.body.buffered is None else answer
@@ -131,6 +134,8 @@
             attempt_number += 1
 
     def _attempt(self, call: Call, attempt_number: int) -> Answer:
+        if not self._limits.has_time_for(call):
+            return STOP_REFUSAL
         now_ms = monotonic_ms()
         quarantine_remaining_ms = call.router.poison.quarantine_remaining_ms(
             call.fingerprint,
@@ -186,7 +191,7 @@
             answer = self._exchanges.run(
                 call,
                 load,
-                may_wait=not is_reserved,
+                may_wait=not is_reserved and self._limits.may_wait(call),
                 risk_limit=home_risk_limit(
                     call.router,
                     call.operation,
@@ -206,7 +211,7 @@
         return answer
 
     def _may_resend(self, call: Call, answer: Answer, attempt: int) -> bool:
-        if call.left_ms() <= 0:
+        if call.left_ms() <= 0 or not self._limits.has_time_for(call):
             return False
         if not call.request.last and not _is_unsent(answer):
             return False
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -25,6 +26,7 @@
     from ..parts import NodeParts
     from .attempts import Attempt
     from .call_state import Call
+    from .stop_limits import StopLimits
 
 # The home enforces the same deadline; its refusal needs time to arrive.
 _DEADLINE_GRACE_MS: Final = 50
@@ -38,10 +40,14 @@
 
     :param parts: controllers of this node.
     :param channels: channels to the homes.
+    :param limits: limits that apply while this node stops.
     """
 
-    def __init__(self, parts: NodeParts, channels: Channels) -> None:
+    def __init__(
+        self, parts: NodeParts, channels: Channels, limits: StopLimits
+    ) -> None:
         self._channels = channels
+        self._limits = limits
         self._attempts = parts.attempts
         self._routing = parts.routing
         self._crashes = parts.crashes
@@ -145,7 +151,11 @@
         load.note_sent()
         try:
             self._submit(
-                call, load, hedge, may_wait=True, risk_limit=risk_limit
+                call,
+                load,
+                hedge,
+                may_wait=self._limits.may_wait(call),
+                risk_limit=risk_limit,
             )
             copies = (copy, Copy(hedge, load, monotonic_ms()))
             return Race(
@@ -163,6 +173,8 @@
         """Choose another upstream; one that was busy before may be free now."""
         if call.router.member_count <= 1 or call.left_ms() <= 0:
             return None
+        if not self._limits.has_time_for(call):
+            return None
         if call.max_attempts and call.runs + 2 > call.max_attempts:
             return None
         now_ms = monotonic_ms()
@@ -229,6 +241,7 @@
             attempt,
             head,
             call.operation.deadline_ms,
+            partial(_note_completion, call) if is_success(head) else None,
         )
         try:
             body.await_first()
@@ -261,4 +274,9 @@
         call.router.note_trial(load.upstream, call.operation.name, sample)
 
 
+def _note_completion(call: Call) -> None:
+    took_ms = monotonic_ms() - call.arrived_at_ms
+    call.router.completion_times.note(call.operation.name, took_ms)
+
+
 __all__ = ('Exchanges',)
--- /dev/null
+++ b/src/jackdawhead/node/entry/stop_limits.py
@@ -0,0 +1,70 @@
+"""Limits what an entry accepts while its node stops."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final
+
+from ...clock import monotonic_ms
+from ...outcome import Outcome
+from ...policy.stopping import fits_before_stop
+from ...reasons import Reason
+from .requests import Refused
+
+if TYPE_CHECKING:
+    from ...blackboard import Blackboard
+    from .call_state import Call
+    from .requests import Answer
+
+# Another node can run the request at once.
+_RETRY_AFTER_MS: Final = 50
+STOP_REFUSAL: Final = Refused(
+    Outcome.NOT_RUN, Reason.NODE_LEAVING, _RETRY_AFTER_MS
+)
+
+
+class StopLimits:
+    """Compares the time that a request needs with the time until the stop.
+
+    :param board: source of the plan of the stop.
+    """
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
+
+    def has_time_for(self, call: Call) -> bool:
+        """Return whether one more attempt will end before this node does.
+
+        :param call: the request and its state.
+        """
+        high_ms = call.router.completion_times.high_ms(call.operation)
+        return self._fits(min(call.left_ms(), high_ms))
+
+    def may_wait(self, call: Call) -> bool:
+        """Return whether a home may queue the request.
+
+        Only the deadline bounds the time in the queue.
+
+        :param call: the request and its state.
+        """
+        return self._fits(call.left_ms())
+
+    def with_retry_time(self, answer: Answer) -> Answer:
+        """Return a refusal with a time to retry, at another node.
+
+        Homes give none when they expect the entry to ask another home.
+
+        :param answer: answer to the caller; others are returned as they are.
+        """
+        if self._board.stop.read() is None or not isinstance(answer, Refused):
+            return answer
+        if answer.outcome is not Outcome.NOT_RUN or answer.retry_after_ms:
+            return answer
+        return replace(answer, retry_after_ms=_RETRY_AFTER_MS)
+
+    def _fits(self, work_ms: float) -> bool:
+        plan = self._board.stop.read()
+        return fits_before_stop(plan, work_ms, monotonic_ms())
+
+
+__all__ = ('STOP_REFUSAL', 'StopLimits')
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -52,6 +52,8 @@
             if self._has_activity(closed_ms):
                 last_active_ms = monotonic_ms()
             if monotonic_ms() - last_active_ms > _DRAIN_QUIET_MS:
+                # A request that is read from now on would be cut off.
+                self._parts.board.stop.write(plan.ending_at(monotonic_ms()))
                 return
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -116,7 +116,8 @@
         """Return whether one more attempt is allowed, and take its token.
 
         Redirects from busy homes are paid for by their reservation and don't
-        count as attempts. Neither do redirects from homes whose upstream is
+        count as attempts; without one, the number of tries is as limited.
+        Neither do redirects from homes whose upstream is
         likely to fail; the number of tries bounds them. Work that no upstream
         accepted, for example because a link is still being established or the
         upstream drains, needs no token for up to five attempts in total, since
@@ -127,6 +128,8 @@
         :param runs: number of attempts that may have run, all by default.
         :param max_runs: limit on these, 0 for that of the policy.
         """
+        if end.reason is Reason.BUSY:
+            return attempt <= _MAX_REDIRECTS
         if end.reason in _REDIRECT_REASONS:
             return True
         if end.reason in _UNACCEPTED_REASONS:
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .balancers import BALANCERS
+from .completion_times import CompletionTimes
 from .detection import Health, HealthChange
 from .detectors import DETECTORS
 from .evidence import CUSUM_SCALE, Sample, Summary
@@ -43,6 +44,7 @@
         self.budget = RetryBudget(service.retry)
         self.poison = PoisonTable(service.poison)
         self.transfer_sizes = TransferSizes()
+        self.completion_times = CompletionTimes()
         self.shortage = Shortage()
         self._rng = rng
         self._balancer = BALANCERS.find(service.balancer).unwrap()()
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-# Reserved at the end of a stop, to send the last answers and close links.
-_CLOSING_MS: Final = 100
+# Share of a stop, at its end, that is left for work that takes longer than
+# estimated, and for sending the last answers.
+_RESERVED_SHARE: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +38,9 @@
             complete, waits included.
         :param now_ms: monotonic time.
         """
-        return work_ms + _CLOSING_MS <= self.remaining_ms(now_ms)
+        reserved_ms = _RESERVED_SHARE * (self.ends_at_ms - self.began_at_ms)
+        left_ms = self.remaining_ms(now_ms)
+        return left_ms > 0 and work_ms + reserved_ms <= left_ms
 
     def ending_at(self, now_ms: float) -> StopPlan:
         """Return the plan with an earlier end, from which on no work fits.
