Issue no ticket at a node that stops

A caller that asked a stopping node for a ticket got one (201). Tickets belong to the process that issued them, so that every resend after the stop is answered with 409 ticket-gone, outcome unknown, whether the work ran or not: the ticket had lost its purpose when it was issued. The answer did not ask to close the connection either, as the path for tickets left before that header.

Before, failing on the code before this change: 201 with a ticket, no Connection header, after SIGTERM. After: 503, outcome not-run, Retry-After, Connection: close.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -28,3 +28,9 @@
     When one sends half of its body before the entry gets SIGTERM
     Then it gets status 503 with the outcome "not-run"
     And it was not run
+
+  Scenario: A stopping node issues no ticket
+    Given 1 kept connections to the entry, which has answered POST
+    When the entry gets SIGTERM
+    And a ticket is asked for on the kept connection
+    Then it gets status 503 with the outcome "not-run"
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -95,8 +95,26 @@
         names = self._header_names()
         ticket = header_of(request.env, names.ticket)
         if ticket == _NEW_TICKET:
+            self._issue_ticket(response, names)
+        else:
+            self._serve(request, response, names, ticket)
+        if self._board.leaving:
+            response.set_header('Connection', 'close')
+
+    def _issue_ticket(self, response: Response, names: HeaderNames) -> None:
+        if self._board.leaving:
+            # Its answer would be gone with this process.
+            _fill_refusal(response, STOP_REFUSAL, names, self._caller_policy())
+        else:
             _fill_ticket(response, self._tickets.issue(), names)
-            return
+
+    def _serve(
+        self,
+        request: Request,
+        response: Response,
+        names: HeaderNames,
+        ticket: str,
+    ) -> None:
         started_ms = monotonic_ms()
         note_disconnect = partial(
             self._note_disconnect, request.env, names, started_ms
@@ -111,8 +129,6 @@
                 _stream(response, body, answer.body_bytes)
         else:
             _fill_refusal(response, answer, names, self._caller_policy())
-        if self._board.leaving:
-            response.set_header('Connection', 'close')
 
     def _note_disconnect(
         self,
