A stopping home goes on accepting work that it can finish

Callers were refused while sound upstreams were idle. Only the node beside an upstream can reach it, and its home refused all work as node-leaving from SIGTERM on, while the process runs on for 2.9 s at least and for up to 5.1 s.

A home now accepts what the time left allows for: a free slot, or the expected wait, and the high estimate of the run time. Queued work that no longer fits is handed back as not run, before the end, and not cut. Once the listener is closed and the own entry has nothing in progress, it refuses all work and tells the entries (avoid_ms of a status, which older nodes read as well), so that work for others lengthens the stop by no more than what already runs. HomeStop and StopProgress decide both in the live node and in the replay.

The scenarios of features/replay/floor.feature that were known red pass.

--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -8,6 +8,7 @@
 
 from ..audit import AuditKind
 from ..clock import monotonic_ms, seconds
+from ..policy.home_stop import StopPhase, StopProgress
 from ..policy.stopping import StopPlan
 
 if TYPE_CHECKING:
@@ -16,8 +17,6 @@
     from .parts import NodeParts
 
 _DRAIN_POLL_MS: Final = 20
-# A drain ends once no request has been in progress for this long.
-_DRAIN_QUIET_MS: Final = 300
 
 
 class Shutdown:
@@ -46,15 +45,25 @@
         self._channels.send_heartbeats()
         gevent.sleep(seconds(max(0, plan.closes_at_ms - monotonic_ms())))
         self._callers.close()
+        self._finish(plan)
+
+    def _finish(self, plan: StopPlan) -> None:
+        """Wait until the requests in progress have ended."""
         closed_ms = monotonic_ms()
-        last_active_ms = closed_ms
-        while plan.remaining_ms(monotonic_ms()):
-            if self._has_activity(closed_ms):
-                last_active_ms = monotonic_ms()
-            if monotonic_ms() - last_active_ms > _DRAIN_QUIET_MS:
+        progress = StopProgress(plan, closed_ms)
+        home = self._parts.home
+        while True:
+            phase = progress.step(
+                monotonic_ms(),
+                entry_active=self._is_entry_active(closed_ms),
+                home_active=bool(home.active_requests),
+            )
+            if phase is StopPhase.ENDED:
                 # A request that is read from now on would be cut off.
                 self._parts.board.stop.write(plan.ending_at(monotonic_ms()))
                 return
+            if phase is StopPhase.FINISHING:
+                home.finish_running()
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
     def _plan(self) -> StopPlan:
@@ -66,13 +75,13 @@
             ends_at_ms=now_ms + settings.drain_ms,
         )
 
-    def _has_activity(self, closed_ms: float) -> bool:
-        """Return whether a request is in progress or may still arrive.
+    def _is_entry_active(self, closed_ms: float) -> bool:
+        """Return whether a caller's request is in progress or may arrive.
 
         :param closed_ms: monotonic time at which the listener was closed,
             in milliseconds.
         """
-        if self._callers.active or self._parts.home.active_requests:
+        if self._callers.active:
             return True
         since_close_ms = monotonic_ms() - closed_ms
         return (
--- a/src/jackdawhead/replay/stops.py
+++ b/src/jackdawhead/replay/stops.py
@@ -110,10 +110,18 @@
         )
         if phase is StopPhase.ENDED:
             self._end()
-        else:
-            self._timeline.schedule_after(
-                _POLL_MS, lambda: self._poll(progress)
-            )
+            return
+        if phase is StopPhase.FINISHING:
+            self._finish_running()
+        self._timeline.schedule_after(_POLL_MS, lambda: self._poll(progress))
+
+    def _finish_running(self) -> None:
+        for upstream in self._upstreams():
+            status = upstream.finish_running()
+            if status is not None:
+                service = status.upstream.rpartition('/')[2]
+                for entry in self._entries.values():
+                    entry.view.on_status(service, status)
 
     def _end(self) -> None:
         self._is_running = False
