--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -16,9 +16,11 @@
 from ...reasons import Reason
 from ..http_server import SOCKET_KEY
 from ..tickets.store import TICKET_LIFETIME_MS
+from .body_reads import BodyReads, NodeStopsError
 from .caller_watch import WatchedBody, watch_caller
 from .request_reader import header_of, read_request
 from .requests import Answer, Refused, UpstreamAnswer
+from .stop_limits import STOP_REFUSAL
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +78,7 @@
         self._dispatcher = dispatchers.plain
         self._tickets = dispatchers.tickets
         self._request_stats = request_stats
+        self._reads = BodyReads(board)
 
     def app(self) -> App:
         """Return the WSGI application."""
@@ -92,8 +95,26 @@
         names = self._header_names()
         ticket = header_of(request.env, names.ticket)
         if ticket == _NEW_TICKET:
+            self._issue_ticket(response, names)
+        else:
+            self._serve(request, response, names, ticket)
+        if self._board.leaving:
+            response.set_header('Connection', 'close')
+
+    def _issue_ticket(self, response: Response, names: HeaderNames) -> None:
+        if self._board.leaving:
+            # Its answer would be gone with this process.
+            _fill_refusal(response, STOP_REFUSAL, names, self._caller_policy())
+        else:
             _fill_ticket(response, self._tickets.issue(), names)
-            return
+
+    def _serve(
+        self,
+        request: Request,
+        response: Response,
+        names: HeaderNames,
+        ticket: str,
+    ) -> None:
         started_ms = monotonic_ms()
         note_disconnect = partial(
             self._note_disconnect, request.env, names, started_ms
@@ -108,8 +129,6 @@
                 _stream(response, body, answer.body_bytes)
         else:
             _fill_refusal(response, answer, names, self._caller_policy())
-        if self._board.leaving:
-            response.set_header('Connection', 'close')
 
     def _note_disconnect(
         self,
@@ -148,10 +167,12 @@
         max_bytes = self._caller_policy().max_body_bytes
         if (length or 0) > (max_bytes or self._settings.max_body_bytes):
             return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
+        idle_ms = self._settings.caller_idle_ms
         try:
-            call = read_request(
-                environ, names, length, self._settings.caller_idle_ms
-            )
+            with self._reads.track():
+                call = read_request(environ, names, length, idle_ms)
+        except NodeStopsError:
+            return STOP_REFUSAL
         except TimeoutError:
             return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         except OSError:
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -9,9 +9,11 @@
 from gevent.event import Event
 
 from ...config.settings import Address
+from ...policy.home_stop import HomeStop
 from ...policy.homes import HomeMap
 from ..loop_clock import follow_event_loop
-from .upstream import HomeEvents, HomeUpstream, UpstreamSpec
+from .upstream import HomeUpstream
+from .upstream_spec import HomeEvents, UpstreamSpec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +32,7 @@
     """Adds and removes upstreams as the VM list and configuration change.
 
     :param vm: name of the VM that this node runs on.
-    :param board: source of the VM list and the configuration.
+    :param board: source of the VM list, the configuration and the planned stop.
     :param audit: audit trail that records changes.
     :param rng: random number generator.
     :param recorder: records finished runs for replay.
@@ -57,10 +59,12 @@
         self._on_status = on_status
         self._upstreams: dict[str, HomeUpstream] = {}
         self._work_queued = Event()
+        self._stop = HomeStop()
         self._has_started = False
         self._owned: tuple[tuple[Vm, str, int], ...] = ()
         board.config.subscribe(lambda _: self._update())
         board.vm_list.subscribe(self._apply_vm_list)
+        board.stop.subscribe(self._stop.begin)
 
     def find(self, upstream: str) -> HomeUpstream | None:
         """Return an upstream of this home, or nothing if there is none.
@@ -82,7 +86,7 @@
         )
 
     def run(self) -> None:
-        """Refuse queued requests whose deadline passes, forever."""
+        """Refuse queued requests that can't be finished in time, forever."""
         while True:
             self._work_queued.wait()
             gevent.sleep(_EXPIRE_INTERVAL_S)
@@ -99,6 +103,15 @@
         stack.callback(self._close)
         follow_event_loop(self._board, stack)
 
+    def finish_running(self) -> None:
+        """Refuse all work but that which runs, from now on."""
+        if not self._stop.finish():
+            return
+        for upstream in self.all():
+            upstream.expire()
+            operation = next(iter(upstream.spec.service.operations))
+            self._on_status(upstream.status(operation))
+
     def _close(self) -> None:
         for upstream in self.all():
             upstream.close()
@@ -148,6 +161,7 @@
                 self._on_status,
                 self._board.handled_until_ms.read,
             ),
+            self._stop,
             is_new=is_new,
         )
         self._upstreams[spec.name] = upstream
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-# Reserved at the end of a stop, to send the last answers and close links.
-_CLOSING_MS: Final = 100
+# Share of a stop, at its end, that is left for work that takes longer than
+# estimated, and for sending the last answers.
+_RESERVED_SHARE: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +31,12 @@
         """
         return max(0, self.ends_at_ms - now_ms)
 
+    @property
+    def refuses_from_ms(self) -> float:
+        """Time from which on no work is accepted, however short."""
+        length_ms = self.ends_at_ms - self.began_at_ms
+        return self.ends_at_ms - _RESERVED_SHARE * length_ms
+
     def has_time_for(self, work_ms: float, now_ms: float) -> bool:
         """Return whether work that begins now ends before the process does.
 
@@ -37,7 +44,8 @@
             complete, waits included.
         :param now_ms: monotonic time.
         """
-        return work_ms + _CLOSING_MS <= self.remaining_ms(now_ms)
+        is_open = now_ms < self.refuses_from_ms
+        return is_open and now_ms + work_ms <= self.refuses_from_ms
 
     def ending_at(self, now_ms: float) -> StopPlan:
         """Return the plan with an earlier end, from which on no work fits.
--- a/src/jackdawhead/replay/requests.py
+++ b/src/jackdawhead/replay/requests.py
@@ -6,6 +6,7 @@
 from itertools import count
 from typing import TYPE_CHECKING, Final
 
+from ..policy.placement import uses_risk_balancer
 from ..policy.work import Work
 
 if TYPE_CHECKING:
@@ -13,8 +14,9 @@
     from ..policy.loads import UpstreamLoad
     from ..policy.service_router import ServiceRouter
     from ..policy.tried_upstreams import TriedUpstreams
+    from ..reasons import Reason
     from ..trace.records import ArrivalRecord
-    from .homes import HomeJob
+    from .home_answers import HomeJob
 
 _work_ids: Final = count(1)
 
@@ -33,7 +35,7 @@
     job: HomeJob | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ReplayRequest:
     """A caller's request in progress.
 
@@ -60,6 +62,21 @@
         """Virtual time of the deadline, in milliseconds."""
         return self.arrived_ms + self.operation.deadline_ms
 
+    def note_refused(
+        self, upstream: str, reason: Reason, now_ms: float
+    ) -> None:
+        """Record that an upstream's home has refused a copy.
+
+        :param upstream: identity of the upstream.
+        :param reason: reason that the home gave.
+        :param now_ms: virtual time, in milliseconds.
+        """
+        name = self.operation.name
+        self.router.note_refusal(upstream, name, reason, now_ms)
+        self.tried.note_refused(
+            upstream, reason, may_return=uses_risk_balancer(self.router)
+        )
+
     def work(self, arrived_ms: float) -> Work:
         """Return the unit of work for one copy, with a unique id.
 
--- a/src/jackdawhead/replay/views.py
+++ b/src/jackdawhead/replay/views.py
@@ -18,6 +18,8 @@
 # One-way network delays between VMs.
 _SAME_ZONE_HOP_MS: Final = 0.5
 _CROSS_ZONE_HOP_MS: Final = 2.5
+# How long a home is avoided after it was found to be unreachable.
+_AVOID_UNREACHABLE_MS: Final = 500
 _ALL_REACHABLE: Final[frozenset[str]] = frozenset()
 
 
@@ -33,6 +35,7 @@
         self.node = node
         self.routers: dict[str, ServiceRouter] = {}
         self.unreachable_homes: set[str] = set()
+        self._restarted_homes: set[str] = set()
         self._zone = zone
         self._context = context
         self._zones: dict[str, str] = {}
@@ -64,6 +67,16 @@
             )
         )
 
+    def linked_upstreams(self, router: ServiceRouter) -> dict[str, bool]:
+        """Return for each upstream of a service whether its home has a link.
+
+        :param router: router of the service.
+        """
+        return {
+            each.upstream: each.home not in self.unreachable_homes
+            for each in router.loads
+        }
+
     def mark_path(self, home: str, *, is_up: bool) -> None:
         """Mark a home as reachable or unreachable.
 
@@ -75,6 +88,42 @@
         else:
             self.unreachable_homes.add(home)
 
+    def avoid(self, home: str) -> None:
+        """Avoid a home that could not be reached, or whose link was closed.
+
+        :param home: VM of the home.
+        """
+        until_ms = self._context.timeline.now_ms + _AVOID_UNREACHABLE_MS
+        for router in self.routers.values():
+            router.avoid_home_until(home, until_ms)
+
+    def note_leaving(self, home: str) -> None:
+        """Record that the node of a home is stopping.
+
+        :param home: VM of the home.
+        """
+        for router in self.routers.values():
+            router.mark_home_leaving(home, leaving=True)
+
+    def note_linked(self, home: str) -> None:
+        """Record that a link to a home is open, so that it has not stopped.
+
+        :param home: VM of the home.
+        """
+        if home not in self._restarted_homes:
+            return
+        self._restarted_homes.discard(home)
+        for router in self.routers.values():
+            router.mark_home_leaving(home, leaving=False)
+
+    def note_restarted(self, home: str) -> None:
+        """Expect a new incarnation when the home is next linked.
+
+        :param home: VM of the home.
+        """
+        self._restarted_homes.add(home)
+        self.unreachable_homes.discard(home)
+
     def note_crash(self, service: str, fingerprint: int, upstream: str) -> None:
         """Record that a request crashed an upstream, seen by any entry."""
         poison = self.routers[service].poison
