--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -233,6 +233,11 @@
 @when('a ticket is asked for on the kept connection')
 def ask_for_ticket(context: Context) -> None:
     """Ask the stopping node for a ticket."""
+    entry = entry_of(context)
+    wait_until(
+        lambda: 'event=node-leaving' in entry.log.read_text(),
+        'the stop signal has been handled',
+    )
     kept = context.kept[0]
     kept.send(
         'POST /cultivars/t HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n'
