Log when a home can run work and when an entry uses it again

Between the start of a node's process and the first run at its upstream the log had only node-started. home-ready says when the node knows its upstreams for the first time, and what processor time that took; home-back says when an entry reaches a home again that it could not dial, after how long and how many failed dials.

--- a/src/jackdawhead/blackboard.py
+++ b/src/jackdawhead/blackboard.py
@@ -175,6 +175,12 @@
         """Whether this node is shutting down."""
         return self.stop.read() is not None
 
+    @property
+    def knows_upstreams(self) -> bool:
+        """Whether this node has a configuration and a VM list."""
+        has_config = self.config.read().loaded is not None
+        return has_config and self.vm_list.read().version > 0
+
 
 __all__ = (
     'ActiveConfig',
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -12,6 +12,7 @@
 from ..audit import AuditKind
 from ..clock import monotonic_ms, seconds
 from ..config.settings import Address
+from ..logs import log_event
 from ..policy.gossip import gossip_peers
 from .links import DialledLink, Link
 from .local_channel import receive_answer
@@ -39,10 +40,14 @@
     :param until_ms: monotonic time of the next permitted dial, in
         milliseconds.
     :param wait_ms: current backoff in milliseconds.
+    :param since_ms: monotonic time of the first failed dial, in milliseconds.
+    :param dials: number of failed dials.
     """
 
     until_ms: float
     wait_ms: int
+    since_ms: float
+    dials: int
 
 
 class Dialler:
@@ -116,8 +121,16 @@
         :param vm: VM of the node, which this node has just dialled or which
             has just dialled this node.
         """
-        if self._backoffs.pop(vm, None) is not None:
-            self._parts.routing.note_reachable(vm)
+        backoff = self._backoffs.pop(vm, None)
+        if backoff is None:
+            return
+        log_event(
+            'home-back',
+            home=vm,
+            after_ms=int(monotonic_ms() - backoff.since_ms),
+            failed_dials=backoff.dials,
+        )
+        self._parts.routing.note_reachable(vm)
 
     def redial(self) -> None:
         """Dial unlinked gossip peers and excluded homes in the background.
@@ -193,11 +206,18 @@
 
     def _back_off(self, vm: str) -> None:
         """Delay the next dial to a node by an exponential backoff."""
+        now_ms = monotonic_ms()
         previous = self._backoffs.get(vm)
         wait_ms = _MIN_BACKOFF_MS
+        since_ms = now_ms
+        dials = 1
         if previous is not None:
             wait_ms = min(_MAX_BACKOFF_MS, 2 * previous.wait_ms)
-        self._backoffs[vm] = _Backoff(monotonic_ms() + wait_ms, wait_ms)
+            since_ms = previous.since_ms
+            dials = previous.dials + 1
+        self._backoffs[vm] = _Backoff(
+            now_ms + wait_ms, wait_ms, since_ms, dials
+        )
         self._parts.routing.note_unreachable(vm, wait_ms)
 
     def _connect(self, address: Address) -> DialledLink | None:
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -18,6 +18,7 @@
 from .caller_listener import caller_server
 from .channels import Channels
 from .entry.request_stats import RequestStats
+from .home_readiness import HomeReadiness
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
 from .shutdown import Shutdown
@@ -65,6 +66,7 @@
             self._broadcast_crash,
             self._broadcast_status,
         )
+        HomeReadiness(self.parts.board, self.parts.home)
         self._channels = Channels(self.parts)
         self.parts.config.announce = self._channels.gossip.announce
         self.parts.membership.announce = self._channels.gossip.announce
