Entries dial a home that restarts until it is back

Callers saw refusals while sound, listed upstreams were idle: only the node beside an upstream can reach it, and after a restart of that node other entries used it again seconds after it was ready.

Cause: the first request after the end of a link dialled the home, was refused while the process started, and each further dial waited 500, 1000 and then 2000 ms, seen only by requests and once a second. A refused connection, which says that the VM is up, was treated like one that timed out. The same backoff met a home that is listed before it starts.

Now a schedule without I/O (policy/redial.py) tells the two apart. No request waits for such a dial; upstreams of a lost home are avoided until it is linked, not for a fixed time. A home that dials this node, or that has another incarnation than before, is dialled back at once, and a link to its former process is closed.

As entries are now linked as soon as the home listens, they could send work before it knows its upstreams. The home's heartbeat has said so all along, with version 0 of configuration or VM list: until both are known it is linked for gossip, by which it learns them even without the platform, but gets no work. It sends a heartbeat the moment that it has both.

--- /dev/null
+++ b/features/fleet/restarts.feature
@@ -0,0 +1,31 @@
+Feature: A home that has restarted gets work at once
+
+  Scenario: Entries do not back off from a home that restarts
+    Given a fleet of 12 nodes in front of "registry-desk"
+    When node 2 is stopped for 6 s while callers send lookups to the other nodes
+    Then every lookup has the whole answer to its own request
+    And each entry that lost node 2 uses it again, after at least 2 failed dials a second
+
+  Scenario: Entries do not back off from a home that is listed before it starts
+    Given a fleet of 12 nodes in front of "registry-desk" of which node 2 is listed but starts 6 s later
+    Then every lookup has the whole answer to its own request
+    And each entry that lost node 2 uses it again, after at least 2 failed dials a second
+
+  Scenario: A home gets no work before it knows its upstreams
+    Given a fleet of 4 nodes in front of "registry-desk"
+    When a home that does not know its upstreams takes the place of node 2
+    And callers send 600 lookups to the other nodes, more than they can run
+    Then the home has got no request
+    When the home knows its upstreams
+    And callers send 600 lookups to the other nodes, more than they can run
+    Then the home has got a request
+
+  Scenario: A home that starts without the platform learns its upstreams from entries
+    Given a fleet of 8 nodes in front of "registry-desk"
+    When the platform goes down
+    And node 2 is stopped for 3 s while callers send lookups to the other nodes
+    Then every lookup has the whole answer to its own request
+    And each entry that lost node 2 uses it again
+    When callers send 120 lookups to all nodes
+    Then every lookup has the whole answer to its own request
+    And each lookup sent to node 2 since then reaches its upstream
--- a/src/jackdawhead/node/acceptor.py
+++ b/src/jackdawhead/node/acceptor.py
@@ -28,15 +28,15 @@
 
     :param parts: controllers of this node.
     :param gossip: handles gossip messages and new links.
-    :param on_peer_linked: called with the VM of each node that has
-        completed the handshake.
+    :param on_peer_linked: called with each link whose handshake has
+        completed.
     """
 
     def __init__(
         self,
         parts: NodeParts,
         gossip: GossipController,
-        on_peer_linked: Callable[[str], None],
+        on_peer_linked: Callable[[Link], None],
     ) -> None:
         self._parts = parts
         self._gossip = gossip
@@ -72,7 +72,7 @@
         link.challenge()
         if link.ready.get():
             self._gossip.on_link_ready(link)
-            self._on_peer_linked(link.vm)
+            self._on_peer_linked(link)
         else:
             self._parts.audit.record(
                 AuditKind.PEER_REFUSED, address[0], 'handshake failed'
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -11,6 +11,7 @@
 from .acceptor import Acceptor
 from .dialler import Dialler
 from .gossip_controller import GossipController
+from .home_readiness import HomeReadiness
 from .links import HEARTBEAT_INTERVAL_MS
 from .local_channel import LocalChannel
 
@@ -39,8 +40,9 @@
         self._local = LocalChannel(parts)
         self._dialler = Dialler(parts, self.gossip)
         self._acceptor = Acceptor(
-            parts, self.gossip, self._dialler.reset_backoff
+            parts, self.gossip, self._dialler.note_peer_linked
         )
+        HomeReadiness(parts.board, parts.home, self.send_heartbeats)
 
     def start(self, stack: ExitStack) -> None:
         """Listen for links from other nodes.
@@ -118,6 +120,10 @@
             self._dialler.close_idle()
             self._dialler.redial()
 
+    def run_redials(self) -> None:
+        """Dial nodes that could not be reached, forever."""
+        self._dialler.run()
+
     def send_heartbeats(self) -> None:
         """Send a heartbeat on every link immediately."""
         heartbeat = self.gossip.heartbeat()
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from itertools import islice
 from typing import TYPE_CHECKING, Final
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from ..audit import AuditKind
 from ..clock import monotonic_ms, seconds
 from ..config.settings import Address
 from ..logs import log_event
 from ..policy.gossip import gossip_peers
+from ..policy.redial import DialFailure, RedialSchedule
 from .links import DialledLink, Link
 from .local_channel import receive_answer
 
@@ -25,31 +25,14 @@
 
 _CONNECT_TIMEOUT_MS: Final = 800
 _MAX_DIAL_WAIT_MS: Final = 250
-_MIN_BACKOFF_MS: Final = 500
-# A home that starts or is cut off for some seconds is used again within 2 s.
-_MAX_BACKOFF_MS: Final = 2000
-# Bounds the dials a round while a whole region is unreachable.
-_MAX_HOME_DIALS: Final = 4
+_REDIAL_POLL_MS: Final = 50
+# Renewed until the home is linked again.
+_AVOID_ABSENT_MS: Final = 10_000
+# A node that knows its upstreams says so in the first message on a link.
+_FIRST_HEARTBEAT_MS: Final = 250
 _IDLE_REASON: Final = 'unused'
 
 
-@dataclass(frozen=True, slots=True)
-class _Backoff:
-    """Backoff after a failed dial.
-
-    :param until_ms: monotonic time of the next permitted dial, in
-        milliseconds.
-    :param wait_ms: current backoff in milliseconds.
-    :param since_ms: monotonic time of the first failed dial, in milliseconds.
-    :param dials: number of failed dials.
-    """
-
-    until_ms: float
-    wait_ms: int
-    since_ms: float
-    dials: int
-
-
 class Dialler:
     """Maintains at most one outgoing link to each node.
 
@@ -62,7 +45,9 @@
         self._gossip = gossip
         self._links: dict[str, DialledLink] = {}
         self._dialling: dict[str, gevent.Greenlet] = {}
-        self._backoffs: dict[str, _Backoff] = {}
+        self._schedule = RedialSchedule(parts.routing.rng)
+        self._has_absent = Event()
+        self._incarnations: dict[str, int] = {}
         self._peers: tuple[str, ...] = ()
         parts.board.vm_list.subscribe(self._update_peers)
 
@@ -78,28 +63,22 @@
         for its result.
 
         :param vm: VM of the node.
-        :returns: the link, or ``None`` if the node is unreachable or in
-            backoff, or does not answer in time.
+        :returns: the link, or ``None`` if the node is unreachable, knows no
+            upstreams yet, or does not answer in time.
         """
-        link = self._links.get(vm)
-        if link is not None and link.is_ready:
+        link = self._usable_link(vm)
+        if link is not None:
             link.last_request_at_ms = monotonic_ms()
             return link
-        dialling = self._dialling.get(vm)
-        if dialling is None:
-            if self._is_backing_off(vm):
-                return None
-            dialling = gevent.spawn(self._dial, vm)
-            self._dialling[vm] = dialling
-            dialling.link(lambda _: self._dialling.pop(vm, None))
-        dialling.join(seconds(_MAX_DIAL_WAIT_MS))
-        link = self._links.get(vm)
-        return link if link is not None and link.is_ready else None
+        if vm not in self._dialling and self._schedule.has_failed(vm):
+            return None
+        self._start_dial(vm).join(seconds(_MAX_DIAL_WAIT_MS))
+        return self._usable_link(vm)
 
     def dial_seeds(self) -> None:
         """Dial the seed nodes named in the settings."""
         for address in self._parts.settings.seed_addresses:
-            self._register(self._connect(address))
+            self._open(address)
 
     def dial_peers(self, timeout_ms: float) -> None:
         """Dial the gossip peers and wait for their first heartbeats.
@@ -115,31 +94,39 @@
         waits = [link.heard_heartbeat for link in self.links]
         gevent.wait(waits, timeout=seconds(timeout_ms))
 
-    def reset_backoff(self, vm: str) -> None:
-        """Clear the backoff of a node that has proved reachable.
+    def note_peer_linked(self, peer: Link) -> None:
+        """Dial an absent node, or one that has restarted, at once.
 
-        :param vm: VM of the node, which this node has just dialled or which
-            has just dialled this node.
+        :param peer: link that the node has just opened to this one.
         """
-        backoff = self._backoffs.pop(vm, None)
-        if backoff is None:
+        own = self._links.get(peer.vm)
+        if own is not None and own.incarnation != peer.incarnation:
+            own.close('replaced by a newer process')
+        elif not self._is_returning(peer):
+            self._incarnations.setdefault(peer.vm, peer.incarnation)
             return
-        log_event(
-            'home-back',
-            home=vm,
-            after_ms=int(monotonic_ms() - backoff.since_ms),
-            failed_dials=backoff.dials,
-        )
-        self._parts.routing.note_reachable(vm)
+        self._schedule.note_sign(peer.vm, monotonic_ms())
+        self._start_dial(peer.vm)
 
     def redial(self) -> None:
-        """Dial unlinked gossip peers and excluded homes in the background.
+        """Dial unlinked gossip peers in the background."""
+        for vm in self._peers:
+            if vm not in self._links and not self._schedule.is_absent(vm):
+                self._start_dial(vm)
+
+    def run(self) -> None:
+        """Dial absent nodes in the background, forever.
 
         No request goes to a home that the subsets exclude, so that nothing else
         would show that it can be reached again.
         """
-        for vm in (*self._unlinked_peers(), *self._due_homes()):
-            gevent.spawn(self.link_to, vm)
+        while True:
+            self._has_absent.wait()
+            gevent.sleep(seconds(_REDIAL_POLL_MS))
+            for vm in self._schedule.take_due(monotonic_ms()):
+                self._start_dial(vm)
+            if self._schedule.is_empty:
+                self._has_absent.clear()
 
     def is_peer(self, link: Link) -> bool:
         """Return whether a link leads to a gossip peer.
@@ -169,77 +156,108 @@
             if vm.stream_port and not vm.leaving
         )
         self._peers = gossip_peers(self._parts.identity.vm, nodes)
+        listed = frozenset(vm_list.vms)
+        self._schedule.retain(listed)
+        for gone in self._incarnations.keys() - listed:
+            self._incarnations.pop(gone)
 
-    def _unlinked_peers(self) -> tuple[str, ...]:
-        return tuple(
-            vm
-            for vm in self._peers
-            if vm not in self._links and vm not in self._dialling
+    def _usable_link(self, vm: str) -> DialledLink | None:
+        """Return the link to a node if the node can run work."""
+        link = self._links.get(vm)
+        is_usable = (
+            link is not None and link.is_ready and link.knows_upstreams.is_set()
         )
+        return link if is_usable else None
 
-    def _due_homes(self) -> list[str]:
-        """Return a few excluded homes whose backoff is over."""
-        due = (
-            vm
-            for vm in self._parts.routing.excluded_homes
-            if vm not in self._dialling
-            and vm not in self._peers
-            and not self._is_backing_off(vm)
-        )
-        return list(islice(due, _MAX_HOME_DIALS))
+    def _is_returning(self, link: Link) -> bool:
+        """Return whether a link ends an absence or leads to a new process."""
+        if self._schedule.is_absent(link.vm):
+            return True
+        known = self._incarnations.get(link.vm)
+        return known is not None and known != link.incarnation
 
-    def _is_backing_off(self, vm: str) -> bool:
-        backoff = self._backoffs.get(vm)
-        return backoff is not None and backoff.until_ms > monotonic_ms()
+    def _start_dial(self, vm: str) -> gevent.Greenlet:
+        """Dial a node, unless it is being dialled already."""
+        dialling = self._dialling.get(vm)
+        if dialling is None:
+            dialling = gevent.spawn(self._dial, vm)
+            self._dialling[vm] = dialling
+            dialling.link(lambda _: self._dialling.pop(vm, None))
+        return dialling
 
     def _dial(self, name: str) -> None:
         vm = self._parts.board.vm_list.read().vms.get(name)
         if vm is None or not vm.stream_port:
+            self._schedule.note_reachable(name)
             return
-        is_linked = self._register(
-            self._connect(Address(vm.ip, vm.stream_port))
-        )
-        if is_linked:
-            self.reset_backoff(name)
-        else:
-            self._back_off(name)
-
-    def _back_off(self, vm: str) -> None:
-        """Delay the next dial to a node by an exponential backoff."""
-        now_ms = monotonic_ms()
-        previous = self._backoffs.get(vm)
-        wait_ms = _MIN_BACKOFF_MS
-        since_ms = now_ms
-        dials = 1
-        if previous is not None:
-            wait_ms = min(_MAX_BACKOFF_MS, 2 * previous.wait_ms)
-            since_ms = previous.since_ms
-            dials = previous.dials + 1
-        self._backoffs[vm] = _Backoff(
-            now_ms + wait_ms, wait_ms, since_ms, dials
-        )
-        self._parts.routing.note_unreachable(vm, wait_ms)
+        link = self._links.get(name)
+        if link is None:
+            opened = self._open(Address(vm.ip, vm.stream_port))
+            if isinstance(opened, DialFailure):
+                self._note_failure(name, opened)
+                return
+            link = opened
+        is_late = not link.knows_upstreams.wait(seconds(_FIRST_HEARTBEAT_MS))
+        if is_late:
+            self._await_upstreams(link)
+        if link.is_ready:
+            self._note_usable(link, is_late=is_late)
+
+    def _await_upstreams(self, link: DialledLink) -> None:
+        """Avoid a node until it can run work or its link ends.
+
+        The link serves gossip meanwhile, by which the node may learn which
+        upstreams it has.
+        """
+        while link.is_ready and not link.knows_upstreams.is_set():
+            self._parts.routing.avoid(link.vm, _AVOID_ABSENT_MS)
+            gevent.wait(
+                (link.knows_upstreams, link.ended),
+                timeout=seconds(_AVOID_ABSENT_MS) / 2,
+                count=1,
+            )
+
+    def _note_usable(self, link: DialledLink, *, is_late: bool) -> None:
+        is_returning = is_late or self._is_returning(link)
+        self._incarnations[link.vm] = link.incarnation
+        absence = self._schedule.note_reachable(link.vm)
+        if absence is not None:
+            log_event(
+                'home-back',
+                home=link.vm,
+                after_ms=int(monotonic_ms() - absence.since_ms),
+                failed_dials=absence.failed_dials,
+            )
+        if is_returning and not link.is_leaving:
+            self._parts.routing.note_reachable(link.vm)
 
-    def _connect(self, address: Address) -> DialledLink | None:
+    def _note_failure(self, vm: str, failure: DialFailure) -> None:
+        self._schedule.note_failed(vm, failure, monotonic_ms())
+        self._has_absent.set()
+        self._parts.routing.note_unreachable(vm, _AVOID_ABSENT_MS)
+
+    def _open(self, address: Address) -> DialledLink | DialFailure:
+        """Connect to a node and complete the handshake."""
         target = (address.ip, address.port)
         try:
             sock = socket.create_connection(
                 target, seconds(_CONNECT_TIMEOUT_MS)
             )
+        except (ConnectionRefusedError, ConnectionResetError):
+            return DialFailure.REFUSED
         except OSError:
-            return None
+            return DialFailure.SILENT
         sock.settimeout(None)
-        return DialledLink(
+        link = DialledLink(
             self._parts.identity, sock, self._receive, self._on_link_closed
         )
-
-    def _register(self, link: DialledLink | None) -> bool:
-        if link is None or not link.ready.get():
-            return False
+        if not link.ready.get():
+            is_silent = link.has_timed_out
+            return DialFailure.SILENT if is_silent else DialFailure.REFUSED
         self._links[link.vm] = link
         self._parts.recorder.note_path(link.vm, True)
         self._gossip.on_link_ready(link)
-        return True
+        return link
 
     def _receive(self, link: Link, message: Message) -> None:
         if not receive_answer(self._parts, link, message):
@@ -248,13 +266,17 @@
     def _on_link_closed(self, link: Link, reason: str) -> None:
         if not link.vm:
             return
-        if self._links.get(link.vm) is link:
+        is_current = self._links.get(link.vm) is link
+        if is_current:
             self._links.pop(link.vm)
-        self._parts.recorder.note_path(link.vm, False)
+            self._parts.recorder.note_path(link.vm, False)
         self._parts.attempts.fail_on_channel(link)
         if reason == _IDLE_REASON:
             return
-        self._parts.routing.avoid(link.vm)
+        if is_current:
+            self._parts.routing.avoid(link.vm, _AVOID_ABSENT_MS)
+            self._schedule.note_lost(link.vm, monotonic_ms())
+            self._has_absent.set()
         self._parts.audit.record(AuditKind.PEER_LOST, link.vm, reason)
 
 
--- a/src/jackdawhead/node/home_readiness.py
+++ b/src/jackdawhead/node/home_readiness.py
@@ -11,6 +11,8 @@
 from ..logs import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..blackboard import Blackboard
     from .home.controller import HomeController
 
@@ -24,11 +26,18 @@
 
     :param board: source of the configuration and the VM list.
     :param home: upstreams of this home.
+    :param on_ready: called once, when the home can run work.
     """
 
-    def __init__(self, board: Blackboard, home: HomeController) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        home: HomeController,
+        on_ready: Callable[[], None],
+    ) -> None:
         self._board = board
         self._home = home
+        self._on_ready = on_ready
         self._created_at_ms = monotonic_ms()
         self._ready = Event()
         board.config.subscribe(lambda _: self._check())
@@ -44,6 +53,7 @@
             after_ms=int(monotonic_ms() - self._created_at_ms),
             processor_ms=int(time.process_time() * _MS_PER_S),
         )
+        self._on_ready()
 
 
 __all__ = ('HomeReadiness',)
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -43,6 +43,8 @@
 
     The attribute ``ready`` resolves to whether the handshake has succeeded,
     ``heard_heartbeat`` is set by the first heartbeat or the end of the link,
+    ``knows_upstreams`` by the first one by which the peer has a configuration
+    and a VM list,
     and ``last_pong_at_ms`` is the monotonic time of the last pong, which proves
     that the path works in both directions.
 
@@ -64,11 +66,14 @@
         self.incarnation = 0
         self.config_id = ConfigId()
         self.vm_list_version = 0
+        self.is_leaving = False
+        self.has_timed_out = False
         self.last_received_at_ms = monotonic_ms()
         self.last_request_at_ms = self.last_received_at_ms
         self._last_sent_at_ms: float = 0
         self.ready: AsyncResult = AsyncResult()
         self.heard_heartbeat = Event()
+        self.knows_upstreams = Event()
         self.ended = Event()
         self._identity = identity
         self._nonce = new_nonce()
@@ -192,6 +197,7 @@
 
     def _check_handshake(self) -> None:
         if not self.vm:
+            self.has_timed_out = True
             self.close('handshake timed out')
 
     def _on_stream_closed(self, reason: str) -> None:
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -18,7 +18,6 @@
 from .caller_listener import caller_server
 from .channels import Channels
 from .entry.request_stats import RequestStats
-from .home_readiness import HomeReadiness
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
 from .shutdown import Shutdown
@@ -66,7 +65,6 @@
             self._broadcast_crash,
             self._broadcast_status,
         )
-        HomeReadiness(self.parts.board, self.parts.home)
         self._channels = Channels(self.parts)
         self.parts.config.announce = self._channels.gossip.announce
         self.parts.membership.announce = self._channels.gossip.announce
@@ -154,6 +152,7 @@
         )
         loops = [
             self._channels.run,
+            self._channels.run_redials,
             self.parts.home.run,
             self.parts.routing.run,
             self.parts.pauses.run,
--- a/src/jackdawhead/node/update_puller.py
+++ b/src/jackdawhead/node/update_puller.py
@@ -52,6 +52,9 @@
         """
         link.config_id = ConfigId(beat.config_version, beat.config_digest)
         link.vm_list_version = beat.vm_list_version
+        link.is_leaving = beat.leaving
+        if beat.config_version and beat.vm_list_version:
+            link.knows_upstreams.set()
         if self._is_config_behind(link):
             self._schedule_request(link, self._config, self._request_config)
         if self._is_vm_list_behind(link):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from .sites import SiteService
 
-_STREAM_KEY: Final = 'a-shared-key-for-tests-only'
+STREAM_KEY: Final = 'a-shared-key-for-tests-only'
 _PORT_RANGE: Final = (10_000, 30_000)
 _START_TIMEOUT_S: Final = 30.0
 _POLL_INTERVAL_S: Final = 0.05
@@ -160,7 +160,7 @@
             'stream_address': f'{_IP}:{stream}',
             'admin_address': f'{_IP}:{admin}',
             'platform_address': f'{_IP}:{self.platform_port}',
-            'stream_keys': [_STREAM_KEY],
+            'stream_keys': [STREAM_KEY],
             **self.node_settings,
             **extra,
         }
@@ -451,6 +451,7 @@
 
 
 __all__ = (
+    'STREAM_KEY',
     'Fleet',
     'HttpResponse',
     'NodeProcess',
