Let the home run work before the HTTP listeners are imported

After the start of a node's process its upstream is idle until the home knows its configuration and the VM list. That came after the import of falcon, asyncio, prometheus_client and gevent's WSGI server, which only callers and operators need.

The stream listener, the reads of the platform and the links to peers now come first. The dispatchers need none of these libraries and exist from the start, since other nodes may forward tickets.

Before the change features/cli/usage.feature failed with 'falcon, asyncio, gevent.pywsgi, prometheus_client' imported.

--- a/features/cli/usage.feature
+++ b/features/cli/usage.feature
@@ -17,6 +17,10 @@
     Then the exit code is 2
     And the errors contain "stream_keys"
 
+  Scenario: A home starts without what only callers and operators need
+    When a process imports "jackdawhead.cli.commands.node, jackdawhead.node.runtime, jackdawhead.platform.store_source"
+    Then it has not imported "asyncio, falcon, gevent.pywsgi, prometheus_client"
+
   Scenario: The benchmark sends load to loopback addresses only
     When the command line runs with "bench --way x=192.0.2.1:80"
     Then the exit code is 64
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -7,6 +7,7 @@
 import os
 import shutil
 import subprocess
+import sys
 import tempfile
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -57,6 +58,31 @@
     (context.folder / name).write_text(text)
 
 
+@when('a process imports "{modules}"')
+def import_modules(context: Context, modules: str) -> None:
+    """Import modules in a new process, and list all that are loaded."""
+    shown = subprocess.run(
+        [
+            sys.executable,
+            '-c',
+            f'import {modules}, sys; print(*sys.modules)',
+        ],
+        cwd=_SOURCES,
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    context.loaded = shown.stdout.split()
+
+
+@then('it has not imported "{modules}"')
+def check_not_imported(context: Context, modules: str) -> None:
+    """Check that modules are not loaded."""
+    found = set(modules.split(', ')).intersection(context.loaded)
+    assert context.loaded
+    assert not found, found
+
+
 @given('the file "{name}" with')
 def write_file(context: Context, name: str) -> None:
     """Write the text of the step to a file."""
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -42,7 +42,9 @@
         self._acceptor = Acceptor(
             parts, self.gossip, self._dialler.note_peer_linked
         )
-        HomeReadiness(parts.board, parts.home, self.send_heartbeats)
+        self.readiness = HomeReadiness(
+            parts.board, parts.home, self.send_heartbeats
+        )
 
     def start(self, stack: ExitStack) -> None:
         """Listen for links from other nodes.
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
@@ -25,8 +24,7 @@
 
     from ...blackboard import Blackboard
     from ...config.settings import NodeSettings
-    from ..tickets.dispatch import TicketDispatcher
-    from .dispatcher import Dispatcher
+    from ..dispatchers import Dispatchers
     from .request_stats import RequestStats
 
 _MS_PER_S: Final = 1000
@@ -47,14 +45,6 @@
 _DEFAULT_CALLER_POLICY: Final = CallerPolicy()
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatchers:
-    """Dispatchers of requests without a ticket and with one."""
-
-    plain: Dispatcher
-    tickets: TicketDispatcher
-
-
 class CallerApi:
     """Dispatches callers' HTTP requests and sends the answers back.
 
--- a/src/jackdawhead/node/home_readiness.py
+++ b/src/jackdawhead/node/home_readiness.py
@@ -7,7 +7,7 @@
 
 from gevent.event import Event
 
-from ..clock import monotonic_ms
+from ..clock import monotonic_ms, seconds
 from ..logs import log_event
 
 if TYPE_CHECKING:
@@ -43,6 +43,13 @@
         board.config.subscribe(lambda _: self._check())
         board.vm_list.subscribe(lambda _: self._check())
 
+    def wait(self, timeout_ms: float) -> None:
+        """Wait until the home can run work.
+
+        :param timeout_ms: maximum wait in milliseconds.
+        """
+        self._ready.wait(seconds(timeout_ms))
+
     def _check(self) -> None:
         if self._ready.is_set() or not self._board.knows_upstreams:
             return
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -46,7 +46,7 @@
             'Completed caller requests by status class or refusal reason.',
             labels=['answer'],
         )
-        for answer, count in sorted(node.request_stats.by_result.items()):
+        for answer, count in sorted(node.http.request_stats.by_result.items()):
             answers.add_metric([answer], count)
         yield answers
         yield GaugeMetricFamily(
@@ -68,7 +68,7 @@
         yield CounterMetricFamily(
             'jackdawhead_callers_left',
             'Callers that disconnected before their answer was complete.',
-            node.request_stats.caller_disconnects,
+            node.http.request_stats.caller_disconnects,
         )
 
     def _fleet_metrics(self) -> Iterator[Metric]:
@@ -149,7 +149,7 @@
     """
     registry = CollectorRegistry()
     registry.register(NodeCollector(node))
-    registry.register(node.request_stats.latency)
+    registry.register(node.http.request_stats.latency)
     return registry
 
 
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -13,11 +13,10 @@
 from ..audit import AuditKind
 from ..memory import freeze_startup_objects
 from ..wire.messages import CrashReport, DrainUpdate
-from .admin import admin_server, ready_server
 from .assembly import build_parts
-from .caller_listener import caller_server
 from .channels import Channels
-from .entry.request_stats import RequestStats
+from .dispatchers import build_dispatchers
+from .late_imports import import_listeners
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
 from .shutdown import Shutdown
@@ -28,11 +27,14 @@
 
     from ..config.settings import NodeSettings
     from ..wire.messages import UpstreamStatus
+    from .http_listeners import HttpListeners
     from .links import Link
     from .platform_client import PlatformSource
     from .settings_watch import SettingsWatch
 
 _PEER_SYNC_TIMEOUT_MS: Final = 3000
+# Time for the home to get its configuration and the VM list.
+_HOME_HEAD_START_MS: Final = 500
 
 
 class Node:
@@ -57,7 +59,6 @@
         self._stopping = Event()
         self._started = False
         self._loop_failure: BaseException | None = None
-        self.request_stats = RequestStats()
         self.parts = build_parts(
             settings,
             self._rng,
@@ -72,9 +73,9 @@
         self.parts.pauses.refresh = self._channels.catch_up
         self._platform = platform or PlatformClient(settings.platform_address)
         self.parts.board.own_service.write(settings.service)
-        self._callers = caller_server(
-            self.parts, self._channels, self.request_stats
-        )
+        self._dispatchers = build_dispatchers(self.parts, self._channels)
+        self._http_started = Event()
+        self.http: HttpListeners
 
     @property
     def is_ready(self) -> bool:
@@ -86,12 +87,12 @@
     @property
     def active_requests(self) -> int:
         """Number of caller requests in progress."""
-        return self._callers.active
+        return self.http.callers.active
 
     @property
     def malformed_requests(self) -> int:
         """Number of malformed or ambiguous caller requests so far."""
-        return self._callers.refused
+        return self.http.callers.refused
 
     @property
     def platform_calls(self) -> int:
@@ -117,33 +118,33 @@
         with ExitStack() as stack:
             self._start(stack)
             self._stopping.wait()
-            Shutdown(self.parts, self._channels, self._callers).run()
+            Shutdown(self.parts, self._channels, self.http.callers).run()
         if self._loop_failure is not None:
             raise self._loop_failure
 
     def _start(self, stack: ExitStack) -> None:
         settings = self._settings
-        admin = admin_server(self, settings.admin_address)
-        admin.start()
-        stack.callback(admin.stop, 0)
-        self._start_ready(stack)
         stack.callback(self.parts.home.close)
         self._channels.start(stack)
-        self._callers.start()
-        stack.callback(self._callers.stop, 0)
+        self._spawn_loops(stack)
+        self._start_http(stack)
         self.parts.audit.record(
             AuditKind.NODE_STARTED,
             settings.vm,
             f'incarnation {self.parts.identity.incarnation}',
         )
-        self._spawn_loops(stack)
 
-    def _start_ready(self, stack: ExitStack) -> None:
-        address = self._settings.ready_address
-        if address is not None:
-            ready = ready_server(self, address)
-            ready.start()
-            stack.callback(ready.stop, 0)
+    def _start_http(self, stack: ExitStack) -> None:
+        """Start the HTTP listeners once the home can run work.
+
+        Entries of other nodes cannot use the upstream without this home, while
+        callers can use other nodes.
+        """
+        self._channels.readiness.wait(_HOME_HEAD_START_MS)
+        listeners = import_listeners()
+        self.http = listeners(self, self._dispatchers)
+        self.http.start(stack)
+        self._http_started.set()
 
     def _spawn_loops(self, stack: ExitStack) -> None:
         watches = tuple(
@@ -190,6 +191,7 @@
         self._channels.sync_with_peers(_PEER_SYNC_TIMEOUT_MS)
         for watch in watches:
             self._spawn(stack, watch.run)
+        self._http_started.wait()
         freeze_startup_objects()
         self._started = True
 
