Ask platform and seeds for configuration and list at once

A home knows its upstreams, and can run work, once it has a configuration and a VM list. A starting node asked the platform first, twice in a row, and its seeds only afterwards; with a platform that is silent, not down, this took two timeouts of 3 s.

Both reads and the seeds now run side by side, and the first that answers counts. The node as a whole still waits for all of them before it accepts callers' requests, so that it starts with the latest configuration.

Before the change the new scenario failed: no upstreams known when the node had given up on the platform.

--- a/features/fleet/restarts.feature
+++ b/features/fleet/restarts.feature
@@ -29,3 +29,8 @@
     When callers send 120 lookups to all nodes
     Then every lookup has the whole answer to its own request
     And each lookup sent to node 2 since then reaches its upstream
+
+  Scenario: A node does not wait for a silent platform before it asks its seeds
+    Given a fleet of 2 nodes in front of "registry-desk"
+    When a further node starts with a seed, and the platform does not answer it
+    Then that node knows its upstreams before it gives up on the platform
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -10,7 +10,12 @@
 import gevent
 from behave import given, then, when
 
-from features.steps.fleet_steps import new_fleet, node_at, site_of
+from features.steps.fleet_steps import (
+    new_fleet,
+    node_at,
+    site_of,
+    start_relay,
+)
 from features.steps.partition_steps import load_while, lookup
 from features.steps.stub_home import StubHome
 from jackdawhead.bench.load import LoadPlan, run_load
@@ -191,3 +196,31 @@
 def check_request(context: Context) -> None:
     """Check that the home gets work."""
     assert context.stub.submitted
+
+
+@when('a further node starts with a seed, and the platform does not answer it')
+def start_with_seed(context: Context) -> None:
+    """Start a node that no list contains, behind a relay that is cut."""
+    fleet = context.fleet
+    relay = start_relay(context, fleet.platform_port)
+    relay.cut_forward()
+    seed = next(iter(fleet.nodes.values()))
+    fleet.start_node(
+        'further',
+        seed.zone,
+        platform_address=f'127.0.0.1:{relay.port}',
+        seed_addresses=[f'127.0.0.1:{seed.stream_port}'],
+    )
+
+
+@then('that node knows its upstreams before it gives up on the platform')
+def check_order(context: Context) -> None:
+    """Compare the order of two events in the log."""
+    wait_until(
+        lambda: any(events(context, 'further', 'platform-lost')),
+        'the platform given up',
+    )
+    lost = next(events(context, 'further', 'platform-lost'))
+    known = list(events(context, 'further', 'home-ready'))
+    assert known, 'no upstreams known'
+    assert float(known[0]['timestamp']) < float(lost['timestamp'])
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -82,13 +82,15 @@
         """Links dialled by this node, with a completed handshake."""
         return self._dialler.links
 
+    def dial_seeds(self) -> None:
+        """Dial the seed nodes named in the settings."""
+        self._dialler.dial_seeds()
+
     def sync_with_peers(self, timeout_ms: float) -> None:
-        """Dial seeds and gossip peers, and catch up with the peers.
+        """Dial the gossip peers and catch up with them.
 
-        :param timeout_ms: maximum wait for the peers in milliseconds,
-            counted from the end of the dials to the seeds.
+        :param timeout_ms: maximum wait in milliseconds.
         """
-        self._dialler.dial_seeds()
         with gevent.Timeout(seconds(timeout_ms), False):
             self.catch_up(timeout_ms)
 
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -77,8 +77,8 @@
 
     def dial_seeds(self) -> None:
         """Dial the seed nodes named in the settings."""
-        for address in self._parts.settings.seed_addresses:
-            self._open(address)
+        addresses = self._parts.settings.seed_addresses
+        gevent.joinall([gevent.spawn(self._open, each) for each in addresses])
 
     def dial_peers(self, timeout_ms: float) -> None:
         """Dial the gossip peers and wait for their first heartbeats.
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -185,9 +185,14 @@
         watches: tuple[PlatformWatch, ...],
         stack: ExitStack,
     ) -> None:
-        """Sync with the platform and the peers, then accept requests."""
-        for watch in watches:
-            watch.read_once()
+        """Sync with the platform and the peers, then accept requests.
+
+        The home can run work as soon as any of them has told it the
+        configuration and the VM list.
+        """
+        sources = [gevent.spawn(watch.read_once) for watch in watches]
+        sources.append(gevent.spawn(self._channels.dial_seeds))
+        gevent.joinall(sources, raise_error=True)
         self._channels.sync_with_peers(_PEER_SYNC_TIMEOUT_MS)
         for watch in watches:
             self._spawn(stack, watch.run)
