Import modules without garbage collections

A node's imports create objects that live as long as the process, and the collections meanwhile free next to nothing. They now run after the imports, which they exempt from all later collections.

Raising the thresholds alone had gained nothing.

--- a/src/jackdawhead/__main__.py
+++ b/src/jackdawhead/__main__.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import sys
-
-from .cli.run import run
+from .cli.run import main
 
 if __name__ == '__main__':
-    sys.exit(run(sys.argv[1:]))
+    main()
--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -12,6 +12,7 @@
 
 from ...config.settings import NodeSettings, load_settings
 from ...logs import start_bounded_logging
+from ...memory import without_collection
 from ..command import Command, command
 from ..exit_codes import ExitCode
 from ..output import print_error, print_problems
@@ -71,9 +72,10 @@
 
 
 def _run_on_platform() -> ExitCode:
-    from ...node.settings_watch import SettingsWatch
-    from ...platform.settings_file import read_settings, settings_path
-    from ...platform.store_source import StoreSource
+    with without_collection():
+        from ...node.settings_watch import SettingsWatch
+        from ...platform.settings_file import read_settings, settings_path
+        from ...platform.store_source import StoreSource
 
     path = settings_path()
     match read_settings(path):
@@ -102,8 +104,9 @@
     source: PlatformSource | None = None,
 ) -> ExitCode:
     # Imported here so that the other commands start quickly.
-    from ...node.runtime import Node
-    from ...node.supervision import log_greenlet_errors
+    with without_collection():
+        from ...node.runtime import Node
+        from ...node.supervision import log_greenlet_errors
 
     with ExitStack() as stack:
         start_bounded_logging(log.fileno(), stack)
--- a/src/jackdawhead/cli/run.py
+++ b/src/jackdawhead/cli/run.py
@@ -6,6 +6,7 @@
 import sys
 from typing import TYPE_CHECKING, Final
 
+from ..memory import without_collection
 from .commands import load_commands
 from .exit_codes import ExitCode
 from .parser import build_parser
@@ -35,7 +36,10 @@
 
 def main() -> None:
     """Run the command given by the arguments of this process, then exit."""
-    sys.exit(run(sys.argv[1:]))
+    arguments = sys.argv[1:]
+    with without_collection():
+        load_commands(arguments[0] if arguments else '')
+    sys.exit(run(arguments))
 
 
 __all__ = ('main', 'run')
--- a/src/jackdawhead/memory.py
+++ b/src/jackdawhead/memory.py
@@ -3,13 +3,32 @@
 from __future__ import annotations
 
 import gc
-from typing import Final
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 _YOUNG_GENERATION_THRESHOLD: Final = 20_000
 _MIDDLE_GENERATION_THRESHOLD: Final = 20
 _OLD_GENERATION_THRESHOLD: Final = 20
 
 
+@contextmanager
+def without_collection() -> Iterator[None]:
+    """Import modules without garbage collections.
+
+    Imports create many objects that live as long as the process. They are
+    exempt from all later collections.
+    """
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.freeze()
+        gc.enable()
+
+
 def freeze_startup_objects() -> None:
     """Exempt all existing objects from garbage collection.
 
@@ -26,4 +45,4 @@
     )
 
 
-__all__ = ('freeze_startup_objects',)
+__all__ = ('freeze_startup_objects', 'without_collection')
