--- a/features/fleet/restarts.feature
+++ b/features/fleet/restarts.feature
@@ -34,3 +34,9 @@
     Given a fleet of 2 nodes in front of "registry-desk"
     When a further node starts with a seed, and the platform does not answer it
     Then that node knows its upstreams before it gives up on the platform
+
+  Scenario: A link to a process that has been replaced is given up at once
+    Given a node that is linked to a home
+    When another process takes the place of the home, and the old link stays silent
+    And the new process of the home dials the node
+    Then the node has a link to the new process only, and uses the home again
--- a/features/steps/stub_home.py
+++ b/features/steps/stub_home.py
@@ -30,9 +30,20 @@
         self.submitted = 0
         self.version = 0
         self.links: set[Link] = set()
-        self._identity = new_identity(vm, (key,))
+        self._vm = vm
+        self._keys = (key,)
+        self.identity = new_identity(vm, self._keys)
         self._server = StreamServer((_IP, port), self._accept)
 
+    @property
+    def port(self) -> int:
+        """Port on which it listens."""
+        return int(self._server.server_port)
+
+    def replace_process(self) -> None:
+        """Accept links as another process; the present ones stay open."""
+        self.identity = new_identity(self._vm, self._keys)
+
     def start(self) -> None:
         """Start listening."""
         self._server.start()
@@ -51,7 +62,7 @@
         return Heartbeat(self.version, 0, False, self.version)
 
     def _accept(self, sock: Socket, _: object) -> None:
-        link = AcceptedLink(self._identity, sock, self._receive, self._drop)
+        link = AcceptedLink(self.identity, sock, self._receive, self._drop)
         link.challenge()
         if link.ready.get():
             self.links.add(link)
