--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -11,6 +11,7 @@
 from .acceptor import Acceptor
 from .dialler import Dialler
 from .gossip_controller import GossipController
+from .home_readiness import HomeReadiness
 from .links import HEARTBEAT_INTERVAL_MS
 from .local_channel import LocalChannel
 
@@ -39,7 +40,10 @@
         self._local = LocalChannel(parts)
         self._dialler = Dialler(parts, self.gossip)
         self._acceptor = Acceptor(
-            parts, self.gossip, self._dialler.reset_backoff
+            parts, self.gossip, self._dialler.note_peer_linked
+        )
+        self.readiness = HomeReadiness(
+            parts.board, parts.home, self.send_heartbeats
         )
 
     def start(self, stack: ExitStack) -> None:
@@ -85,13 +89,15 @@
         """Links dialled by this node, with a completed handshake."""
         return self._dialler.links
 
+    def dial_seeds(self) -> None:
+        """Dial the seed nodes named in the settings."""
+        self._dialler.dial_seeds()
+
     def sync_with_peers(self, timeout_ms: float) -> None:
-        """Dial seeds and gossip peers, and catch up with the peers.
+        """Dial the gossip peers and catch up with them.
 
-        :param timeout_ms: maximum wait for the peers in milliseconds,
-            counted from the end of the dials to the seeds.
+        :param timeout_ms: maximum wait in milliseconds.
         """
-        self._dialler.dial_seeds()
         with gevent.Timeout(seconds(timeout_ms), False):
             self.catch_up(timeout_ms)
 
@@ -125,6 +131,10 @@
             self._dialler.close_idle()
             self._dialler.redial()
 
+    def run_redials(self) -> None:
+        """Dial nodes that could not be reached, forever."""
+        self._dialler.run()
+
     def send_heartbeats(self) -> None:
         """Send a heartbeat on every link immediately."""
         heartbeat = self.gossip.heartbeat()
