Finish the runs of a stopping node's tickets for callers of other nodes

A caller that had sent its request with a ticket to another node got 502 peer-lost, outcome unknown, and its run was cancelled: the node that had issued the ticket stopped while it ran. A stop waits for callers' requests and for the home's work; a forwarded ticket's run is neither of them, nor is one whose own caller has left. The process ended 0.3 s after the listener had closed, with more than 2 s of its time left.

Before, failing on the code before this change: a run of 4 s whose issuer gets SIGTERM at its start ends with 502 peer-lost after 2.9 s.

The stop now waits as long as any attempt of this entry is in flight.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -34,3 +34,8 @@
     When the entry gets SIGTERM
     And a ticket is asked for on the kept connection
     Then it gets status 503 with the outcome "not-run"
+
+  Scenario: The run of a ticket is finished though another entry waits for it
+    When a request of 4000 ms with a ticket of the entry is sent to node 1
+    And the entry gets SIGTERM
+    Then it gets status 200 with the outcome "ran"
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -246,15 +246,12 @@
     ' {position:d}'
 )
 def send_ticket(context: Context, run: int, position: int) -> None:
-    """Resend to another node, which forwards to the issuer of the ticket."""
-    issued = call(
-        entry_of(context).caller_port,
-        'POST',
-        '/cultivars/t',
-        b'',
-        {'X-Ticket': 'new'},
-    )
+    """Send to another node, which forwards to the issuer of the ticket."""
     node = context.fleet.nodes[node_at(context, position)]
+    wait_until(
+        lambda: _send_with_ticket(context, node.caller_port).status == 200,
+        f'a link from {node.vm} to the entry',
+    )
     kept = KeptConnection(
         socket.create_connection((_IP, node.caller_port), _TIMEOUT_S), 'ticket'
     )
@@ -263,12 +260,23 @@
     kept.send(
         f'POST /cultivars/{kept.key}?ms={run} HTTP/1.1\r\nHost: x\r\n'
         f'Content-Length: 0\r\nX-Work-Key: {kept.key}\r\n'
-        f'X-Ticket: {issued.headers["x-ticket"]}'
+        f'X-Ticket: {_new_ticket(context)}'
     )
     context.receiving = gevent.spawn(kept.receive)
     wait_until(lambda: kept.key in run_times(context), 'run of the ticket')
 
 
+def _new_ticket(context: Context) -> str:
+    port = entry_of(context).caller_port
+    reply = call(port, 'POST', '/cultivars/t', b'', {'X-Ticket': 'new'})
+    return reply.headers['x-ticket']
+
+
+def _send_with_ticket(context: Context, port: int) -> HttpResponse:
+    headers = {'X-Ticket': _new_ticket(context)}
+    return call(port, 'POST', '/cultivars/t?ms=1', b'', headers)
+
+
 @when('upstream {position:d} runs a request of {run:d} ms for another entry')
 def run_elsewhere(context: Context, position: int, run: int) -> None:
     """Send requests until one of them runs at an upstream."""
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -74,6 +74,10 @@
         """
         if self._callers.active or self._parts.home.active_requests:
             return True
+        if len(self._parts.attempts):
+            # The run of a ticket goes on without its caller, or for a caller
+            # of another node.
+            return True
         since_close_ms = monotonic_ms() - closed_ms
         return (
             self._callers.connections > 0
