Keep the listener open while the upstream of a stopping node runs work

A request that ran at the upstream of a stopping node, for a caller elsewhere, failed if the upstream made a call late: upstreams call through the node on their own VM, which finished the run but had closed its listener, at a time that is meant for callers that can go elsewhere.

Before, failing on the code before this change: 3.0 s after SIGTERM, with a run of 4.5 s at the upstream, connections are refused.

The listener now closes once its time is over and the home runs nothing, or at the end. The process would run as long anyway, and each request is asked whether it fits into the time left.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -39,3 +39,8 @@
     When a request of 4000 ms with a ticket of the entry is sent to node 1
     And the entry gets SIGTERM
     Then it gets status 200 with the outcome "ran"
+
+  Scenario: An upstream that runs a request can call through its node
+    When upstream 1 runs a request of 4500 ms for another entry
+    And node 1 gets SIGTERM
+    Then new connections to node 1 are served 3000 ms later
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -45,6 +45,7 @@
         )
         self._channels.send_heartbeats()
         gevent.sleep(seconds(max(0, plan.closes_at_ms - monotonic_ms())))
+        self._await_home(plan)
         self._callers.close()
         closed_ms = monotonic_ms()
         last_active_ms = closed_ms
@@ -66,6 +67,16 @@
             ends_at_ms=now_ms + settings.drain_ms,
         )
 
+    def _await_home(self, plan: StopPlan) -> None:
+        """Wait for the runs of this home.
+
+        The upstream that works on them calls other services through this
+        node, and fails if it cannot connect.
+        """
+        home = self._parts.home
+        while home.active_requests and plan.remaining_ms(monotonic_ms()):
+            gevent.sleep(seconds(_DRAIN_POLL_MS))
+
     def _has_activity(self, closed_ms: float) -> bool:
         """Return whether a request is in progress or may still arrive.
 
