Ignore SIGHUP while a node starts

A node that got SIGHUP while it loaded its libraries ended without a word, as by default this signal ends a process: its callers had no node, until something started it again.

What remains is the start of the interpreter itself.

--- a/features/fleet/settings.feature
+++ b/features/fleet/settings.feature
@@ -10,3 +10,9 @@
     Then node 1 records "settings-refused" with "service"
     When callers send 20 lookups to all nodes
     Then every lookup has the whole answer to its own request
+
+  Scenario: SIGHUP does not end a node that is still starting
+    Given a fleet of 1 nodes in front of "registry-desk"
+    When node 1 is killed
+    And node 1 is started again and gets SIGHUP while it loads its libraries
+    Then node 1 becomes ready
--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -55,10 +55,12 @@
                 'of the settings with --settings DIR, or give --platform',
             )
             return ExitCode.BAD_USAGE
+        # Imported before the settings are read: a change during the import
+        # would be missed.
+        from ...node.settings_watch import SettingsWatch
+
         match load_settings(options.settings):
             case Success(settings):
-                from ...node.settings_watch import SettingsWatch
-
                 watch = SettingsWatch(
                     settings,
                     options.settings,
--- a/src/jackdawhead/cli/run.py
+++ b/src/jackdawhead/cli/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from typing import TYPE_CHECKING, Final
 
@@ -14,6 +15,7 @@
     from collections.abc import Sequence
 
 _SIGINT_EXIT_CODE: Final = 130
+_NODE_COMMAND: Final = 'node'
 
 
 def run(arguments: Sequence[str]) -> int:
@@ -22,7 +24,12 @@
     :param arguments: command line arguments without the program name.
     :returns: the exit code of the process.
     """
-    commands = load_commands(arguments[0] if arguments else '')
+    command_word = arguments[0] if arguments else ''
+    if command_word == _NODE_COMMAND:
+        # By default it ends the process. A starting node reads its settings
+        # anyway, and sets a handler once its libraries are loaded.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    commands = load_commands(command_word)
     options = build_parser(commands).parse_args(arguments)
     try:
         return int(options.run(options))
