Stop steps: downloads that are being streamed, too

With the entry's question taken out, downloads whose body pauses for 900 ms are cut as other work is; with it each that an upstream began is whole.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -3,9 +3,9 @@
   Background:
     Given a fleet in front of "registry-desk" whose stops take 5100 ms and close the listener after 2600 ms
 
-  Scenario Outline: Kept connections carry <method> until the stopping node has gone
-    Given 180 kept connections to the entry, which has answered <method>
-    When each sends one <method> of 900 ms at a moment of its own until 5.4 s after the entry got SIGTERM
+  Scenario Outline: Kept connections carry <method> with "<query>" until the stopping node has gone
+    Given 180 kept connections to the entry, which has answered <method> with "<query>"
+    When each sends one such request at a moment of its own until 5.4 s after the entry got SIGTERM
     Then each request that an upstream began has its whole answer
     And each refused request was not run and its connection was closed
     And each request without an answer was not run, and its connection was closed at the end of the process
@@ -13,24 +13,25 @@
     And some requests are refused as "node-leaving"
 
     Examples:
-      | method |
-      | GET    |
-      | POST   |
+      | method | query                  |
+      | GET    | ms=900                 |
+      | POST   | ms=900                 |
+      | GET    | bytes=200000&stall=900 |
 
   Scenario: Requests near the end of a stop do not wait in queues that outlast it
-    Given 40 kept connections to the entry, which has answered POST
-    When each sends one POST of 900 ms 2500 ms after the entry got SIGTERM
+    Given 40 kept connections to the entry, which has answered POST with "ms=900"
+    When each sends one such request 2500 ms after the entry got SIGTERM
     Then each refused request was not run and its connection was closed
     And every request has an answer, and each that an upstream began its whole one
 
   Scenario: A body that is still arriving when the time is over is refused as not run
-    Given 1 kept connections to the entry, which has answered POST
+    Given 1 kept connections to the entry, which has answered POST with "ms=900"
     When one sends half of its body before the entry gets SIGTERM
     Then it gets status 503 with the outcome "not-run"
     And it was not run
 
   Scenario: A stopping node issues no ticket
-    Given 1 kept connections to the entry, which has answered POST
+    Given 1 kept connections to the entry, which has answered POST with "ms=900"
     When the entry gets SIGTERM
     And a ticket is asked for on the kept connection
     Then it gets status 503 with the outcome "not-run"
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -30,6 +30,7 @@
 _KEEPER = 'keeper?ms=4000'
 _KEEPER_KEY = {'X-Work-Key': _KEEPER}
 _UPLOAD_BYTES = 20_000
+_DOWNLOAD_BYTES = 200_000
 # Requests are sent more often while the process may end.
 _SPARSE_SHARE = 5
 _DENSE_FROM_S = 4.0
@@ -107,12 +108,19 @@
     }
 
 
-@given('{count:d} kept connections to the entry, which has answered {method}')
-def open_connections(context: Context, count: int, method: str) -> None:
+@given(
+    '{count:d} kept connections to the entry, which has answered {method} with'
+    ' "{query}"'
+)
+def open_connections(
+    context: Context, count: int, method: str, query: str
+) -> None:
     """Open connections, and let the entry see how long the work takes."""
+    context.method = method
+    context.query = query
     port = entry_of(context).caller_port
     warm_ups = [
-        gevent.spawn(call, port, method, '/cultivars/warm?ms=900')
+        gevent.spawn(call, port, method, f'/cultivars/warm?{query}')
         for _ in range(_WARM_UP_RUNS)
     ]
     gevent.joinall(warm_ups, raise_error=True)
@@ -148,17 +156,15 @@
 
 
 @when(
-    'each sends one {method} of {run:d} ms at a moment of its own until'
-    ' {until:f} s after the entry got SIGTERM'
+    'each sends one such request at a moment of its own until {until:f} s after'
+    ' the entry got SIGTERM'
 )
-def send_over_stop(
-    context: Context, method: str, run: int, until: float
-) -> None:
+def send_over_stop(context: Context, until: float) -> None:
     """Send one request on each connection, more often near the end."""
     moments = moments_of(len(context.kept), until)
     signal_entry(context)
     senders = [
-        gevent.spawn(send_at, context.stopped_at, kept, method, run, moment)
+        gevent.spawn(send_at, context, kept, moment)
         for kept, moment in zip(context.kept, moments, strict=True)
     ]
     process = context.stopping.process
@@ -167,11 +173,8 @@
     gevent.joinall(senders, raise_error=True)
 
 
-@when(
-    'each sends one {method} of {run:d} ms {after:d} ms after the entry got'
-    ' SIGTERM'
-)
-def send_together(context: Context, method: str, run: int, after: int) -> None:
+@when('each sends one such request {after:d} ms after the entry got SIGTERM')
+def send_together(context: Context, after: int) -> None:
     """Send one request on each connection, all at the same time.
 
     Another request keeps the process running until then.
@@ -182,8 +185,7 @@
     signal_entry(context)
     moment_s = after / _MS_PER_S
     senders = [
-        gevent.spawn(send_at, context.stopped_at, kept, method, run, moment_s)
-        for kept in context.kept
+        gevent.spawn(send_at, context, kept, moment_s) for kept in context.kept
     ]
     gevent.joinall(senders, raise_error=True)
     context.ended_s = time.monotonic() - context.stopped_at
@@ -198,18 +200,13 @@
     return early + [_DENSE_FROM_S + step_s * each for each in range(dense)]
 
 
-def send_at(
-    stopped_at: float,
-    kept: KeptConnection,
-    method: str,
-    run: int,
-    moment_s: float,
-) -> None:
+def send_at(context: Context, kept: KeptConnection, moment_s: float) -> None:
     """Send one request at a time after the stop signal."""
-    gevent.sleep(max(0, stopped_at + moment_s - time.monotonic()))
-    kept.sent_s = time.monotonic() - stopped_at
+    gevent.sleep(max(0, context.stopped_at + moment_s - time.monotonic()))
+    kept.sent_s = time.monotonic() - context.stopped_at
+    target = f'/cultivars/{kept.key}?{context.query}'
     kept.send(
-        f'{method} /cultivars/{kept.key}?ms={run} HTTP/1.1\r\nHost: x\r\n'
+        f'{context.method} {target} HTTP/1.1\r\nHost: x\r\n'
         f'Content-Length: 0\r\nX-Work-Key: {kept.key}\r\n'
         f'X-Deadline-Ms: {_DEADLINE_MS}'
     )
@@ -322,9 +319,14 @@
 
 
 def is_whole(kept: KeptConnection) -> bool:
-    """Return whether a request has the answer of its own run."""
+    """Return whether a request has the whole answer of its own run.
+
+    The body of a download does not say to which run it belongs.
+    """
     if kept.reply is None or kept.reply.status != 200:
         return False
+    if not kept.reply.body.startswith(b'{'):
+        return len(kept.reply.body) == _DOWNLOAD_BYTES
     return bool(json.loads(kept.reply.body)['key'] == kept.key)
 
 
