A stop waits for runs at upstreams that are no longer listed

A caller of another node got 502 peer-lost, outcome unknown, for a request that ran: its upstream had left the list meanwhile, and the node beside it stopped. A home forgets an upstream that is no longer listed and lets its runs go on, but a stop asked only the listed ones whether work was in progress. The process ended 0.3 s after its listener had closed, with 2 s of its time left.

Before, failing on the code before this change: of the runs of 4.5 s, the one at the upstream that had left the list ended with 502 peer-lost. After: 200 (4 of 4 runs beside other load).

The home now counts removed upstreams until their runs have ended.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -45,3 +45,9 @@
     When upstream 1 runs a request of 4500 ms for another entry
     And node 1 gets SIGTERM
     Then new connections to node 1 are served 3000 ms later
+
+  Scenario: Runs at an upstream that is no longer listed are finished
+    When upstream 1 runs a request of 4500 ms for another entry
+    And node 1 gets SIGTERM
+    And upstream 1 is no longer listed
+    Then the other entry gets the answer of each run
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -14,7 +14,7 @@
 
 from features.steps.fleet_steps import new_fleet, node_at, start_fleet
 from jackdawhead.bench.client import HttpResponse
-from standins.fleet import call, wait_until
+from standins.fleet import call, read_json, wait_until
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -279,9 +279,11 @@
     """Send requests until one of them runs at an upstream."""
     upstream = list(context.fleet.upstreams)[position - 1]
     port = entry_of(context).caller_port
+    target = f'/cultivars/long?ms={run}'
+    context.long_calls = []
 
     def is_running() -> bool:
-        gevent.spawn(call, port, 'POST', f'/cultivars/long?ms={run}')
+        context.long_calls.append(gevent.spawn(call, port, 'POST', target))
         gevent.sleep(0.2)
         return any(
             each['upstream'] == upstream and each['path'].endswith('long')
@@ -291,6 +293,27 @@
     wait_until(is_running, f'a run at {upstream}')
 
 
+@when('upstream {position:d} is no longer listed')
+def remove_upstream(context: Context, position: int) -> None:
+    """Publish a VM list without an upstream, and wait until its home knows."""
+    name = list(context.fleet.upstreams)[position - 1]
+    context.fleet.upstreams.pop(name)
+    context.fleet.publish_vms()
+    admin_port = context.fleet.nodes[name.partition('/')[0]].admin_port
+    wait_until(
+        lambda: not read_json(admin_port, '/status')['upstreams'],
+        f'a home without {name}',
+    )
+
+
+@then('the other entry gets the answer of each run')
+def check_long_calls(context: Context) -> None:
+    """Check the answers of the requests that ran during the stop."""
+    gevent.joinall(context.long_calls, raise_error=True)
+    replies = [each.value for each in context.long_calls]
+    assert all(reply.status == 200 for reply in replies), replies
+
+
 @then('each request that an upstream began has its whole answer')
 def check_begun(context: Context) -> None:
     """Compare the answers with the upstreams' records."""
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -55,6 +55,7 @@
         self._on_status = on_status
         self._upstreams: dict[str, HomeUpstream] = {}
         self._work_queued = Event()
+        self._removed: tuple[HomeUpstream, ...] = ()
         self._has_started = False
         self._owned: tuple[tuple[Vm, str, int], ...] = ()
         board.config.subscribe(lambda _: self._update())
@@ -73,10 +74,13 @@
 
     @property
     def active_requests(self) -> int:
-        """Number of running and queued requests."""
+        """Number of running and queued requests.
+
+        Runs at upstreams that are no longer listed count, too.
+        """
         return sum(
             upstream.running + upstream.waiting
-            for upstream in self._upstreams.values()
+            for upstream in (*self.all(), *self._removed)
         )
 
     def run(self) -> None:
@@ -104,7 +108,7 @@
     def _update(self) -> None:
         specs = self._specs()
         for name in self._upstreams.keys() - specs.keys():
-            self._upstreams.pop(name).close()
+            self._remove(self._upstreams.pop(name))
         is_new = self._has_started
         for name, spec in specs.items():
             self._apply_spec(name, spec, is_new=is_new)
@@ -117,7 +121,7 @@
         if upstream is None:
             upstream = self._add_upstream(spec, is_new=is_new)
         elif not upstream.can_apply(spec):
-            upstream.close()
+            self._remove(upstream)
             upstream = self._add_upstream(spec, is_new=is_new)
         elif upstream.spec != spec:
             upstream.apply(spec)
@@ -125,6 +129,11 @@
         details = vm.upstream_details(spec.service.name)
         upstream.mark_leaving_in_vm_list(vm.leaving or details.leaving)
 
+    def _remove(self, upstream: HomeUpstream) -> None:
+        upstream.close()
+        unfinished = (each for each in self._removed if each.running)
+        self._removed = (*unfinished, upstream)
+
     def _add_upstream(
         self, spec: UpstreamSpec, *, is_new: bool
     ) -> HomeUpstream:
