Entries use a leaving home while others are full, until it has started again

Callers waited or were refused at full upstreams while one beside a stopping node was idle: each entry avoided a leaving home for 3 s from each of its heartbeats, as if it were unreachable, and so for up to 3 s after it had ended or was back.

A home that stops now costs one run time more, so that others go first and it is used when they are full or likely failing. Trials go there during a shortage only. The mark ends when a new incarnation of the node is linked; a late notice of the former one is ignored. A refusal as node-leaving excludes the home for that operation and half a second, as a home still accepts short work when it has no time left for long work.

--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -84,7 +84,7 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
-        drawn = sample(members, _SAMPLE_SIZE, query.tried, rng)
+        drawn = sample(members, _SAMPLE_SIZE, query.excluded, rng)
         return least(drawn, partial(_jittered_ms, query.now_ms, rng))
 
 
@@ -115,7 +115,7 @@
     ) -> UpstreamLoad | None:
         if query.trial is not None and not query.tried:
             trial = pick_trial(
-                pool.local + pool.remote,
+                _remaining(pool.local + pool.remote, query.refusing),
                 query.trial,
                 query.now_ms,
                 rng,
@@ -125,12 +125,13 @@
         transfer_ms = (
             _ZONE_ROUND_TRIP_MS + query.transfer_bytes * _OTHER_ZONE_MS_PER_BYTE
         )
+        excluded = query.excluded
         local = least(
-            [each for each in pool.local if each.upstream not in query.tried],
+            _remaining(pool.local, excluded),
             partial(_risk_weighted_ms, query, rng, 0),
         )
         remote = least(
-            [each for each in pool.remote if each.upstream not in query.tried],
+            _remaining(pool.remote, excluded),
             partial(_risk_weighted_ms, query, rng, transfer_ms),
         )
         if local is None or remote is None:
@@ -140,6 +141,12 @@
         return local if local_ms <= remote_ms else remote
 
 
+def _remaining(
+    members: tuple[UpstreamLoad, ...], excluded: frozenset[str]
+) -> list[UpstreamLoad]:
+    return [each for each in members if each.upstream not in excluded]
+
+
 def _risk_weighted_ms(
     query: RoutingQuery,
     rng: Random,
@@ -161,7 +168,9 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
-        drawn = sample(pool.local + pool.remote, _TWO_CHOICES, query.tried, rng)
+        drawn = sample(
+            pool.local + pool.remote, _TWO_CHOICES, query.excluded, rng
+        )
         return least(drawn, lambda each: each.in_flight)
 
 
@@ -175,7 +184,7 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
-        drawn = sample(pool.local + pool.remote, 1, query.tried, rng)
+        drawn = sample(pool.local + pool.remote, 1, query.excluded, rng)
         return drawn[0] if drawn else None
 
 
@@ -196,7 +205,7 @@
         for _ in members:
             self._next = (self._next + 1) % len(members)
             member = members[self._next]
-            if member.upstream not in query.tried:
+            if member.upstream not in query.excluded:
                 return member
         return None
 
--- a/src/jackdawhead/policy/home_stop.py
+++ b/src/jackdawhead/policy/home_stop.py
@@ -23,9 +23,9 @@
     """Phase of a stop after the time in which callers may connect.
 
     While ``SERVING``, the entry has requests in progress, and the home accepts
-    work as well. While ``FINISHING``, the home refuses all work but that which
-    it runs; the listener is open, since the upstream may call through this node.
-    While ``CLOSED``, the entry finishes what has come meanwhile.
+    work as well. While ``FINISHING``, the home only finishes what it runs; the
+    listener is open, since the upstream may call through this node. While
+    ``CLOSED``, the entry finishes what has come meanwhile.
     """
 
     SERVING = auto()
--- a/src/jackdawhead/replay/stops.py
+++ b/src/jackdawhead/replay/stops.py
@@ -16,7 +16,6 @@
     from .homes import ReplayContext, ReplayUpstream
     from .views import EntryView
 
-_HEARTBEAT_INTERVAL_MS: Final = 1000
 _POLL_MS: Final = 20
 # One-way network delay of messages between nodes.
 _HOP_MS: Final = 2.5
@@ -63,7 +62,6 @@
         self._upstreams_on = upstreams_on
         self._timeline = context.timeline
         self._add_services = add_services
-        self._is_running = True
 
     def begin(self) -> None:
         """Deliver the stop signal."""
@@ -72,7 +70,7 @@
         plan = StopPlan(now_ms, now_ms + stop.accept_ms, now_ms + stop.drain_ms)
         for upstream in self._upstreams():
             upstream.stop.begin(plan)
-        self._send_heartbeats()
+        self._notify(lambda view: view.note_leaving(stop.node))
         self._timeline.schedule_at(
             plan.closes_at_ms, lambda: self._close_listener(plan)
         )
@@ -80,14 +78,6 @@
     def _upstreams(self) -> list[ReplayUpstream]:
         return self._upstreams_on(self._stop.node)
 
-    def _send_heartbeats(self) -> None:
-        if not self._is_running:
-            return
-        self._notify(lambda view: view.note_leaving(self._stop.node))
-        self._timeline.schedule_after(
-            _HEARTBEAT_INTERVAL_MS, self._send_heartbeats
-        )
-
     def _notify(self, action: Callable[[EntryView], None]) -> None:
         own = self._entries[self._stop.node]
         for entry in self._entries.values():
@@ -127,7 +117,6 @@
                     entry.view.on_status(service, status)
 
     def _end(self) -> None:
-        self._is_running = False
         for upstream in self._upstreams():
             upstream.stop_home()
         self._entries[self._stop.node].stop()
@@ -145,7 +134,7 @@
         self._add_services(entry)
         entry.is_listening = True
         for other in self._entries.values():
-            other.view.mark_path(self._stop.node, is_up=True)
+            other.view.note_restarted(self._stop.node)
 
 
 __all__ = ('NodeRestart', 'PlannedStop')
