--- a/features/policy/leaving_home.feature
+++ b/features/policy/leaving_home.feature
@@ -11,16 +11,27 @@
     Then the queued work stays after 2000 ms
     And the queued work is handed back after 4500 ms
 
-  # Work for other entries must not lengthen the stop.
-  Scenario: The home refuses all work once its own entry has nothing in progress
+  # Work for other entries must not lengthen the stop, nor calls made by it.
+  Scenario: The home refuses all work once its entry has finished its older requests
     Given the home of a node that began to stop, to end after 5000 ms
-    When the listener closes after 2600 ms
-    Then the node goes on serving while its entry has requests
-    And it finishes the work of its home once its entry has none
-    And the home refuses work of 1 ms after 2700 ms
-    And the node ends after 3000 ms if its home has no work
-    And the node does not end after 3000 ms if its home has work
-    And the node ends after 5000 ms if its home has work
+    When the entry has older requests after 2600 ms
+    Then the node is serving
+    When the entry has only newer requests and the home has work after 2800 ms
+    Then the node is finishing
+    And the home refuses work of 1 ms after 2800 ms
+    When the entry has older requests after 2900 ms
+    Then the node is closed
+    When the entry has no requests after 3100 ms
+    Then the node is closed
+    When the entry has no requests after 3300 ms
+    Then the node is ended
+
+  Scenario: A stop ends in time though work is in progress
+    Given the home of a node that began to stop, to end after 5000 ms
+    When the entry has older requests after 4900 ms
+    Then the node is serving
+    When the entry has older requests after 5000 ms
+    Then the node is ended
 
   Scenario: An entry uses a leaving home while the others are full
     Given an entry whose upstreams 1 and 2 have 0 and 3 free slots of 3
--- a/features/steps/leaving_home_steps.py
+++ b/features/steps/leaving_home_steps.py
@@ -50,6 +50,7 @@
     )
     context.stop = HomeStop()
     context.stop.begin(context.plan)
+    context.progress = StopProgress(context.plan)
 
 
 def _is_accepted(context: Context, run_ms: int, after: int) -> bool:
@@ -106,40 +107,23 @@
     assert _handed_back(context, after) == [context.work]
 
 
-@when('the listener closes after {after:d} ms')
-def close_listener(context: Context, after: int) -> None:
-    """Begin the part of the stop in which callers can't connect."""
-    context.now_ms = _START_MS + after
-    context.progress = StopProgress(context.plan, context.now_ms)
-
-
-@then('the node goes on serving while its entry has requests')
-def check_serving(context: Context) -> None:
-    """Check the phase while the entry is active."""
-    phase = context.progress.step(
-        context.now_ms, entry_active=True, home_active=False
-    )
-    assert phase is StopPhase.SERVING, phase
-
-
-@then('it finishes the work of its home once its entry has none')
-def check_finishing(context: Context) -> None:
-    """Check the phase once the entry is idle, and act on it."""
-    phase = context.progress.step(
-        context.now_ms, entry_active=False, home_active=True
+@when('the entry has {requests} after {after:d} ms')
+def step_stop(context: Context, requests: str, after: int) -> None:
+    """Have the node decide on the next phase of its stop."""
+    context.phase = context.progress.step(
+        _START_MS + after,
+        older_active='older' in requests,
+        entry_active='no' not in requests.split(),
+        home_active='the home has work' in requests,
     )
-    assert phase is StopPhase.FINISHING, phase
-    assert context.stop.finish()
-    assert context.stop.refusing_ms(context.now_ms)
+    if context.phase is not StopPhase.SERVING:
+        context.stop.finish()
 
 
-@then('the node {verdict} after {after:d} ms if its home has {work}')
-def check_end(context: Context, verdict: str, after: int, work: str) -> None:
-    """Check whether the process ends."""
-    phase = context.progress.step(
-        _START_MS + after, entry_active=False, home_active=work == 'work'
-    )
-    assert (phase is StopPhase.ENDED) is (verdict == 'ends'), phase
+@then('the node is {phase}')
+def check_phase(context: Context, phase: str) -> None:
+    """Compare the phase of the stop."""
+    assert context.phase is StopPhase[phase.upper()], context.phase
 
 
 @given(
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -14,7 +14,7 @@
 
 from features.steps.fleet_steps import new_fleet, node_at, start_fleet
 from jackdawhead.bench.client import HttpResponse
-from standins.fleet import call, wait_until
+from standins.fleet import call, read_json, wait_until
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -30,6 +30,7 @@
 _KEEPER = 'keeper?ms=4000'
 _KEEPER_KEY = {'X-Work-Key': _KEEPER}
 _UPLOAD_BYTES = 20_000
+_DOWNLOAD_BYTES = 200_000
 # Requests are sent more often while the process may end.
 _SPARSE_SHARE = 5
 _DENSE_FROM_S = 4.0
@@ -107,12 +108,19 @@
     }
 
 
-@given('{count:d} kept connections to the entry, which has answered {method}')
-def open_connections(context: Context, count: int, method: str) -> None:
+@given(
+    '{count:d} kept connections to the entry, which has answered {method} with'
+    ' "{query}"'
+)
+def open_connections(
+    context: Context, count: int, method: str, query: str
+) -> None:
     """Open connections, and let the entry see how long the work takes."""
+    context.method = method
+    context.query = query
     port = entry_of(context).caller_port
     warm_ups = [
-        gevent.spawn(call, port, method, '/cultivars/warm?ms=900')
+        gevent.spawn(call, port, method, f'/cultivars/warm?{query}')
         for _ in range(_WARM_UP_RUNS)
     ]
     gevent.joinall(warm_ups, raise_error=True)
@@ -148,17 +156,15 @@
 
 
 @when(
-    'each sends one {method} of {run:d} ms at a moment of its own until'
-    ' {until:f} s after the entry got SIGTERM'
+    'each sends one such request at a moment of its own until {until:f} s after'
+    ' the entry got SIGTERM'
 )
-def send_over_stop(
-    context: Context, method: str, run: int, until: float
-) -> None:
+def send_over_stop(context: Context, until: float) -> None:
     """Send one request on each connection, more often near the end."""
     moments = moments_of(len(context.kept), until)
     signal_entry(context)
     senders = [
-        gevent.spawn(send_at, context.stopped_at, kept, method, run, moment)
+        gevent.spawn(send_at, context, kept, moment)
         for kept, moment in zip(context.kept, moments, strict=True)
     ]
     process = context.stopping.process
@@ -167,11 +173,8 @@
     gevent.joinall(senders, raise_error=True)
 
 
-@when(
-    'each sends one {method} of {run:d} ms {after:d} ms after the entry got'
-    ' SIGTERM'
-)
-def send_together(context: Context, method: str, run: int, after: int) -> None:
+@when('each sends one such request {after:d} ms after the entry got SIGTERM')
+def send_together(context: Context, after: int) -> None:
     """Send one request on each connection, all at the same time.
 
     Another request keeps the process running until then.
@@ -182,8 +185,7 @@
     signal_entry(context)
     moment_s = after / _MS_PER_S
     senders = [
-        gevent.spawn(send_at, context.stopped_at, kept, method, run, moment_s)
-        for kept in context.kept
+        gevent.spawn(send_at, context, kept, moment_s) for kept in context.kept
     ]
     gevent.joinall(senders, raise_error=True)
     context.ended_s = time.monotonic() - context.stopped_at
@@ -198,18 +200,13 @@
     return early + [_DENSE_FROM_S + step_s * each for each in range(dense)]
 
 
-def send_at(
-    stopped_at: float,
-    kept: KeptConnection,
-    method: str,
-    run: int,
-    moment_s: float,
-) -> None:
+def send_at(context: Context, kept: KeptConnection, moment_s: float) -> None:
     """Send one request at a time after the stop signal."""
-    gevent.sleep(max(0, stopped_at + moment_s - time.monotonic()))
-    kept.sent_s = time.monotonic() - stopped_at
+    gevent.sleep(max(0, context.stopped_at + moment_s - time.monotonic()))
+    kept.sent_s = time.monotonic() - context.stopped_at
+    target = f'/cultivars/{kept.key}?{context.query}'
     kept.send(
-        f'{method} /cultivars/{kept.key}?ms={run} HTTP/1.1\r\nHost: x\r\n'
+        f'{context.method} {target} HTTP/1.1\r\nHost: x\r\n'
         f'Content-Length: 0\r\nX-Work-Key: {kept.key}\r\n'
         f'X-Deadline-Ms: {_DEADLINE_MS}'
     )
@@ -251,15 +248,12 @@
     ' {position:d}'
 )
 def send_ticket(context: Context, run: int, position: int) -> None:
-    """Resend to another node, which forwards to the issuer of the ticket."""
-    issued = call(
-        entry_of(context).caller_port,
-        'POST',
-        '/cultivars/t',
-        b'',
-        {'X-Ticket': 'new'},
-    )
+    """Send to another node, which forwards to the issuer of the ticket."""
     node = context.fleet.nodes[node_at(context, position)]
+    wait_until(
+        lambda: _send_with_ticket(context, node.caller_port).status == 200,
+        f'a link from {node.vm} to the entry',
+    )
     kept = KeptConnection(
         socket.create_connection((_IP, node.caller_port), _TIMEOUT_S), 'ticket'
     )
@@ -268,20 +262,33 @@
     kept.send(
         f'POST /cultivars/{kept.key}?ms={run} HTTP/1.1\r\nHost: x\r\n'
         f'Content-Length: 0\r\nX-Work-Key: {kept.key}\r\n'
-        f'X-Ticket: {issued.headers["x-ticket"]}'
+        f'X-Ticket: {_new_ticket(context)}'
     )
     context.receiving = gevent.spawn(kept.receive)
     wait_until(lambda: kept.key in run_times(context), 'run of the ticket')
 
 
+def _new_ticket(context: Context) -> str:
+    port = entry_of(context).caller_port
+    reply = call(port, 'POST', '/cultivars/t', b'', {'X-Ticket': 'new'})
+    return reply.headers['x-ticket']
+
+
+def _send_with_ticket(context: Context, port: int) -> HttpResponse:
+    headers = {'X-Ticket': _new_ticket(context)}
+    return call(port, 'POST', '/cultivars/t?ms=1', b'', headers)
+
+
 @when('upstream {position:d} runs a request of {run:d} ms for another entry')
 def run_elsewhere(context: Context, position: int, run: int) -> None:
     """Send requests until one of them runs at an upstream."""
     upstream = list(context.fleet.upstreams)[position - 1]
     port = entry_of(context).caller_port
+    target = f'/cultivars/long?ms={run}'
+    context.long_calls = []
 
     def is_running() -> bool:
-        gevent.spawn(call, port, 'POST', f'/cultivars/long?ms={run}')
+        context.long_calls.append(gevent.spawn(call, port, 'POST', target))
         gevent.sleep(0.2)
         return any(
             each['upstream'] == upstream and each['path'].endswith('long')
@@ -291,6 +298,27 @@
     wait_until(is_running, f'a run at {upstream}')
 
 
+@when('upstream {position:d} is no longer listed')
+def remove_upstream(context: Context, position: int) -> None:
+    """Publish a VM list without an upstream, and wait until its home knows."""
+    name = list(context.fleet.upstreams)[position - 1]
+    context.fleet.upstreams.pop(name)
+    context.fleet.publish_vms()
+    admin_port = context.fleet.nodes[name.partition('/')[0]].admin_port
+    wait_until(
+        lambda: not read_json(admin_port, '/status')['upstreams'],
+        f'a home without {name}',
+    )
+
+
+@then('the other entry gets the answer of each run')
+def check_long_calls(context: Context) -> None:
+    """Check the answers of the requests that ran during the stop."""
+    gevent.joinall(context.long_calls, raise_error=True)
+    replies = [each.value for each in context.long_calls]
+    assert all(reply.status == 200 for reply in replies), replies
+
+
 @then('each request that an upstream began has its whole answer')
 def check_begun(context: Context) -> None:
     """Compare the answers with the upstreams' records."""
@@ -319,9 +347,14 @@
 
 
 def is_whole(kept: KeptConnection) -> bool:
-    """Return whether a request has the answer of its own run."""
+    """Return whether a request has the whole answer of its own run.
+
+    The body of a download does not say to which run it belongs.
+    """
     if kept.reply is None or kept.reply.status != 200:
         return False
+    if not kept.reply.body.startswith(b'{'):
+        return len(kept.reply.body) == _DOWNLOAD_BYTES
     return bool(json.loads(kept.reply.body)['key'] == kept.key)
 
 
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -33,6 +33,7 @@
         self._parts = parts
         self._channels = channels
         self._callers = callers
+        self._closed_ms: float = 0
 
     def run(self) -> None:
         """Announce the stop and return once the process may end."""
@@ -44,26 +45,30 @@
         )
         self._channels.send_heartbeats()
         gevent.sleep(seconds(max(0, plan.closes_at_ms - monotonic_ms())))
-        self._callers.close()
         self._finish(plan)
 
     def _finish(self, plan: StopPlan) -> None:
-        """Wait until the requests in progress have ended."""
-        closed_ms = monotonic_ms()
-        progress = StopProgress(plan, closed_ms)
+        """Finish the requests in progress, then close the listener."""
+        progress = StopProgress(plan)
         home = self._parts.home
         while True:
             phase = progress.step(
                 monotonic_ms(),
-                entry_active=self._is_entry_active(closed_ms),
+                older_active=self._callers.has_request_from_before(
+                    plan.closes_at_ms
+                ),
+                entry_active=self._is_entry_active(),
                 home_active=bool(home.active_requests),
             )
             if phase is StopPhase.ENDED:
                 # A request that is read from now on would be cut off.
                 self._parts.board.stop.write(plan.ending_at(monotonic_ms()))
                 return
-            if phase is StopPhase.FINISHING:
+            if phase is not StopPhase.SERVING:
                 home.finish_running()
+            if phase is StopPhase.CLOSED and not self._closed_ms:
+                self._callers.close()
+                self._closed_ms = monotonic_ms()
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
     def _plan(self) -> StopPlan:
@@ -75,15 +80,15 @@
             ends_at_ms=now_ms + settings.drain_ms,
         )
 
-    def _is_entry_active(self, closed_ms: float) -> bool:
-        """Return whether a caller's request is in progress or may arrive.
-
-        :param closed_ms: monotonic time at which the listener was closed,
-            in milliseconds.
-        """
+    def _is_entry_active(self) -> bool:
+        """Return whether a caller's request is in progress or may arrive."""
         if self._callers.active:
             return True
-        since_close_ms = monotonic_ms() - closed_ms
+        if len(self._parts.attempts):
+            # The run of a ticket goes on without its caller, or for a caller
+            # of another node.
+            return True
+        since_close_ms = monotonic_ms() - self._closed_ms
         return (
             self._callers.connections > 0
             and since_close_ms < self._parts.settings.drain_idle_ms
--- a/src/jackdawhead/policy/home_stop.py
+++ b/src/jackdawhead/policy/home_stop.py
@@ -20,49 +20,61 @@
 
 
 class StopPhase(Enum):
-    """Phase of a stop after the listener for callers is closed.
+    """Phase of a stop after the time in which callers may connect.
 
     While ``SERVING``, the entry has requests in progress, and the home accepts
-    work as well. While ``FINISHING``, it finishes what it runs, and refuses all
-    other work.
+    work as well. While ``FINISHING``, the home only finishes what it runs; the
+    listener is open, since the upstream may call through this node. While
+    ``CLOSED``, the entry finishes what has come meanwhile.
     """
 
     SERVING = auto()
     FINISHING = auto()
+    CLOSED = auto()
     ENDED = auto()
 
 
 class StopProgress:
-    """Decides how a stop proceeds once the listener for callers is closed.
+    """Decides how a stop proceeds once callers no longer connect.
 
     Work that the home accepts for other entries must not lengthen the stop, so
-    only the own entry's requests do.
+    only requests that the own entry had before do.
 
     :param plan: schedule of the stop.
-    :param closed_at_ms: monotonic time at which the listener was closed.
     """
 
-    def __init__(self, plan: StopPlan, closed_at_ms: float) -> None:
+    def __init__(self, plan: StopPlan) -> None:
         self._plan = plan
-        self._entry_active_at_ms = closed_at_ms
+        self._is_serving = True
+        self._active_at_ms: float | None = None
 
     def step(
-        self, now_ms: float, *, entry_active: bool, home_active: bool
+        self,
+        now_ms: float,
+        *,
+        older_active: bool,
+        entry_active: bool,
+        home_active: bool,
     ) -> StopPhase:
         """Return the phase of the stop.
 
         :param now_ms: monotonic time.
-        :param entry_active: whether the entry has requests in progress.
+        :param older_active: whether the entry has requests in progress that
+            came while callers could connect.
+        :param entry_active: whether the entry has any requests in progress.
         :param home_active: whether the home has running or queued work.
         """
         if not self._plan.remaining_ms(now_ms):
             return StopPhase.ENDED
-        if entry_active:
-            self._entry_active_at_ms = now_ms
+        self._is_serving = self._is_serving and older_active
+        if self._is_serving:
             return StopPhase.SERVING
-        is_quiet = now_ms - self._entry_active_at_ms > _QUIET_MS
-        has_ended = is_quiet and not home_active
-        return StopPhase.ENDED if has_ended else StopPhase.FINISHING
+        if home_active:
+            return StopPhase.FINISHING
+        if entry_active or self._active_at_ms is None:
+            self._active_at_ms = now_ms
+        is_quiet = now_ms - self._active_at_ms > _QUIET_MS
+        return StopPhase.ENDED if is_quiet else StopPhase.CLOSED
 
 
 class HomeStop:
