Keep one link to each node, and only to the node that was dialled

A link whose other end named another VM than the one dialled, for example after its address had gone to a new VM, was kept under that other name: the dialled home counted as reached, had no link, and each request to it opened a further one. Such a link is now closed and the dial counts as refused. A second link to a process is closed in favour of the first, and the link to a former process in favour of the new one's.

Found by reading the dialler.

--- a/features/fleet/restarts.feature
+++ b/features/fleet/restarts.feature
@@ -40,3 +40,8 @@
     When another process takes the place of the home, and the old link stays silent
     And the new process of the home dials the node
     Then the node has a link to the new process only, and uses the home again
+
+  Scenario: Another node has the address of a home
+    Given a node that dials a home at the address of another
+    When it dials the home 3 times
+    Then it keeps no link
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -31,6 +31,7 @@
 # A node that knows its upstreams says so in the first message on a link.
 _FIRST_HEARTBEAT_MS: Final = 250
 _IDLE_REASON: Final = 'unused'
+_REPLACED_REASON: Final = 'replaced by a newer process'
 
 
 class Dialler:
@@ -101,7 +102,7 @@
         """
         own = self._links.get(peer.vm)
         if own is not None and own.incarnation != peer.incarnation:
-            own.close('replaced by a newer process')
+            own.close(_REPLACED_REASON)
         elif not self._is_returning(peer):
             self._incarnations.setdefault(peer.vm, peer.incarnation)
             return
@@ -164,10 +165,7 @@
     def _usable_link(self, vm: str) -> DialledLink | None:
         """Return the link to a node if the node can run work."""
         link = self._links.get(vm)
-        is_usable = (
-            link is not None and link.is_ready and link.knows_upstreams.is_set()
-        )
-        return link if is_usable else None
+        return link if link is not None and link.is_usable else None
 
     def _is_returning(self, link: Link) -> bool:
         """Return whether a link ends an absence or leads to a new process."""
@@ -192,7 +190,7 @@
             return
         link = self._links.get(name)
         if link is None:
-            opened = self._open(Address(vm.ip, vm.stream_port))
+            opened = self._open(Address(vm.ip, vm.stream_port), name)
             if isinstance(opened, DialFailure):
                 self._note_failure(name, opened)
                 return
@@ -236,8 +234,15 @@
         self._has_absent.set()
         self._parts.routing.note_unreachable(vm, _AVOID_ABSENT_MS)
 
-    def _open(self, address: Address) -> DialledLink | DialFailure:
-        """Connect to a node and complete the handshake."""
+    def _open(
+        self, address: Address, name: str = ''
+    ) -> DialledLink | DialFailure:
+        """Connect to a node and complete the handshake.
+
+        :param address: stream address of the node.
+        :param name: VM of the node, empty if any node is expected.
+        :returns: the only link to that node, or why there is none.
+        """
         target = (address.ip, address.port)
         try:
             sock = socket.create_connection(
@@ -254,6 +259,15 @@
         if not link.ready.get():
             is_silent = link.has_timed_out
             return DialFailure.SILENT if is_silent else DialFailure.REFUSED
+        if name and link.vm != name:
+            link.close('another node has the address')
+            return DialFailure.REFUSED
+        present = self._links.get(link.vm)
+        if present is not None:
+            if present.incarnation == link.incarnation:
+                link.close('duplicate')
+                return present
+            present.close(_REPLACED_REASON)
         self._links[link.vm] = link
         self._parts.recorder.note_path(link.vm, True)
         self._gossip.on_link_ready(link)
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -25,7 +25,6 @@
 # Shortest time between two evaluations of the upstreams' health.
 _MIN_TICK_INTERVAL_MS: Final = 200
 _TICK_INTERVAL_PER_UPSTREAM_MS: Final = 0.75
-_AVOID_UNREACHABLE_MS: Final = 500
 _AVOID_SILENT_MS: Final = 3000
 _AUDIT_KIND_OF_HEALTH: Final = {
     Health.EJECTED: AuditKind.UPSTREAM_EJECTED,
@@ -164,9 +163,7 @@
         if router is not None:
             router.mark_draining(upstream, draining, monotonic_ms())
 
-    def avoid(
-        self, home: str, duration_ms: int = _AVOID_UNREACHABLE_MS
-    ) -> None:
+    def avoid(self, home: str, duration_ms: int) -> None:
         """Avoid a home that this node cannot reach.
 
         :param home: VM of the home.
@@ -225,7 +222,7 @@
         """Replace the upstreams of a home that could not be dialled.
 
         :param home: VM of the home.
-        :param duration_ms: time until this node dials the home again.
+        :param duration_ms: how long to avoid it, unless it is reached before.
         """
         self.avoid(home, duration_ms)
         if self._members.note_unreachable(home, monotonic_ms()):
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -93,6 +93,11 @@
         """Whether the handshake has succeeded and the stream is open."""
         return bool(self.vm) and not self._stream.closed
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether the peer is known to be able to run work."""
+        return self.is_ready and self.knows_upstreams.is_set()
+
     @property
     def traffic_bytes(self) -> int:
         """Bytes sent and received."""
