Leave time for links between the late imports

Each library that a node imports once its home can run work takes some 30 ms of processor time. With a pause of 1 ms in between, the handshakes of other entries' links, of several round trips, each took several imports: with 12 nodes half of the links came 100, 90, 100 and 70 ms after home-ready (four restarts, median of 7 or 8 links each). With 20 ms it is 10, 10, 20 and 10 ms. The listener for callers starts some 75 ms later, 180 ms after the home in the fastest of the four restarts.

--- a/src/jackdawhead/node/late_imports.py
+++ b/src/jackdawhead/node/late_imports.py
@@ -14,7 +14,8 @@
 
 # One step each, so that the home is not held up for long at a time.
 _STEPS: Final = ('gevent.pywsgi', 'asyncio', 'falcon', 'prometheus_client')
-_PAUSE_MS: Final = 1
+# Enough for the handshakes of links, which take several round trips.
+_PAUSE_MS: Final = 20
 
 
 def import_listeners() -> type[HttpListeners]:
