Late answers of ejected upstreams no longer lift their ejection

What callers saw: where two of six upstreams answered with endless bytes, entries returned them to service within 200 ms of their ejection, or at their trial, since 'the whole service fails', and callers got 502 upstream-reset again.

Cause: ejections are lifted while the median of the known upstreams fails. The reports of an upstream are forgotten when it is ejected, but its answers in flight, and its trial, bring new ones; beside one or two others with outcomes of the last 4 s, the ejected were the majority.

The median is now that of the upstreams in use.

--- a/src/jackdawhead/policy/peer_detector.py
+++ b/src/jackdawhead/policy/peer_detector.py
@@ -106,7 +106,7 @@
             for name, found in summaries.items()
             if _count_judged(found, self._policy.min_samples) < _MIN_PEERS
         }
-        self._restore_on_common_cause(now_ms)
+        self._restore_on_common_cause(summaries, now_ms)
         self._ejections.begin_trials(now_ms)
         self._ejections.judge_trials(self._norms, now_ms)
         limit = ejection_limit(
@@ -130,7 +130,9 @@
             for operation, reports in self._reports.items()
         }
 
-    def _restore_on_common_cause(self, now_ms: float) -> None:
+    def _restore_on_common_cause(
+        self, summaries: dict[str, dict[str, Summary]], now_ms: float
+    ) -> None:
         """Lift all ejections from operations that fail on the whole service.
 
         A failure that all peers share is not the fault of one upstream, even
@@ -139,14 +141,30 @@
         """
         failing = {
             operation
-            for operation, norm in self._norms.items()
-            if norm.error_share * _PERCENT >= self._policy.error_percent
+            for operation, found in summaries.items()
+            if self._has_common_cause(operation, found)
         }
         if not failing:
             return
         failing.update(self._sparse_operations)
         self._ejections.restore_all(failing, now_ms)
 
+    def _has_common_cause(
+        self, operation: str, found: dict[str, Summary]
+    ) -> bool:
+        """Return whether an operation fails on the upstreams in use.
+
+        Late answers of ejected upstreams do not count: while few others are
+        known, these would be the majority.
+        """
+        in_use = [
+            summary
+            for upstream, summary in found.items()
+            if self._ejections.health(upstream, operation) is Health.HEALTHY
+        ]
+        norm = norm_of(in_use, self._policy.min_samples)
+        return norm.error_share * _PERCENT >= self._policy.error_percent
+
     def _suspects(
         self,
         summaries: dict[str, dict[str, Summary]],
