Refuse odd answers of the platform without ending the watch

What callers saw: an answer of the project's own platform that is no object, without a whole number as version, nested too deeply, or with a configuration that is no mapping raised TypeError, OverflowError, RecursionError or AttributeError. The watch ended and began again each half second; at the start the node never became ready.

Failure seen before, by calls of the parent's code with five bodies: [] and a null version gave TypeError, 1e400 as version OverflowError, 5000 lists in each other RecursionError, none of them handled; a configuration that is 7 gave AttributeError when it was offered.

The answer is decoded with its type and bounds now, like those of the store.

--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-import json
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
 
 from ..clock import seconds
 from ..config.sources import MAX_CONFIG_BYTES
+from ..json_parts import DECODE_ERRORS, decode_parts
+from .listed_types import Revision
 
 if TYPE_CHECKING:
     from ..config.settings import Address
@@ -20,7 +22,12 @@
 _OK: Final = 200
 _NO_CONTENT: Final = 204
 _REQUEST_TIMEOUT_MS: Final = 3000
-_REQUEST_ERRORS: Final = (OSError, HTTPParseError, ValueError, KeyError)
+_REQUEST_ERRORS: Final = (OSError, HTTPParseError, ValueError)
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    version: Revision
+    content: Any = msgspec.field(name='value')
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,9 +106,25 @@
         return Success(None)
     if response.status_code != _OK:
         return Failure(f'status {response.status_code}')
-    body = response.read(2 * MAX_CONFIG_BYTES)
-    plain = json.loads(body)
-    return Success(PublishedValue(int(plain['version']), plain['value']))
+    return decode_published(response.read(2 * MAX_CONFIG_BYTES))
 
 
-__all__ = ('PlatformClient', 'PlatformSource', 'PublishedValue')
+def decode_published(body: bytes) -> Result[PublishedValue | None, str]:
+    """Decode an answer of the platform.
+
+    :param body: JSON object with the version and the value.
+    :returns: the value, or why the answer is invalid.
+    """
+    try:
+        answer = decode_parts(body, _Answer)
+    except DECODE_ERRORS as error:
+        return Failure(str(error))
+    return Success(PublishedValue(answer.version, answer.content))
+
+
+__all__ = (
+    'PlatformClient',
+    'PlatformSource',
+    'PublishedValue',
+    'decode_published',
+)
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -139,6 +139,8 @@
 
 
 def _sources(plain: Any) -> tuple[SourceFile, ...]:
+    if not isinstance(plain, dict):
+        return ()
     return tuple(
         SourceFile(str(name), str(text)) for name, text in plain.items()
     )
