Bound the time for which a report takes an upstream out

What callers saw: one report of another node with an odd time of avoidance took its upstream out of use at that entry until the entry restarted, since later reports without such a time do not end an earlier one.

Cause: the number was taken as it came. A report is believed for 30 s now; the next one may prolong it.

--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -27,6 +27,8 @@
 
 # A router is kept for at least this long after its last use.
 _UNUSED_RETENTION_MS: Final = 600_000
+# No report is believed for longer; the next one may prolong it.
+_MAX_AVOID_MS: Final = 30_000
 
 
 class ServiceRouter:
@@ -162,7 +164,8 @@
         load.note_report(report, now_ms)
         load.note_risk(status.risk / RISK_SCALE, now_ms)
         if status.avoid_ms:
-            load.avoid_until_ms = now_ms + status.avoid_ms
+            avoid_ms = min(status.avoid_ms, _MAX_AVOID_MS)
+            load.avoid_until_ms = now_ms + avoid_ms
         if status.median_ms:
             load.medians_ms[status.operation] = status.median_ms
         count = status.count
