Take documents with characters beyond 16 bits

What callers saw: a document with one such character, for example an emoji in a host, a path or a kind of route, was refused whole and for ever ('found invalid Unicode character escape code'); the fleet kept the version before.

Failure seen before: 'Random changes to a document' with ten times as many examples, random ones, failed with a host that contains U+77796; now it has such characters as fixed examples and failed with U+1F600 as a host.

Cause: the adapter writes files as JSON, in which such a character is a pair of surrogates; the files are read as YAML, which has no pairs. They are written with YAML's escapes of eight digits now; all other characters stay as they were, so that texts and digests of other documents are the same as before.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -64,6 +64,16 @@
     ),
     max_leaves=8,
 )
+# Not printable in YAML, or outside the basic multilingual plane.
+_ODD_TEXTS = (
+    '\U0001f600',
+    '\x7f',
+    '\x85',
+    '\x9f',
+    '\u2028',
+    '\ufffe',
+    r'\ud83d',
+)
 _DEEP_NESTING = ''.join(('[' * 5000, ']' * 5000))
 _HEAD_PARTS = (
     b'Host: x\r\n',
@@ -145,6 +155,9 @@
         check, count, path=st.sampled_from(spec_paths(first)), plain=_PLAIN
     )
     check((0, 'host'), json.loads(''.join(('[' * 500, ']' * 500))))
+    for text in _ODD_TEXTS:
+        check((0, 'host'), text)
+        check((0, 'routeType'), text)
 
 
 @then('each change left all other routes active')
--- a/src/jackdawhead/platform/config_translation.py
+++ b/src/jackdawhead/platform/config_translation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import TYPE_CHECKING, Any, Final
 
 import xxhash
@@ -43,6 +44,8 @@
 _MAX_ATTEMPTS: Final = 100
 _MAX_CONNECTIONS: Final = 100_000
 _MAX_WEIGHT: Final = 1_000_000
+_NOT_PRINTABLE: Final = re.compile('[^ -~]')
+_MAX_SHORT_CODE: Final = 0xFFFF
 _MAX_BODY_BYTES: Final = 1_099_511_627_776
 # Settings that the platform's operators cannot change; see
 # docs/design/platform.md.
@@ -106,9 +109,9 @@
     general = _general_section(
         document, zones, operations or _PLACEHOLDER_OPERATIONS
     )
-    files = {'10-general.yaml': json.dumps(general)}
+    files = {'10-general.yaml': _yaml_text(general)}
     for number, part in _distribute_routes(routes).items():
-        files[f'20-routes-{number:02}.yaml'] = json.dumps({'routes': part})
+        files[f'20-routes-{number:02}.yaml'] = _yaml_text({'routes': part})
     return files
 
 
@@ -170,6 +173,20 @@
     return route
 
 
+def _yaml_text(plain: Any) -> str:
+    """Encode a file as JSON that is also YAML.
+
+    YAML has no surrogate pairs, and allows no other control characters.
+    """
+    text = json.dumps(plain, ensure_ascii=False)
+    return _NOT_PRINTABLE.sub(_escape, text)
+
+
+def _escape(found: re.Match[str]) -> str:
+    code = ord(found.group())
+    return rf'\U{code:08x}' if code > _MAX_SHORT_CODE else rf'\u{code:04x}'
+
+
 def _clamp(number: int, upper: int) -> int:
     return min(max(1, number), upper)
 
