Send no VM list that a frame cannot hold

What callers saw: with some thousands of entries, those of another writer included, the complete list is larger than a frame (1,200,000 bytes). A node that asked for it closed the link as oversized, with all requests on it, and asked again on the next one.

Such a list is not sent and logged once a version. Changes still are. A node without any list reads the platform itself, which each does at the start and at intervals.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -130,6 +130,13 @@
       | nested too deeply         |
       | made of odd entries alone |
 
+  Scenario: A list that no frame can hold leaves links open
+    Given a node with a list of 12000 VMs
+    When another node asks it for the list
+    Then it gets nothing
+    When another node asks it for a list that differs in one VM
+    Then it gets the change
+
   Scenario: A refused entry is logged once for each content
     Given a store with 3 upstreams and a configuration
     When an entry with "slots" as 0 is written under "odd"
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING, Any, Final
 
 import eliot
@@ -14,7 +15,7 @@
 from jackdawhead.blackboard import Blackboard, VmList
 from jackdawhead.node.membership import MembershipController
 from jackdawhead.node.refusal_log import RefusalLog
-from jackdawhead.wire.codec import decode, encode
+from jackdawhead.wire.codec import MAX_FRAME_BYTES, decode, encode
 from jackdawhead.wire.messages import (
     Heartbeat,
     VmListDelta,
@@ -56,6 +57,7 @@
     'nested too deeply': _DEEP,
     'made of odd entries alone': '[7, null]',
 }
+_FIRST_IP: Final = IPv4Address('10.1.0.0')
 
 
 class ListNode:
@@ -74,14 +76,19 @@
     def send(self, message: Any) -> None:
         """Record a message to another node, as it arrives there."""
         frame = encode(message)
+        assert len(frame) <= MAX_FRAME_BYTES, len(frame)
         self.sent.append(decode(frame[4:]).unwrap())
 
     def answer(self, version: int) -> Any:
         """Return the answer to a node that has a version of the list."""
+        self.ask(version)
+        return self.sent.pop()
+
+    def ask(self, version: int) -> None:
+        """Ask for the list as a node that has a version of it."""
         self.sent.clear()
         link: Any = self
         self.membership.answer(VmListRequest(version), link)
-        return self.sent.pop()
 
     def receive(self, message: Any) -> None:
         """Receive a list or a change from another node."""
@@ -96,7 +103,11 @@
     """Return a list of VMs, the last of which is replaced by odd text."""
     entries = [
         json.dumps(
-            {'name': f'vm-{number}', 'zone': 'a', 'ip': f'10.1.0.{number}'}
+            {
+                'name': f'vm-{number}',
+                'zone': 'a',
+                'ip': str(_FIRST_IP + number),
+            }
         )
         for number in range(count)
     ]
@@ -252,3 +263,30 @@
 def check_remembered(context: Context, count: int) -> None:
     """Check the bound of the memory."""
     assert 0 < len(context.refusals._known) <= count
+
+
+@when('another node asks it for the list')
+def ask_list(context: Context) -> None:
+    """Ask for the complete list."""
+    context.list_node.ask(-1)
+
+
+@then('it gets nothing')
+def check_nothing(context: Context) -> None:
+    """Check that no frame was sent."""
+    assert not context.list_node.sent
+
+
+@when('another node asks it for a list that differs in one VM')
+def ask_change(context: Context) -> None:
+    """Remove a VM, and ask as a node that has the list before."""
+    vms = json.loads(list_text_of(12_000))
+    context.list_node.membership.offer(2, json.dumps(vms[1:]))
+    context.list_node.ask(1)
+
+
+@then('it gets the change')
+def check_change(context: Context) -> None:
+    """Check that the change was sent."""
+    sent = [json.loads(each.text)['gone'] for each in context.list_node.sent]
+    assert sent == [['vm-0']], sent
--- a/src/jackdawhead/node/membership.py
+++ b/src/jackdawhead/node/membership.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure, Success
 
 from ..audit import AuditKind
+from ..wire.codec import MAX_FRAME_BYTES
 from ..wire.messages import VmListRequest, VmListSnapshot
 from .list_history import ListHistory
 from .refusal_log import RefusalLog
@@ -22,6 +23,10 @@
     from .listed_vms import RefusedVm
 
 
+# The rest of a frame is left for the numbers of the message.
+_MAX_TEXT_BYTES: Final = MAX_FRAME_BYTES - 100
+
+
 class MembershipController:
     """Accepts newer VM lists and announces them to other nodes.
 
@@ -100,6 +105,9 @@
     def answer(self, request: VmListRequest, link: Link) -> None:
         """Send a node the changes since its version, or the complete list.
 
+        A list that no frame can hold is not sent, since the other node would
+        close the link. That node reads the platform itself from time to time.
+
         :param request: contains the version that the node has.
         :param link: link to the node.
         """
@@ -107,7 +115,13 @@
         if request.version >= current.version:
             return
         change = self._history.change_since(request.version, current)
-        link.send(change or VmListSnapshot(current.version, list_text(current)))
+        update = change or VmListSnapshot(current.version, list_text(current))
+        size = len(update.text.encode())
+        if size <= _MAX_TEXT_BYTES:
+            link.send(update)
+        else:
+            subject = f'VM list {current.version}'
+            self._refusals.note(subject, b'', f'{size} bytes are too many')
 
     def _accept(self, vm_list: VmList, source: Link | None) -> None:
         previous = self._board.vm_list.read()
