Check the numbers of the platform's settings file

What callers saw: nothing so far. A port out of range passed the check of the settings and raised OverflowError where it was bound or dialled; in a seed that restarts the start of the node each half second, so that it is never ready. A grace of 15 digits was taken as a drain of 26 million years.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -99,3 +99,29 @@
   Scenario: A missing address in the settings file is reported
     When the settings file of the platform is read without "listen.outbound"
     Then the problem names "listen.outbound"
+
+  Scenario Outline: <field> as <odd> in the settings file is reported
+    When the settings file of the platform is read with "<field>" as "<odd>"
+    Then the problem names "<field>"
+
+    Examples:
+      | field            | odd              |
+      | listen.outbound  | 10.1.0.38:99999  |
+      | listen.readyAddr | 10.1.0.38:-1     |
+      | platform.address | 10.200.1.7:8e3   |
+      | listen.inbound   | 10.1.0.38        |
+      | portRange        | 73800000,73      |
+      | heartbeat        | -1500ms          |
+
+  Scenario Outline: <odd> as a time between stop and kill is held to a day
+    When the settings file of the platform is read with "bounds" as "grace=<odd>"
+    Then it stops within its grace period of 86400000 ms
+
+    Examples:
+      | odd              |
+      | 999999999999999s |
+      | 86400001ms       |
+
+  Scenario: An odd seed keeps no node from starting
+    When the settings file of the platform is read with "seeds" as "10.1.0.1:99999,10.1.0.2:8146,x"
+    Then its seeds are "10.1.0.2:8146"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -296,6 +296,24 @@
     read_settings_text(context, '\n'.join(kept))
 
 
+@when('the settings file of the platform is read with "{name}" as "{odd}"')
+def read_odd_settings(context: Context, name: str, odd: str) -> None:
+    """Read a settings file with one field changed."""
+    kept = [
+        line
+        for line in _SETTINGS.splitlines()
+        if not line.startswith(f'{name}=')
+    ]
+    read_settings_text(context, '\n'.join((*kept, f'{name}={odd}')))
+
+
+@then('its seeds are "{address}"')
+def check_seeds(context: Context, address: str) -> None:
+    """Check the seeds that are left."""
+    node = context.settings_result.unwrap().node
+    assert [str(each) for each in node.seed_addresses] == [address], node
+
+
 def read_settings_text(context: Context, text: str) -> None:
     """Read a settings file."""
     os.environ['JACKDAWHEAD_STREAM_KEY'] = _STREAM_KEY
--- a/src/jackdawhead/platform/settings_file.py
+++ b/src/jackdawhead/platform/settings_file.py
@@ -5,16 +5,20 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure, Result, Success
 
 from ..config.problems import Place, Problem
 from ..config.settings import Address, NodeSettings
+from ..logs import log_event
 from ..node.upstream_list import vm_name
 from .formats import parse_duration_ms
 from .names import SETTINGS_FILE_VARIABLE, STREAM_KEY_VARIABLE
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 _DEFAULT_PATH: Final = '/etc/jackdawhead/local.conf'
 _ZONE_PREFIX: Final = 'zones.'
 # An entry expires after three heartbeat intervals without a heartbeat. The
@@ -27,6 +31,9 @@
 # small margin; the rest is left for closing connections.
 _CLOSING_DIVISOR: Final = 6
 _DRAIN_MARGIN_MS: Final = 100
+_MAX_DURATION_MS: Final = 86_400_000
+_MAX_PORT: Final = 65_535
+_PORT_DIGITS: Final = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +87,7 @@
         if name.startswith(_ZONE_PREFIX)
     }
     zones.setdefault(fields['zone'], fields.get('region', fields['zone']))
-    heartbeat_ms = parse_duration_ms(fields.get('heartbeat', '1500ms'))
+    heartbeat_ms = _duration_ms(fields, 'heartbeat', '1500ms')
     return PlatformSettings(
         _node_settings(fields), zones, _EXPIRY_HEARTBEATS * heartbeat_ms
     )
@@ -89,22 +96,24 @@
 def _node_settings(fields: dict[str, str]) -> NodeSettings:
     ip = fields['ip']
     # The admin page takes the first port of the range; nodes need no other.
-    admin_port = int(fields['portRange'].partition(',')[0])
+    admin_port = fields['portRange'].partition(',')[0]
     grace_ms = _grace_ms(fields)
-    seeds = filter(None, fields.get('seeds', '').split(','))
     return NodeSettings(
         vm=vm_name(ip),
         zone=fields['zone'],
-        caller_address=Address.parse(fields['listen.outbound']),
-        stream_address=Address.parse(
-            fields.get('listen.control') or fields['listen.inbound']
+        caller_address=_address('listen.outbound', fields['listen.outbound']),
+        stream_address=_address(
+            'listen.inbound',
+            fields.get('listen.control') or fields['listen.inbound'],
+        ),
+        admin_address=_address('portRange', f'{ip}:{admin_port}'),
+        platform_address=_address(
+            'platform.address', fields['platform.address']
         ),
-        admin_address=Address(ip, admin_port),
-        platform_address=Address.parse(fields['platform.address']),
         stream_keys=(os.environ[STREAM_KEY_VARIABLE],),
-        seed_addresses=tuple(Address.parse(each) for each in seeds),
+        seed_addresses=tuple(_seeds(fields)),
         drain_ms=grace_ms - grace_ms // _CLOSING_DIVISOR + _DRAIN_MARGIN_MS,
-        ready_address=Address.parse(fields['listen.readyAddr']),
+        ready_address=_address('listen.readyAddr', fields['listen.readyAddr']),
         service=fields.get('service', ''),
         accept_while_leaving_ms=min(_READINESS_PROPAGATION_MS, grace_ms // 2),
         # No wait for idle connections: the readiness listener has already
@@ -116,7 +125,32 @@
 def _grace_ms(fields: dict[str, str]) -> int:
     """Return the time between a stop request and the kill."""
     bounds = _parse_fields(fields.get('bounds', '').replace(',', '\n'))
-    return parse_duration_ms(bounds.get('grace', '6s'))
+    return _duration_ms(bounds, 'grace', '6s')
+
+
+def _duration_ms(fields: dict[str, str], name: str, default: str) -> int:
+    try:
+        duration_ms = parse_duration_ms(fields.get(name, default))
+    except ValueError as error:
+        raise ValueError(f'{name}: {error}') from error
+    return min(duration_ms, _MAX_DURATION_MS)
+
+
+def _address(name: str, text: str) -> Address:
+    ip, _, port = text.rpartition(':')
+    is_port = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
+    if not ip or not is_port or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f'{name}: {text!r} is not an IP address with a port')
+    return Address(ip, int(port))
+
+
+def _seeds(fields: dict[str, str]) -> Iterator[Address]:
+    """Yield the seeds that can be dialled; no node waits for others."""
+    for text in filter(None, fields.get('seeds', '').split(',')):
+        try:
+            yield _address('seeds', text)
+        except ValueError as error:
+            log_event('entry-refused', subject='seeds', cause=str(error))
 
 
 __all__ = ('PlatformSettings', 'read_settings', 'settings_path')
