--- a/src/jackdawhead/node/listed_types.py
+++ b/src/jackdawhead/node/listed_types.py
@@ -11,14 +11,15 @@
 from msgspec import Meta
 
 from ..config.schema import NAME_PATTERN
+from ..wire.field_bounds import MAX_VERSION
 
 _MAX_PORT: Final = 65_535
 _MAX_SLOTS: Final = 100_000
 _DAY_MS: Final = 86_400_000
 # Still exact as a floating-point number, and within 64 bits.
 _MAX_UNIX_MS: Final = 9_007_199_254_740_991
-# Twice a revision, plus one, fits into 63 bits.
-MAX_REVISION: Final = 4_611_686_018_427_387_903
+# The version of a list is twice its revision, or one more.
+MAX_REVISION: Final = (MAX_VERSION - 1) // 2
 _OCTET: Final = '(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])'
 # A first octet of 0, or from 224 on, is no address of a VM.
 _FIRST_OCTET: Final = '(22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9][0-9]?)'
@@ -33,6 +34,7 @@
 Instance = Annotated[str, Meta(pattern=rf'^{_INSTANCE}{{1,128}}\Z')]
 Slots = Annotated[int, Meta(ge=1, le=_MAX_SLOTS)]
 Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+Version = Annotated[int, Meta(ge=0, le=MAX_VERSION)]
 BornMs = Annotated[int, Meta(ge=0, le=_MAX_UNIX_MS)]
 ColdMs = Annotated[int, Meta(ge=0, le=_DAY_MS)]
 
@@ -55,4 +57,5 @@
     'Port',
     'Revision',
     'Slots',
+    'Version',
 )
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-import json
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
 
 from ..clock import seconds
 from ..config.sources import MAX_CONFIG_BYTES
-from ..wire.field_bounds import MAX_VERSION
+from ..json_parts import DECODE_ERRORS, decode_parts
+from .listed_types import Version
 
 if TYPE_CHECKING:
     from ..config.settings import Address
@@ -21,7 +22,12 @@
 _OK: Final = 200
 _NO_CONTENT: Final = 204
 _REQUEST_TIMEOUT_MS: Final = 3000
-_REQUEST_ERRORS: Final = (OSError, HTTPParseError, ValueError, KeyError)
+_REQUEST_ERRORS: Final = (OSError, HTTPParseError, ValueError)
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    version: Version
+    content: Any = msgspec.field(name='value')
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,20 +109,17 @@
     return decode_published(response.read(2 * MAX_CONFIG_BYTES))
 
 
-def decode_published(body: bytes) -> Result[PublishedValue, str]:
-    """Decode the platform's answer to a read.
+def decode_published(body: bytes) -> Result[PublishedValue | None, str]:
+    """Decode an answer of the platform.
 
-    :param body: JSON with the version and the value.
-    :returns: the value, or why it is refused.
-    :raises ValueError: if the body is not JSON.
-    :raises KeyError: if a field is missing.
+    :param body: JSON object with the version and the value.
+    :returns: the value, or why the answer is invalid.
     """
-    plain = json.loads(body)
-    version = plain['version']
-    is_int = isinstance(version, int) and not isinstance(version, bool)
-    if not is_int or not 0 <= version <= MAX_VERSION:
-        return Failure(f'invalid version {version!r}')
-    return Success(PublishedValue(version, plain['value']))
+    try:
+        answer = decode_parts(body, _Answer)
+    except DECODE_ERRORS as error:
+        return Failure(str(error))
+    return Success(PublishedValue(answer.version, answer.content))
 
 
 __all__ = (
