--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -40,6 +40,12 @@
     node.process.send_signal(signal.SIGHUP)
 
 
+@when('the registrations in progress have ended')
+def await_registrations(context: Context) -> None:
+    """Wait for the answers of registrations that were sent before."""
+    gevent.joinall(context.senders)
+
+
 @then('node {number:d} becomes ready')
 def check_becomes_ready(context: Context, number: int) -> None:
     """Wait until the node is ready; fail at once if it has ended."""
