Forward no ticket at a stopping node whose run may outlast it

A caller that sent its request with a ticket to another node than the issuer got no answer when that node stopped: it forwarded the request without asking whether it would live to see the answer, and closed the connection at its end. Only the deadline bounds such a wait, as the run is the issuer's; so it is compared with the time left.

The refusal is unknown, ticket-unreachable, and so is the one of a ticket's request whose body is late: an earlier request with this ticket may have run at its issuer, which this node cannot know. The latter had been called not run since bodies are answered at a stop.

Before, failing on the code before this change: no answer for a run of 6 s that was sent after SIGTERM; 503 not-run for the late body. After: 502 unknown with Retry-After for both, at once for the first.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -51,3 +51,16 @@
     And node 1 gets SIGTERM
     And upstream 1 is no longer listed
     Then the other entry gets the answer of each run
+
+  Scenario: A stopping entry forwards no ticket whose run may outlast it
+    Given 1 kept connections to the entry, which has answered POST with "ms=900"
+    When the entry gets SIGTERM
+    And a request of 6000 ms with a ticket of node 1 is sent on the kept connection
+    Then it gets status 502 with the outcome "unknown"
+    And it was not run
+
+  Scenario: A resend with a ticket is not called unrun because its body is late
+    Given 1 kept connections to the entry, which has answered POST with "ms=900"
+    When one sends half of its body with a ticket of node 1 before the entry gets SIGTERM
+    Then it gets status 502 with the outcome "unknown"
+    And it was not run
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -217,16 +217,49 @@
 @when('one sends half of its body before the entry gets SIGTERM')
 def send_half(context: Context) -> None:
     """Send the head and half of the body of a request."""
+    send_half_with(context, '')
+
+
+@when(
+    'one sends half of its body with a ticket of node {position:d} before the'
+    ' entry gets SIGTERM'
+)
+def send_half_with_ticket(context: Context, position: int) -> None:
+    """Send the head and half of the body of a request with a ticket."""
+    node = context.fleet.nodes[node_at(context, position)]
+    ticket = _new_ticket(node.caller_port)
+    send_half_with(context, f'\r\nX-Ticket: {ticket}')
+
+
+def send_half_with(context: Context, header: str) -> None:
+    """Send the start of a request, then SIGTERM to its entry."""
     kept = context.kept[0]
     kept.send(
         f'POST /cultivars/{kept.key} HTTP/1.1\r\nHost: x\r\n'
-        f'Content-Length: {2 * _UPLOAD_BYTES}\r\nX-Work-Key: {kept.key}',
+        f'Content-Length: {2 * _UPLOAD_BYTES}\r\n'
+        f'X-Work-Key: {kept.key}{header}',
         bytes(_UPLOAD_BYTES),
     )
     signal_entry(context)
     context.receiving = gevent.spawn(kept.receive)
 
 
+@when(
+    'a request of {run:d} ms with a ticket of node {position:d} is sent on the'
+    ' kept connection'
+)
+def send_foreign_ticket(context: Context, run: int, position: int) -> None:
+    """Send a request that the entry has to forward."""
+    node = context.fleet.nodes[node_at(context, position)]
+    kept = context.kept[0]
+    kept.send(
+        f'POST /cultivars/{kept.key}?ms={run} HTTP/1.1\r\nHost: x\r\n'
+        f'Content-Length: 0\r\nX-Work-Key: {kept.key}\r\n'
+        f'X-Ticket: {_new_ticket(node.caller_port)}'
+    )
+    context.receiving = gevent.spawn(kept.receive)
+
+
 @when('a ticket is asked for on the kept connection')
 def ask_for_ticket(context: Context) -> None:
     """Ask the stopping node for a ticket."""
@@ -257,20 +290,19 @@
     kept.send(
         f'POST /cultivars/{kept.key}?ms={run} HTTP/1.1\r\nHost: x\r\n'
         f'Content-Length: 0\r\nX-Work-Key: {kept.key}\r\n'
-        f'X-Ticket: {_new_ticket(context)}'
+        f'X-Ticket: {_new_ticket(entry_of(context).caller_port)}'
     )
     context.receiving = gevent.spawn(kept.receive)
     wait_until(lambda: kept.key in run_times(context), 'run of the ticket')
 
 
-def _new_ticket(context: Context) -> str:
-    port = entry_of(context).caller_port
+def _new_ticket(port: int) -> str:
     reply = call(port, 'POST', '/cultivars/t', b'', {'X-Ticket': 'new'})
     return reply.headers['x-ticket']
 
 
 def _send_with_ticket(context: Context, port: int) -> HttpResponse:
-    headers = {'X-Ticket': _new_ticket(context)}
+    headers = {'X-Ticket': _new_ticket(entry_of(context).caller_port)}
     return call(port, 'POST', '/cultivars/t?ms=1', b'', headers)
 
 
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -20,7 +20,7 @@
 from .caller_watch import WatchedBody, watch_caller
 from .request_reader import header_of, read_request
 from .requests import Answer, Refused, UpstreamAnswer
-from .stop_limits import STOP_REFUSAL
+from .stop_limits import STOP_REFUSAL, TICKET_STOP_REFUSAL
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -172,7 +172,7 @@
             with self._reads.track():
                 call = read_request(environ, names, length, idle_ms)
         except NodeStopsError:
-            return STOP_REFUSAL
+            return TICKET_STOP_REFUSAL if ticket else STOP_REFUSAL
         except TimeoutError:
             return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         except OSError:
--- a/src/jackdawhead/node/entry/stop_limits.py
+++ b/src/jackdawhead/node/entry/stop_limits.py
@@ -21,6 +21,10 @@
 STOP_REFUSAL: Final = Refused(
     Outcome.NOT_RUN, Reason.NODE_LEAVING, _RETRY_AFTER_MS
 )
+# An earlier request with the same ticket may have run.
+TICKET_STOP_REFUSAL: Final = Refused(
+    Outcome.UNKNOWN, Reason.TICKET_UNREACHABLE, _RETRY_AFTER_MS
+)
 
 
 class StopLimits:
@@ -67,4 +71,4 @@
         return fits_before_stop(plan, work_ms, monotonic_ms())
 
 
-__all__ = ('STOP_REFUSAL', 'StopLimits')
+__all__ = ('STOP_REFUSAL', 'TICKET_STOP_REFUSAL', 'StopLimits')
--- a/src/jackdawhead/node/tickets/dispatch.py
+++ b/src/jackdawhead/node/tickets/dispatch.py
@@ -7,11 +7,14 @@
 from returns.result import Failure, Success
 
 from ...audit_kinds import AuditKind
+from ...clock import monotonic_ms
 from ...outcome import Outcome
+from ...policy.stopping import fits_before_stop
 from ...reasons import Reason
 from ...wire.messages import Head, Refusal, TicketSubmit
 from ..entry.answer_body import AnswerBody
 from ..entry.requests import Answer, CallerRequest, Refused, UpstreamAnswer
+from ..entry.stop_limits import TICKET_STOP_REFUSAL
 from .token import Ticket, decode_ticket, encode_ticket
 
 if TYPE_CHECKING:
@@ -84,6 +87,10 @@
     ) -> Answer:
         if ticket.vm == self._parts.identity.vm:
             return self.run_here(request, ticket)
+        deadline_ms = request.deadline_ms or _DEFAULT_DEADLINE_MS
+        plan = self._parts.board.stop.read()
+        if not fits_before_stop(plan, deadline_ms, monotonic_ms()):
+            return TICKET_STOP_REFUSAL
         channel = self._channels.channel_to(ticket.vm)
         if channel is None:
             return Refused(
@@ -92,7 +99,6 @@
                 _UNREACHABLE_RETRY_AFTER_MS,
             )
         attempt = self._parts.attempts.begin(channel)
-        deadline_ms = request.deadline_ms or _DEFAULT_DEADLINE_MS
         channel.send(
             TicketSubmit(
                 attempt.request_id,
