Soak: stop a restarted node only once it has started

Such a process has no work to finish. The check of exit codes stays as it is; the test bed waits until the node's admin page answers, which it does after the handler of the signal is set.

--- a/soak/world.py
+++ b/soak/world.py
@@ -10,7 +10,7 @@
 import gevent
 from geventhttpclient.response import HTTPParseError
 
-from standins.fleet import Fleet, config_files, read_json
+from standins.fleet import Fleet, config_files, read_json, wait_until
 from standins.relay import Relay
 from standins.sites import HELVETIA
 
@@ -106,7 +106,12 @@
         return self.fleet.nodes[vm]
 
     def stop_node(self, vm: str) -> None:
-        """Stop a node with SIGTERM and record how it ends."""
+        """Stop a node with SIGTERM and record how it ends.
+
+        A node that has just been restarted handles SIGTERM once it has loaded
+        its libraries; until then the signal ends it, as it has no work.
+        """
+        wait_until(lambda: self._has_started(vm), f'start of {vm}')
         process = self.node(vm).process
         requested_s = self.now_s
         process.send_signal(signal.SIGTERM)
@@ -195,6 +200,13 @@
         self.relays[vm] = relay
         return relay.port
 
+    def _has_started(self, vm: str) -> bool:
+        try:
+            read_json(self.node(vm).admin_port, '/readyz')
+        except OSError:
+            return False
+        return True
+
     def _sample(self, vm: str) -> None:
         while True:
             gevent.sleep(_SAMPLE_INTERVAL_S)
