Known red: upstreams beside nodes that restart get no work

Callers were refused while sound upstreams got nothing. Only the node beside an upstream can reach it, and a node takes no work for its upstream from SIGTERM on, while it runs for 2.9 to 5.1 s more. Entries avoid it for 3 s from each of its heartbeats, so beyond its end too.

The replay gets planned stops of nodes: the listener stays open, the node drains and ends, is down, and starts without knowing anything. Entry and home of the node take part in it, callers of a closed entry go to another.

--- a/features/replay/floor.feature
+++ b/features/replay/floor.feature
@@ -67,3 +67,20 @@
       | percent | seed |
       | 60      | 1    |
       | 75      | 2    |
+
+  # Only the node beside an upstream can reach it.
+  Scenario Outline: Upstreams beside nodes that restart get work while requests are refused: <upstreams> upstreams, <percent> % load
+    Given <upstreams> upstreams with spells of 9 s in which 0 % of runs fail, 21 s apart, from seed <seed>
+    And <entries> entries before them, and 3 slots and 420 ms runs at each
+    And all nodes restart, <at once> at a time every 1500 ms
+    When requests arrive at <percent> % of the capacity of all slots, 25 % of them idempotent
+    Then in no 2 s window with refused requests are too many upstreams left without work
+
+    Examples: more load than the other upstreams can serve
+      | upstreams | entries | at once | percent | seed |
+      | 23        | 31      | 8       | 40      | 1    |
+      | 23        | 31      | 8       | 60      | 1    |
+      | 23        | 31      | 8       | 75      | 2    |
+      | 23        | 31      | 8       | 90      | 3    |
+      | 66        | 83      | 16      | 75      | 4    |
+      | 66        | 83      | 16      | 90      | 5    |
--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -20,8 +20,10 @@
     Service,
     WorkClass,
 )
+from jackdawhead.outcome import Outcome
 from jackdawhead.policy.run_result import RunResult
 from jackdawhead.replay.engine import Replay
+from jackdawhead.replay.stops import PlannedStop
 from jackdawhead.trace.reader import Trace
 from jackdawhead.trace.records import (
     TRACE_VERSION,
@@ -49,6 +51,11 @@
 _MS_PER_S: Final = 1000
 _LENGTH_MS: Final = 20.0 * _MS_PER_S
 _SEED: Final = 1
+# Stop times as the platform's settings give them, and a start within a second.
+_ACCEPT_MS: Final = 2600
+_DRAIN_MS: Final = 5100
+_DOWN_MS: Final = 1000
+_FIRST_STOP_MS: Final = 4000
 _MIN_USED_SHARE: Final = 0.7
 # Windows with a lower or a higher share of unsuccessful requests are not
 # checked.
@@ -69,6 +76,7 @@
     :param joined_at_ms: time at which upstreams join, by upstream.
     :param slow: upstreams whose runs take several times as long.
     :param slow_until_ms: time at which these are as fast as the others again.
+    :param stops: planned stops of nodes.
     """
 
     spells: dict[str, list[tuple[float, float]]]
@@ -80,6 +88,7 @@
     joined_at_ms: dict[str, float] = field(default_factory=dict)
     slow: frozenset[str] = frozenset()
     slow_until_ms: float = inf
+    stops: tuple[PlannedStop, ...] = ()
 
     def run_ms_of(self, upstream: str, at_ms: float) -> float:
         """Return the run time of a request that succeeds."""
@@ -202,6 +211,24 @@
     context.plan = replace(context.plan, slow_until_ms=until_ms)
 
 
+@given('all nodes restart, {number:d} at a time every {interval:d} ms')
+def plan_stops(context: Context, number: int, interval: int) -> None:
+    """Stop and start the nodes in random order."""
+    nodes = [f'vm-{position}' for position in range(context.plan.entries)]
+    context.rng.shuffle(nodes)
+    stops = tuple(
+        PlannedStop(
+            node,
+            _FIRST_STOP_MS + position // number * interval,
+            _ACCEPT_MS,
+            _DRAIN_MS,
+            _DOWN_MS,
+        )
+        for position, node in enumerate(nodes)
+    )
+    context.plan = replace(context.plan, stops=stops)
+
+
 @when(
     'requests arrive at {percent:d} % of the capacity of all slots,'
     ' {idempotent:d} % of them idempotent'
@@ -222,7 +249,7 @@
     nodes = tuple(each for each in records if isinstance(each, TraceStart))
     config = Config('', {}, {'desk': desk_service(plan.slots)}, {})
     trace = Trace(nodes, tuple(records))
-    context.result = Replay(config, trace, _SEED).run()
+    context.result = Replay(config, trace, _SEED, plan.stops).run()
 
 
 def _starts(
@@ -400,3 +427,28 @@
     changed = plan.joined_at_ms.keys() or plan.slow
     first_ms = max(plan.joined_at_ms.values(), default=plan.slow_until_ms)
     _check_windows(context, first_ms, partial(_used_share, changed))
+
+
+@then(
+    'in no 2 s window with refused requests are too many upstreams left without'
+    ' work'
+)
+def check_all_used(context: Context) -> None:
+    """Check windows of two seconds, in steps of half a second.
+
+    In a window in which between 10 and 50 percent of the requests do not
+    succeed, at least 70 percent of all upstreams must get work.
+    """
+    everything = context.plan.spells.keys()
+    _check_windows(context, _WINDOW_MS, partial(_used_share, everything))
+
+
+@then('no request is cut off by a stop')
+def check_uncut(context: Context) -> None:
+    """Check that no request ended with an unknown outcome."""
+    cut = [
+        each
+        for each in context.result.finished
+        if each.outcome is Outcome.UNKNOWN
+    ]
+    assert not cut, cut
--- a/src/jackdawhead/replay/engine.py
+++ b/src/jackdawhead/replay/engine.py
@@ -13,6 +13,7 @@
 from .entries import ReplayEntry
 from .homes import ReplayContext, ReplayUpstream
 from .result import ReplayResult
+from .stops import NodeRestart, PlannedStop
 from .timeline import Timeline
 
 if TYPE_CHECKING:
@@ -32,11 +33,19 @@
     :param config: configuration to replay with.
     :param trace: arrivals, and the recorded behaviour of the upstreams.
     :param seed: seed of all random choices; equal seeds give equal results.
+    :param stops: planned stops of nodes, each followed by a start.
     """
 
-    def __init__(self, config: Config, trace: Trace, seed: int) -> None:
+    def __init__(
+        self,
+        config: Config,
+        trace: Trace,
+        seed: int,
+        stops: tuple[PlannedStop, ...] = (),
+    ) -> None:
         self._config = config
         self._trace = trace
+        self._stops = stops
         self._timeline = Timeline()
         self._result = ReplayResult(len(trace.nodes))
         self._start_ms = max(node.at_ms for node in trace.nodes)
@@ -67,6 +76,7 @@
         """Run until the trace has ended and all requests are finished."""
         self._add_first_members()
         self._schedule_records()
+        self._schedule_stops()
         end_ms = self._trace.records[-1].at_ms - self._start_ms
         self._result.end_ms = end_ms
         self._schedule_ticks(end_ms + _TICKS_AFTER_END_MS)
@@ -78,11 +88,14 @@
             is_first = isinstance(record, UpstreamRecord)
             if is_first and record.at_ms <= self._start_ms + _TICK_INTERVAL_MS:
                 self._apply_member(record)  # type: ignore[arg-type]
+        for entry in self._entries.values():
+            self._add_services(entry)
+
+    def _add_services(self, entry: ReplayEntry) -> None:
         for service in self._config.services.values():
             members = tuple(self._members[service.name].values())
-            for entry in self._entries.values():
-                entry.view.add_service(service)
-                entry.view.replace_members(service.name, members)
+            entry.view.add_service(service)
+            entry.view.replace_members(service.name, members)
 
     def _schedule_records(self) -> None:
         for record in self._trace.records:
@@ -103,7 +116,35 @@
         entry: ReplayEntry,
         record: ArrivalRecord,
     ) -> None:
-        self._timeline.schedule_at(at_ms, lambda: entry.arrive(record))
+        self._timeline.schedule_at(
+            at_ms, lambda: self._listening(entry).arrive(record)
+        )
+
+    def _listening(self, entry: ReplayEntry) -> ReplayEntry:
+        """Return an entry, or another one if it doesn't listen."""
+        if entry.is_listening:
+            return entry
+        others = [each for each in self._entries.values() if each.is_listening]
+        return self._context.rng.choice(others)
+
+    def _schedule_stops(self) -> None:
+        for stop in self._stops:
+            restart = NodeRestart(
+                stop,
+                self._entries,
+                self._homes_on,
+                self._context,
+                self._add_services,
+            )
+            self._timeline.schedule_at(stop.at_ms, restart.begin)
+
+    def _homes_on(self, node: str) -> list[ReplayUpstream]:
+        return [
+            self._upstreams[member.name]
+            for members in self._members.values()
+            for member in members.values()
+            if member.home == node
+        ]
 
     def _schedule_path(
         self,
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from ..outcome import Outcome
 from ..policy.evidence import Sample
@@ -17,7 +17,8 @@
 from ..policy.retries import backoff_ms
 from ..policy.tried_upstreams import TriedUpstreams
 from ..reasons import Reason
-from .homes import HomeAnswer, HomeJob, ReplayContext, ReplayUpstream
+from .home_answers import HomeAnswer, HomeJob
+from .homes import ReplayContext, ReplayUpstream
 from .outcomes import attempt_end, finished_request
 from .requests import ReplayCopy, ReplayRequest
 from .views import EntryView
@@ -27,9 +28,6 @@
 
     from ..trace.records import ArrivalRecord
 
-# How long a home is avoided after it was found to be unreachable.
-_AVOID_UNREACHABLE_HOME_MS: Final = 500
-
 
 class ReplayEntry:
     """An entry with the same routing state as a live one.
@@ -51,6 +49,8 @@
         on_crash: Callable[[ReplayEntry, str, int, str], None],
     ) -> None:
         self.view = EntryView(node, zone, context)
+        self.is_listening = True
+        self.active: set[ReplayRequest] = set()
         self._context = context
         self._on_crash = on_crash
         self._upstreams = upstreams
@@ -67,9 +67,20 @@
         tried = TriedUpstreams(
             router.poison.crashed_upstreams(arrival.fingerprint)
         )
-        self._attempt(ReplayRequest(arrival, router, operation, now_ms, tried))
+        request = ReplayRequest(arrival, router, operation, now_ms, tried)
+        self.active.add(request)
+        self._attempt(request)
+
+    def stop(self) -> None:
+        """End the entry: requests in progress are cut off."""
+        for request in tuple(self.active):
+            self._cancel_copies(request)
+            answer = HomeAnswer(Outcome.UNKNOWN, Reason.CANCELLED)
+            self._finish(request, answer)
 
     def _attempt(self, request: ReplayRequest) -> None:
+        if request not in self.active:
+            return
         now_ms = self._context.timeline.now_ms
         request.attempts += 1
         router = request.router
@@ -96,8 +107,7 @@
     def _send(self, request: ReplayRequest, load: UpstreamLoad) -> None:
         timeline = self._context.timeline
         if load.home in self.view.unreachable_homes:
-            until_ms = timeline.now_ms + _AVOID_UNREACHABLE_HOME_MS
-            request.router.avoid_home_until(load.home, until_ms)
+            self.view.avoid(load.home)
             answer = HomeAnswer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
             self._end_attempt(request, answer)
             return
@@ -223,10 +233,11 @@
     def _update_status(
         self, request: ReplayRequest, load: UpstreamLoad
     ) -> None:
-        now_ms = self._context.timeline.now_ms
-        state = self._upstreams[load.upstream].state
-        status = state.status(request.operation.name, now_ms)
-        request.router.note_status(status, now_ms)
+        upstream = self._upstreams[load.upstream]
+        if not upstream.is_home_down:
+            now_ms = self._context.timeline.now_ms
+            status = upstream.state.status(request.operation.name, now_ms)
+            request.router.note_status(status, now_ms)
 
     def _record_outcome(
         self,
@@ -275,6 +286,7 @@
         )
 
     def _finish(self, request: ReplayRequest, answer: HomeAnswer) -> None:
+        self.active.discard(request)
         now_ms = self._context.timeline.now_ms
         if answer.reason is not None:
             request.router.shortage.note_refused(answer.reason, now_ms)
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -7,12 +7,13 @@
 from typing import TYPE_CHECKING, Final
 
 from ..outcome import Outcome
+from ..policy.home_stop import HomeStop
 from ..policy.run_result import RunResult, ending_at_deadline
-from ..policy.spell_estimate import RISK_SCALE
 from ..policy.upstream_state import FinishedRun, UpstreamState
 from ..policy.work import Verdict, Work
 from ..reasons import Reason
 from .behaviour import RecordedBehaviour, Run
+from .home_answers import HomeAnswer, HomeJob, answer_of
 from .result import ReplayResult, StartedRun
 
 if TYPE_CHECKING:
@@ -28,41 +29,6 @@
 _CRASH_RESTART_MS: Final = 500
 
 
-@dataclass(frozen=True, slots=True)
-class HomeAnswer:
-    """Answer of a home to an entry.
-
-    :param reason: why there is no response of the upstream, none if there is
-        one.
-    :param is_good: whether the upstream succeeded.
-    :param run_ms: run time at the upstream, in milliseconds.
-    :param retry_after_ms: time after which a retry may be admitted.
-    """
-
-    outcome: Outcome
-    reason: Reason | None
-    is_good: bool = False
-    run_ms: float = 0
-    retry_after_ms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class HomeJob:
-    """A request at a home.
-
-    :param is_retry: whether the request was sent to an upstream before.
-    :param answer: callback that receives the answer.
-    :param risk_limit: maximum probability of a failure, in thousandths; the
-        home refuses the request if the upstream's risk is higher.
-    """
-
-    work: Work
-    fingerprint: int
-    is_retry: bool
-    answer: Callable[[HomeAnswer], None]
-    risk_limit: int = RISK_SCALE
-
-
 @dataclass(frozen=True, slots=True)
 class ReplayContext:
     """State shared by all entries and homes of a replay.
@@ -112,7 +78,8 @@
         self.state = UpstreamState(
             name, service, context.rng, _ignore_change, is_new=is_new
         )
-        self.is_cut = False
+        self.stop = HomeStop()
+        self.is_home_down = False
         self._name = name
         self._service = service
         self._context = context
@@ -127,6 +94,12 @@
         :param job: the request.
         """
         now_ms = self._context.timeline.now_ms
+        if self.is_home_down:
+            job.answer(HomeAnswer(Outcome.UNKNOWN, Reason.PEER_LOST))
+            return
+        if not self.stop.accepts():
+            job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.NODE_LEAVING))
+            return
         if self.state.is_draining(now_ms):
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DRAINING))
             return
@@ -170,6 +143,31 @@
     def start_draining(self) -> None:
         """Drain: accept no new work and refuse all queued requests."""
         self.state.mark_leaving_in_vm_list(True)
+        self._withdraw_waiting()
+
+    @property
+    def active_requests(self) -> int:
+        """Number of running and queued requests."""
+        return len(self._running) + len(self._waiting)
+
+    def stop_home(self) -> None:
+        """End the home: running work is cut off, queued work is refused."""
+        self.is_home_down = True
+        self._withdraw_waiting()
+        for running in self._running.values():
+            running.is_over = True
+            running.job.answer(HomeAnswer(Outcome.UNKNOWN, Reason.PEER_LOST))
+        self._running.clear()
+
+    def start_home(self) -> None:
+        """Start a new home, which knows nothing of the upstream yet."""
+        self.is_home_down = False
+        self.stop = HomeStop()
+        self.state = UpstreamState(
+            self._name, self._service, self._context.rng, _ignore_change
+        )
+
+    def _withdraw_waiting(self) -> None:
         for work in self.state.admission.withdraw_all():
             job = self._waiting.pop(work.work_id)
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DRAINING))
@@ -227,7 +225,7 @@
         if run.ending is RunResult.CRASHED:
             self._crash(now_ms)
         is_late = now_ms >= work.deadline_at_ms
-        running.job.answer(_answer_of(run, is_late=is_late))
+        running.job.answer(answer_of(run, is_late=is_late))
         self._start_waiting()
 
     def _crash(self, now_ms: float) -> None:
@@ -261,24 +259,8 @@
             self._schedule_expiry()
 
 
-def _answer_of(run: Run, *, is_late: bool) -> HomeAnswer:
-    match run.ending:
-        case RunResult.SUCCEEDED:
-            return HomeAnswer(Outcome.RAN, None, True, run.run_ms)
-        case RunResult.FAILED | RunResult.EXPIRED if is_late:
-            return HomeAnswer(Outcome.UNKNOWN, Reason.DEADLINE)
-        case RunResult.FAILED:
-            return HomeAnswer(Outcome.RAN, None, False, run.run_ms)
-        case RunResult.CRASHED:
-            return HomeAnswer(Outcome.UNKNOWN, Reason.UPSTREAM_CRASHED)
-        case RunResult.UNREACHABLE:
-            return HomeAnswer(Outcome.NOT_RUN, Reason.UPSTREAM_UNREACHABLE)
-        case _:
-            return HomeAnswer(Outcome.NOT_RUN, Reason.UPSTREAM_REFUSED)
-
-
 def _ignore_change(*_: object) -> None:
     """Ignore a state change that only the audit trail of live nodes needs."""
 
 
-__all__ = ('HomeAnswer', 'HomeJob', 'ReplayContext', 'ReplayUpstream')
+__all__ = ('ReplayContext', 'ReplayUpstream')
--- a/src/jackdawhead/replay/outcomes.py
+++ b/src/jackdawhead/replay/outcomes.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from ..policy.service_router import ServiceRouter
-    from .homes import HomeAnswer
+    from .home_answers import HomeAnswer
     from .requests import ReplayRequest
 
 
--- a/src/jackdawhead/replay/requests.py
+++ b/src/jackdawhead/replay/requests.py
@@ -14,7 +14,7 @@
     from ..policy.service_router import ServiceRouter
     from ..policy.tried_upstreams import TriedUpstreams
     from ..trace.records import ArrivalRecord
-    from .homes import HomeJob
+    from .home_answers import HomeJob
 
 _work_ids: Final = count(1)
 
@@ -33,7 +33,7 @@
     job: HomeJob | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ReplayRequest:
     """A caller's request in progress.
 
--- a/src/jackdawhead/replay/views.py
+++ b/src/jackdawhead/replay/views.py
@@ -18,6 +18,9 @@
 # One-way network delays between VMs.
 _SAME_ZONE_HOP_MS: Final = 0.5
 _CROSS_ZONE_HOP_MS: Final = 2.5
+# How long a home is avoided after it was found to be unreachable.
+_AVOID_UNREACHABLE_MS: Final = 500
+_AVOID_LEAVING_MS: Final = 3000
 _ALL_REACHABLE: Final[frozenset[str]] = frozenset()
 
 
@@ -75,6 +78,25 @@
         else:
             self.unreachable_homes.add(home)
 
+    def avoid(
+        self, home: str, duration_ms: float = _AVOID_UNREACHABLE_MS
+    ) -> None:
+        """Avoid a home that could not be reached, or whose link was closed.
+
+        :param home: VM of the home.
+        :param duration_ms: how long to avoid it.
+        """
+        until_ms = self._context.timeline.now_ms + duration_ms
+        for router in self.routers.values():
+            router.avoid_home_until(home, until_ms)
+
+    def note_leaving(self, home: str) -> None:
+        """Record that the node of a home is stopping.
+
+        :param home: VM of the home.
+        """
+        self.avoid(home, _AVOID_LEAVING_MS)
+
     def note_crash(self, service: str, fingerprint: int, upstream: str) -> None:
         """Record that a request crashed an upstream, seen by any entry."""
         poison = self.routers[service].poison
