--- a/features/policy/leaving_home.feature
+++ b/features/policy/leaving_home.feature
@@ -43,6 +43,13 @@
     When the node of home 2 says that it stops
     Then work goes to upstream 1
 
+  # Slots that are not used before the stop are lost.
+  Scenario: An entry uses a leaving home like the others during a shortage
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    And the entry refuses work as overloaded
+    Then work goes to upstream 2
+
   Scenario: An entry prefers a leaving home to an upstream that fails
     Given an entry whose upstreams 1 and 2 have 3 and 3 free slots of 3
     When the node of home 2 says that it stops
--- a/features/steps/leaving_home_steps.py
+++ b/features/steps/leaving_home_steps.py
@@ -13,9 +13,8 @@
 from jackdawhead.node.entry.leaving_homes import LeavingHomes
 from jackdawhead.policy.admissions import ADMISSIONS
 from jackdawhead.policy.home_stop import HomeStop, StopPhase, StopProgress
-from jackdawhead.policy.loads import RoutingQuery
 from jackdawhead.policy.member_loads import Member
-from jackdawhead.policy.risk_policy import failure_cost_ms
+from jackdawhead.policy.placement import routing_query
 from jackdawhead.policy.service_router import ServiceRouter
 from jackdawhead.policy.spell_estimate import RISK_SCALE
 from jackdawhead.policy.stopping import StopPlan
@@ -201,6 +200,12 @@
     )
 
 
+@when('the entry refuses work as overloaded')
+def refuse_work(context: Context) -> None:
+    """Note a refusal for lack of capacity."""
+    context.router.shortage.note_refused(Reason.OVERLOADED, context.now_ms)
+
+
 @when('{pause:d} ms pass at the entry')
 def pass_time(context: Context, pause: int) -> None:
     """Move the time on, with new reports."""
@@ -227,8 +232,13 @@
 @then('"{operation}" goes to upstream {number:d}')
 def check_operation(context: Context, operation: str, number: int) -> None:
     """Check that each choice is the same upstream."""
-    cost_ms = failure_cost_ms(context.service.operations[operation])
-    query = RoutingQuery(context.now_ms, failure_cost_ms=cost_ms)
+    query = routing_query(
+        context.router,
+        context.service.operations[operation],
+        frozenset(),
+        context.now_ms,
+        may_repeat=False,
+    )
     for _ in range(_DRAWS):
         load = context.router.choose(operation, query)
         assert load.upstream == f'vm-{number}/desk', load
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -81,7 +81,7 @@
         )
 
     def on_link_ready(self, link: Link) -> None:
-        """Send this node's versions and crash reports to a new peer.
+        """Send this node's versions, crash reports and refusals to a new peer.
 
         :param link: link whose handshake has just completed.
         """
@@ -90,6 +90,8 @@
         )
         self._parts.routing.leaving.note_linked(link.vm, link.incarnation)
         link.send(self.heartbeat())
+        for status in self._parts.home.refusals():
+            link.send(status)
         for report in self._parts.crashes.recent_crashes():
             link.send(report)
 
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -74,8 +74,8 @@
         remote = self._best(pool.remote, query, rng)
         if remote is None or local is None:
             return local or remote
-        remote_ms = remote.completion_ms(query.now_ms) + _OTHER_ZONE_PENALTY_MS
-        is_remote_faster = remote_ms < local.completion_ms(query.now_ms)
+        remote_ms = _completion_ms(query, remote) + _OTHER_ZONE_PENALTY_MS
+        is_remote_faster = remote_ms < _completion_ms(query, local)
         return remote if is_remote_faster else local
 
     def _best(
@@ -85,17 +85,21 @@
         rng: Random,
     ) -> UpstreamLoad | None:
         drawn = sample(members, _SAMPLE_SIZE, query.excluded, rng)
-        return least(drawn, partial(_jittered_ms, query.now_ms, rng))
+        return least(drawn, partial(_jittered_ms, query, rng))
 
 
-def _jittered_ms(now_ms: float, rng: Random, load: UpstreamLoad) -> float:
+def _completion_ms(query: RoutingQuery, load: UpstreamLoad) -> float:
+    return load.completion_ms(query.now_ms, has_shortage=query.has_shortage)
+
+
+def _jittered_ms(query: RoutingQuery, rng: Random, load: UpstreamLoad) -> float:
     """Return the expected completion time, with jitter.
 
     Without jitter, an upstream whose average is higher by chance would get no
     work, and hence no new evidence to correct the average.
     """
     jitter = _WAIT_JITTER_SHARE * (rng.random() - _HALF)
-    return load.completion_ms(now_ms) + jitter * load.report.run_ms
+    return _completion_ms(query, load) + jitter * load.report.run_ms
 
 
 @BALANCERS.register(RISK_BALANCER)
@@ -155,7 +159,7 @@
 ) -> float:
     jitter_ms = _RISK_JITTER_SHARE * rng.random() * load.report.run_ms
     risk_ms = query.failure_cost_ms * load.risk_now(query.now_ms)
-    return load.completion_ms(query.now_ms) + transfer_ms + risk_ms + jitter_ms
+    return _completion_ms(query, load) + transfer_ms + risk_ms + jitter_ms
 
 
 @BALANCERS.register('two-choices')
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -19,8 +19,7 @@
 _STALL_AVOID_MS: Final = 1000
 # An upstream that takes this many times as long as the others is slow.
 _SLOW_FACTOR: Final = 2
-# Work at a home that stops may be refused, so that it is used if the others
-# would take a run time longer.
+# A home that stops is used if the others would take a run time longer.
 _LEAVING_COST_RUNS: Final = 1
 # Rounding and network time change a reported risk by less than this.
 _MAX_RISK_DRIFT: Final = 0.01
@@ -163,19 +162,23 @@
         is_preferred = not self.is_home_leaving
         return has_slots and is_preferred and not self.is_avoided(now_ms)
 
-    def completion_ms(self, now_ms: float) -> float:
+    def completion_ms(
+        self, now_ms: float, *, has_shortage: bool = False
+    ) -> float:
         """Return the expected queueing plus run time of short work sent now.
 
         The fewer slots are free, the more likely it is that another node takes
-        them first; a share of a run time is added for that risk, and one more
-        if the home is leaving.
+        them first; a share of a run time is added for that risk. One more is
+        added for a home that leaves, unless there is a shortage: its slots are
+        lost when it stops, while those of the others can still be used then.
 
         :param now_ms: monotonic time.
+        :param has_shortage: whether work is refused for lack of capacity.
         """
         report = self.report
         left = max(0, report.free - self.sent_since_report)
         risk_ms = report.run_ms / (1 + left) ** 2
-        if self.is_home_leaving:
+        if self.is_home_leaving and not has_shortage:
             risk_ms += _LEAVING_COST_RUNS * report.run_ms
         return self.expected_wait_ms(now_ms) + report.run_ms + risk_ms
 
@@ -265,6 +268,11 @@
     trial: TrialRule | None = None
     refusing: frozenset[str] = field(default_factory=frozenset)
 
+    @property
+    def has_shortage(self) -> bool:
+        """Whether work is refused for lack of capacity."""
+        return self.trial is not None and self.trial.has_shortage
+
     @property
     def excluded(self) -> frozenset[str]:
         """Upstreams that must not be chosen."""
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -13,8 +13,9 @@
 from ..policy.retries import backoff_ms
 from ..policy.tried_upstreams import TriedUpstreams
 from ..reasons import Reason
+from .context import ReplayContext
 from .home_answers import HomeAnswer, HomeJob
-from .homes import ReplayContext, ReplayUpstream
+from .homes import ReplayUpstream
 from .outcomes import attempt_end, finished_request
 from .requests import ReplayCopy, ReplayRequest
 from .views import EntryView
--- a/src/jackdawhead/replay/stops.py
+++ b/src/jackdawhead/replay/stops.py
@@ -12,8 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .context import ReplayContext
     from .entries import ReplayEntry
-    from .homes import ReplayContext, ReplayUpstream
+    from .homes import ReplayUpstream
     from .views import EntryView
 
 _POLL_MS: Final = 20
@@ -62,9 +63,11 @@
         self._upstreams_on = upstreams_on
         self._timeline = context.timeline
         self._add_services = add_services
+        self._is_stopping = False
 
     def begin(self) -> None:
         """Deliver the stop signal."""
+        self._is_stopping = True
         stop = self._stop
         now_ms = self._timeline.now_ms
         plan = StopPlan(now_ms, now_ms + stop.accept_ms, now_ms + stop.drain_ms)
@@ -75,6 +78,18 @@
             plan.closes_at_ms, lambda: self._close_listener(plan)
         )
 
+    def tell(self, view: EntryView) -> None:
+        """Tell a new entry of the stop, as its first link to the home does.
+
+        :param view: routing state of the entry.
+        """
+        if not self._is_stopping:
+            return
+        view.note_leaving(self._stop.node)
+        for upstream in self._upstreams():
+            if upstream.stop.refusing_ms(self._timeline.now_ms):
+                upstream.report_to(view)
+
     def _upstreams(self) -> list[ReplayUpstream]:
         return self._upstreams_on(self._stop.node)
 
@@ -110,13 +125,12 @@
 
     def _finish_running(self) -> None:
         for upstream in self._upstreams():
-            status = upstream.finish_running()
-            if status is not None:
-                service = status.upstream.rpartition('/')[2]
+            if upstream.finish_running():
                 for entry in self._entries.values():
-                    entry.view.on_status(service, status)
+                    upstream.report_to(entry.view)
 
     def _end(self) -> None:
+        self._is_stopping = False
         for upstream in self._upstreams():
             upstream.stop_home()
         self._entries[self._stop.node].stop()
--- a/src/jackdawhead/replay/views.py
+++ b/src/jackdawhead/replay/views.py
@@ -13,7 +13,7 @@
     from ..config.model import Service
     from ..policy.member_loads import Member
     from ..wire.messages import UpstreamStatus
-    from .homes import ReplayContext
+    from .context import ReplayContext
 
 # One-way network delays between VMs.
 _SAME_ZONE_HOP_MS: Final = 0.5
