--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -71,7 +71,7 @@
 
         :param vm: VM of the node.
         """
-        return vm == self._local.vm or self._dialler.is_linked(vm)
+        return vm == self._local.vm or self._dialler.usable_link(vm) is not None
 
     def accept_tickets(self, server: TicketServer) -> None:
         """Start accepting ticket requests forwarded by other nodes.
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -67,21 +67,22 @@
         :returns: the link, or ``None`` if the node is unreachable, knows no
             upstreams yet, or does not answer in time.
         """
-        link = self._usable_link(vm)
+        link = self.usable_link(vm)
         if link is not None:
             link.last_request_at_ms = monotonic_ms()
             return link
         if vm not in self._dialling and self._schedule.has_failed(vm):
             return None
         self._start_dial(vm).join(seconds(_MAX_DIAL_WAIT_MS))
-        return self._usable_link(vm)
+        return self.usable_link(vm)
 
-    def is_linked(self, vm: str) -> bool:
-        """Return whether there is a link to a node that is ready for use.
+    def usable_link(self, vm: str) -> DialledLink | None:
+        """Return the link to a node if the node can run work.
 
         :param vm: VM of the node.
         """
-        return self._usable_link(vm) is not None
+        link = self._links.get(vm)
+        return link if link is not None and link.is_usable else None
 
     def dial_seeds(self) -> None:
         """Dial the seed nodes named in the settings."""
@@ -169,11 +170,6 @@
         for gone in self._incarnations.keys() - listed:
             self._incarnations.pop(gone)
 
-    def _usable_link(self, vm: str) -> DialledLink | None:
-        """Return the link to a node if the node can run work."""
-        link = self._links.get(vm)
-        return link if link is not None and link.is_usable else None
-
     def _is_returning(self, link: Link) -> bool:
         """Return whether a link ends an absence or leads to a new process."""
         if self._schedule.is_absent(link.vm):
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -227,11 +227,9 @@
         :param health: counts upstreams with this state for any operation, but
             for ``HEALTHY`` only those that have it for all operations.
         """
+        operations = self._pools.operations
         states = [
-            {
-                self._detector.health(load.upstream, each)
-                for each in self._pools.operations
-            }
+            {self._detector.health(load.upstream, each) for each in operations}
             for load in self._members.listed
         ]
         if health is Health.HEALTHY:
