A stopping home goes on accepting work that it can finish

Callers were refused while sound upstreams were idle.

A home now accepts what the time left allows for: a free slot, or the expected wait, and the high estimate of the run time. Queued work that no longer fits is handed back as not run, before the end, and not cut. Once callers may no longer connect and the entry has finished what they had sent, the home refuses all work and tells the entries (avoid_ms of a status, which older nodes read as well), so that work for others lengthens the stop by no more than what already runs. The listener stays open for calls of the upstream until its runs have ended. HomeStop and StopProgress decide this in the live node and in the replay.

--- a/src/jackdawhead/node/acceptor.py
+++ b/src/jackdawhead/node/acceptor.py
@@ -66,9 +66,7 @@
         link = AcceptedLink(
             self._parts.identity, sock, self._receive, self._on_link_closed
         )
-        self._sessions[link] = HomeSession(
-            self._parts.home, self._parts.board, link.send
-        )
+        self._sessions[link] = HomeSession(self._parts.home, link.send)
         link.challenge()
         if link.ready.get():
             self._gossip.on_link_ready(link)
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -9,8 +9,10 @@
 from gevent.event import Event
 
 from ...config.settings import Address
+from ...policy.home_stop import HomeStop
 from ...policy.homes import HomeMap
-from .upstream import HomeEvents, HomeUpstream, UpstreamSpec
+from .upstream import HomeUpstream
+from .upstream_spec import HomeEvents, UpstreamSpec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +30,7 @@
     """Adds and removes upstreams as the VM list and configuration change.
 
     :param vm: name of the VM that this node runs on.
-    :param board: source of the VM list and the configuration.
+    :param board: source of the VM list, the configuration and the planned stop.
     :param audit: audit trail that records changes.
     :param rng: random number generator.
     :param recorder: records finished runs for replay.
@@ -56,10 +58,12 @@
         self._upstreams: dict[str, HomeUpstream] = {}
         self._work_queued = Event()
         self._removed: tuple[HomeUpstream, ...] = ()
+        self._stop = HomeStop()
         self._has_started = False
         self._owned: tuple[tuple[Vm, str, int], ...] = ()
         board.config.subscribe(lambda _: self._update())
         board.vm_list.subscribe(self._apply_vm_list)
+        board.stop.subscribe(self._stop.begin)
 
     def find(self, upstream: str) -> HomeUpstream | None:
         """Return an upstream of this home, or nothing if there is none.
@@ -84,7 +88,7 @@
         )
 
     def run(self) -> None:
-        """Refuse queued requests whose deadline passes, forever."""
+        """Refuse queued requests that can't be finished in time, forever."""
         while True:
             self._work_queued.wait()
             gevent.sleep(_EXPIRE_INTERVAL_S)
@@ -93,6 +97,15 @@
             if not self._has_queued_work():
                 self._work_queued.clear()
 
+    def finish_running(self) -> None:
+        """Refuse all work but that which runs, from now on."""
+        if not self._stop.finish():
+            return
+        for upstream in self.all():
+            upstream.expire()
+            operation = next(iter(upstream.spec.service.operations))
+            self._on_status(upstream.status(operation))
+
     def close(self) -> None:
         """Close all upstreams."""
         for upstream in self.all():
@@ -147,6 +160,7 @@
                 self._recorder.note_end,
                 self._on_status,
             ),
+            self._stop,
             is_new=is_new,
         )
         self._upstreams[spec.name] = upstream
--- a/src/jackdawhead/node/home/session.py
+++ b/src/jackdawhead/node/home/session.py
@@ -24,7 +24,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ...blackboard import Blackboard
     from .controller import HomeController
     from .upstream import HomeUpstream
 
@@ -45,18 +44,15 @@
     """Handles the messages of one entry.
 
     :param home: upstreams of this home.
-    :param board: state of this node, with whether it is leaving.
     :param send: sends a message to the entry.
     """
 
     def __init__(
         self,
         home: HomeController,
-        board: Blackboard,
         send: Callable[[Message], None],
     ) -> None:
         self._home = home
-        self._board = board
         self._send = send
         self._submitted: dict[int, _SubmittedJob] = {}
 
@@ -96,9 +92,6 @@
         if upstream is None or operation is None:
             self._refuse(submit, Reason.NO_UPSTREAM)
             return
-        if self._board.leaving:
-            self._refuse(submit, Reason.NODE_LEAVING)
-            return
         now_ms = monotonic_ms()
         work = Work(
             next(_work_ids),
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import gevent
 
@@ -13,7 +11,7 @@
 from ...outcome import Outcome
 from ...policy.retries import HomeResendBudget
 from ...policy.upstream_state import FinishedRun, UpstreamState
-from ...policy.work import Verdict
+from ...policy.work import Verdict, Work
 from ...reasons import Reason
 from ..decision_log import log_admission, log_cancel, log_run, log_use
 from .connections import ConnectionPool
@@ -23,41 +21,13 @@
     from random import Random
 
     from ...audit import AuditTrail
-    from ...config.model import HeaderNames, Service
-    from ...config.settings import Address
+    from ...policy.home_stop import HomeStop
     from ...wire.messages import UpstreamStatus
     from .job import Job
+    from .upstream_spec import HomeEvents, UpstreamSpec
 
-
-@dataclass(frozen=True, slots=True)
-class UpstreamSpec:
-    """Identity, address and policy of an upstream.
-
-    :param name: identity, ``vm/service`` or ``vm/start/service``.
-    :param instance: identity of the instance that must run the requests.
-    """
-
-    name: str
-    address: Address
-    service: Service
-    headers: HeaderNames
-    instance: str = ''
-
-
-@dataclass(frozen=True, slots=True)
-class HomeEvents:
-    """Callbacks of an upstream.
-
-    :param on_drain: called when the upstream starts or stops draining.
-    :param on_queued: called when a request is queued.
-    :param on_run_end: called with upstream, fingerprint and end of each run.
-    :param on_status: called with a report that all entries need at once.
-    """
-
-    on_drain: Callable[[str, bool], None]
-    on_queued: Callable[[], None]
-    on_run_end: Callable[[str, int, FinishedRun], None]
-    on_status: Callable[[UpstreamStatus], None]
+# Retry delay when this node stops: another home may run the work.
+_LEAVING_RETRY_AFTER_MS: Final = 200
 
 
 class HomeUpstream:
@@ -67,6 +37,7 @@
     :param audit: audit trail that records changes.
     :param rng: random number generator.
     :param events: callbacks.
+    :param stop: whether work can be finished before the node stops.
     :param is_new: whether the upstream joined after this home started.
     """
 
@@ -76,6 +47,7 @@
         audit: AuditTrail,
         rng: Random,
         events: HomeEvents,
+        stop: HomeStop,
         *,
         is_new: bool = False,
     ) -> None:
@@ -89,6 +61,7 @@
         self._resends = HomeResendBudget(spec.service.retry)
         self._audit = audit
         self._events = events
+        self._stop = stop
         self._waiting: dict[int, Job] = {}
         self._used_at_ms = monotonic_ms()
 
@@ -123,6 +96,11 @@
             job.refuse(Reason.DRAINING)
             return
         now_ms = monotonic_ms()
+        rule = self._state.admission
+        if not self._stop.accepts(rule, job.operation.name, now_ms):
+            log_admission(job, self._state, Reason.NODE_LEAVING.value)
+            job.refuse(Reason.NODE_LEAVING, _LEAVING_RETRY_AFTER_MS)
+            return
         if not self._state.accepts_risk(job.submit.risk_limit, now_ms):
             log_admission(job, self._state, Reason.RISKY.value)
             job.refuse(Reason.RISKY)
@@ -154,12 +132,13 @@
             job.cancelled = True
 
     def expire(self) -> None:
-        """Refuse queued requests whose deadline has passed."""
+        """Refuse queued requests that can't be finished in time."""
         if not self._waiting:
             return
         for work in self._state.admission.expire(monotonic_ms()):
             job = self._waiting.pop(work.work_id)
             job.refuse(Reason.DEADLINE)
+        self._withdraw(self._unfinishable(), Reason.NODE_LEAVING)
 
     def can_apply(self, spec: UpstreamSpec) -> bool:
         """Return whether a new spec can be applied without a new object.
@@ -196,7 +175,9 @@
 
         :param operation: operation whose recent runs the report covers.
         """
-        return self._state.status(operation, monotonic_ms())
+        now_ms = monotonic_ms()
+        refusing_ms = self._stop.refusing_ms(now_ms)
+        return self._state.status(operation, now_ms, refusing_ms)
 
     def close(self) -> None:
         """Refuse queued requests and close idle connections."""
@@ -266,6 +247,7 @@
             self._refuse_risky()
 
     def _start_waiting(self) -> None:
+        self._withdraw(self._unfinishable(), Reason.NODE_LEAVING)
         while True:
             work = self._state.admission.start_next(monotonic_ms())
             if work is None:
@@ -281,17 +263,30 @@
     def _refuse_risky(self) -> None:
         """Refuse queued requests whose risk limit is now exceeded."""
         now_ms = monotonic_ms()
-        for job in tuple(self._waiting.values()):
-            if not self._state.exceeds_risk(job.submit.risk_limit, now_ms):
-                continue
-            if self._state.admission.withdraw(job.work):
-                self._waiting.pop(job.work.work_id)
-                log_admission(job, self._state, Reason.RISKY.value)
-                job.refuse(Reason.RISKY)
+        risky = [
+            job.work
+            for job in self._waiting.values()
+            if self._state.exceeds_risk(job.submit.risk_limit, now_ms)
+        ]
+        self._withdraw(risky, Reason.RISKY)
+
+    def _withdraw(self, works: list[Work], reason: Reason) -> None:
+        for work in works:
+            if self._state.admission.withdraw(work):
+                job = self._waiting.pop(work.work_id)
+                log_admission(job, self._state, reason.value)
+                job.refuse(reason)
+
+    def _unfinishable(self) -> list[Work]:
+        """Return queued work that doesn't fit before the node ends."""
+        queued = [job.work for job in self._waiting.values()]
+        return self._stop.unfinishable(
+            self._state.admission, queued, monotonic_ms()
+        )
 
     def _withdraw_waiting(self, reason: Reason) -> None:
         for work in self._state.admission.withdraw_all():
             self._waiting.pop(work.work_id).refuse(reason)
 
 
-__all__ = ('HomeEvents', 'HomeUpstream', 'UpstreamSpec')
+__all__ = ('HomeUpstream',)
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -9,6 +9,7 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from ..clock import monotonic_ms
 from ..logs import log_event
 from ..wire.stream import set_no_delay
 from .chunk_guard import ChunkGuard
@@ -62,11 +63,11 @@
 
     def handle_one_response(self) -> None:
         """Serve one request and count it while it is in progress."""
-        self.server.active += 1
+        self.server.begun_ms[self] = monotonic_ms()
         try:
             super().handle_one_response()
         finally:
-            self.server.active -= 1
+            self.server.begun_ms.pop(self)
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read the request line and the headers.
@@ -134,9 +135,9 @@
     :param idle_timeout_s: socket timeout in seconds; a connection on which
         the caller stays idle for longer is closed.
 
-    The attribute ``active`` is the number of requests in progress,
-    ``connections`` the number of open connections, and ``refused`` the
-    number of malformed or ambiguous requests so far.
+    The attribute ``begun_ms`` has the monotonic time at which each request in
+    progress began, ``connections`` is the number of open connections, and
+    ``refused`` the number of malformed or ambiguous requests so far.
     """
 
     handler_class = HttpHandler
@@ -154,9 +155,21 @@
             log=None,
         )
         self.idle_timeout_s = idle_timeout_s
-        self.active = 0
+        self.begun_ms: dict[HttpHandler, float] = {}
         self.connections = 0
         self.refused = 0
 
+    @property
+    def active(self) -> int:
+        """Number of requests in progress."""
+        return len(self.begun_ms)
+
+    def has_request_from_before(self, at_ms: float) -> bool:
+        """Return whether a request in progress began before a time.
+
+        :param at_ms: monotonic time.
+        """
+        return any(begun_ms < at_ms for begun_ms in self.begun_ms.values())
+
 
 __all__ = ('HEADERS_KEY', 'SOCKET_KEY', 'HttpServer')
--- a/src/jackdawhead/node/local_channel.py
+++ b/src/jackdawhead/node/local_channel.py
@@ -31,7 +31,7 @@
     def __init__(self, parts: NodeParts) -> None:
         self.vm = parts.identity.vm
         self._parts = parts
-        self._session = HomeSession(parts.home, parts.board, self._receive)
+        self._session = HomeSession(parts.home, self._receive)
 
     @property
     def last_pong_at_ms(self) -> float:
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -8,6 +8,7 @@
 
 from ..audit import AuditKind
 from ..clock import monotonic_ms, seconds
+from ..policy.home_stop import StopPhase, StopProgress
 from ..policy.stopping import StopPlan
 
 if TYPE_CHECKING:
@@ -16,8 +17,6 @@
     from .parts import NodeParts
 
 _DRAIN_POLL_MS: Final = 20
-# A drain ends once no request has been in progress for this long.
-_DRAIN_QUIET_MS: Final = 300
 
 
 class Shutdown:
@@ -34,6 +33,7 @@
         self._parts = parts
         self._channels = channels
         self._callers = callers
+        self._closed_ms: float = 0
 
     def run(self) -> None:
         """Announce the stop and return once the process may end."""
@@ -45,17 +45,30 @@
         )
         self._channels.send_heartbeats()
         gevent.sleep(seconds(max(0, plan.closes_at_ms - monotonic_ms())))
-        self._await_home(plan)
-        self._callers.close()
-        closed_ms = monotonic_ms()
-        last_active_ms = closed_ms
-        while plan.remaining_ms(monotonic_ms()):
-            if self._has_activity(closed_ms):
-                last_active_ms = monotonic_ms()
-            if monotonic_ms() - last_active_ms > _DRAIN_QUIET_MS:
+        self._finish(plan)
+
+    def _finish(self, plan: StopPlan) -> None:
+        """Finish the requests in progress, then close the listener."""
+        progress = StopProgress(plan)
+        home = self._parts.home
+        while True:
+            phase = progress.step(
+                monotonic_ms(),
+                older_active=self._callers.has_request_from_before(
+                    plan.closes_at_ms
+                ),
+                entry_active=self._is_entry_active(),
+                home_active=bool(home.active_requests),
+            )
+            if phase is StopPhase.ENDED:
                 # A request that is read from now on would be cut off.
                 self._parts.board.stop.write(plan.ending_at(monotonic_ms()))
                 return
+            if phase is not StopPhase.SERVING:
+                home.finish_running()
+            if phase is StopPhase.CLOSED and not self._closed_ms:
+                self._callers.close()
+                self._closed_ms = monotonic_ms()
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
     def _plan(self) -> StopPlan:
@@ -67,29 +80,15 @@
             ends_at_ms=now_ms + settings.drain_ms,
         )
 
-    def _await_home(self, plan: StopPlan) -> None:
-        """Wait for the runs of this home.
-
-        The upstream that works on them calls other services through this
-        node, and fails if it cannot connect.
-        """
-        home = self._parts.home
-        while home.active_requests and plan.remaining_ms(monotonic_ms()):
-            gevent.sleep(seconds(_DRAIN_POLL_MS))
-
-    def _has_activity(self, closed_ms: float) -> bool:
-        """Return whether a request is in progress or may still arrive.
-
-        :param closed_ms: monotonic time at which the listener was closed,
-            in milliseconds.
-        """
-        if self._callers.active or self._parts.home.active_requests:
+    def _is_entry_active(self) -> bool:
+        """Return whether a caller's request is in progress or may arrive."""
+        if self._callers.active:
             return True
         if len(self._parts.attempts):
             # The run of a ticket goes on without its caller, or for a caller
             # of another node.
             return True
-        since_close_ms = monotonic_ms() - closed_ms
+        since_close_ms = monotonic_ms() - self._closed_ms
         return (
             self._callers.connections > 0
             and since_close_ms < self._parts.settings.drain_idle_ms
--- a/src/jackdawhead/policy/home_stop.py
+++ b/src/jackdawhead/policy/home_stop.py
@@ -1,4 +1,9 @@
-"""What a stopping node's home still accepts, and when the node ends."""
+"""What a stopping node's home still accepts, and when the node ends.
+
+Load pattern: a release restarts many nodes at a time. Only the node beside an
+upstream can reach it, so that a home that refuses all work from the stop signal
+on leaves its upstream idle for as long as its node still serves callers.
+"""
 
 from __future__ import annotations
 
@@ -6,63 +11,145 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
+    from .admission import AdmissionRule
     from .stopping import StopPlan
+    from .work import Work
 
-# A node ends once no request has been in progress for this long.
+# An entry has ended once no request has been in progress for this long.
 _QUIET_MS: Final = 300
 
 
 class StopPhase(Enum):
-    """Phase of a stop after the listener for callers is closed."""
+    """Phase of a stop after the time in which callers may connect.
+
+    While ``SERVING``, the entry has requests in progress, and the home accepts
+    work as well. While ``FINISHING``, the home refuses all work but that which
+    it runs; the listener is open, since the upstream may call through this node.
+    While ``CLOSED``, the entry finishes what has come meanwhile.
+    """
 
     SERVING = auto()
+    FINISHING = auto()
+    CLOSED = auto()
     ENDED = auto()
 
 
 class StopProgress:
-    """Decides how a stop proceeds once the listener for callers is closed.
+    """Decides how a stop proceeds once callers no longer connect.
+
+    Work that the home accepts for other entries must not lengthen the stop, so
+    only requests that the own entry had before do.
 
     :param plan: schedule of the stop.
-    :param closed_at_ms: monotonic time at which the listener was closed.
     """
 
-    def __init__(self, plan: StopPlan, closed_at_ms: float) -> None:
+    def __init__(self, plan: StopPlan) -> None:
         self._plan = plan
-        self._active_at_ms = closed_at_ms
+        self._is_serving = True
+        self._active_at_ms: float | None = None
 
     def step(
-        self, now_ms: float, *, entry_active: bool, home_active: bool
+        self,
+        now_ms: float,
+        *,
+        older_active: bool,
+        entry_active: bool,
+        home_active: bool,
     ) -> StopPhase:
         """Return the phase of the stop.
 
         :param now_ms: monotonic time.
-        :param entry_active: whether the entry has requests in progress.
+        :param older_active: whether the entry has requests in progress that
+            came while callers could connect.
+        :param entry_active: whether the entry has any requests in progress.
         :param home_active: whether the home has running or queued work.
         """
         if not self._plan.remaining_ms(now_ms):
             return StopPhase.ENDED
-        if entry_active or home_active:
+        self._is_serving = self._is_serving and older_active
+        if self._is_serving:
+            return StopPhase.SERVING
+        if home_active:
+            return StopPhase.FINISHING
+        if entry_active or self._active_at_ms is None:
             self._active_at_ms = now_ms
         is_quiet = now_ms - self._active_at_ms > _QUIET_MS
-        return StopPhase.ENDED if is_quiet else StopPhase.SERVING
+        return StopPhase.ENDED if is_quiet else StopPhase.CLOSED
 
 
 class HomeStop:
-    """Whether a home accepts new work, by its node's planned stop."""
+    """Decides which work a home accepts while its node stops."""
 
     def __init__(self) -> None:
         self._plan: StopPlan | None = None
+        self._is_finishing = False
 
-    def begin(self, plan: StopPlan) -> None:
-        """Note that the stop has begun.
+    def begin(self, plan: StopPlan | None) -> None:
+        """Replace the schedule of the stop.
 
-        :param plan: schedule of the stop.
+        :param plan: schedule, none while no stop is requested.
         """
         self._plan = plan
 
-    def accepts(self) -> bool:
-        """Return whether the home accepts new work."""
-        return self._plan is None
+    def finish(self) -> bool:
+        """Accept no more work.
+
+        :returns: whether this has changed.
+        """
+        was_finishing = self._is_finishing
+        self._is_finishing = True
+        return not was_finishing
+
+    def accepts(
+        self, admission: AdmissionRule, operation: str, now_ms: float
+    ) -> bool:
+        """Return whether new work can be finished before the node ends.
+
+        :param admission: slots and queue of the upstream.
+        :param operation: name of the work's operation.
+        :param now_ms: monotonic time.
+        """
+        if self._plan is None:
+            return True
+        wait_ms = admission.expected_wait_ms(now_ms)
+        return self._fits(self._plan, admission, operation, now_ms + wait_ms)
+
+    def unfinishable(
+        self, admission: AdmissionRule, queued: list[Work], now_ms: float
+    ) -> list[Work]:
+        """Return the queued work that can't be finished if it starts now.
+
+        :param admission: slots and queue of the upstream.
+        :param queued: work in the queue.
+        :param now_ms: monotonic time.
+        """
+        plan = self._plan
+        if plan is None:
+            return []
+        return [
+            work
+            for work in queued
+            if not self._fits(plan, admission, work.operation, now_ms)
+        ]
+
+    def refusing_ms(self, now_ms: float) -> float:
+        """Return how long all work is refused, 0 if some is accepted.
+
+        :param now_ms: monotonic time.
+        """
+        if self._plan is None or not self._is_finishing:
+            return 0
+        return self._plan.remaining_ms(now_ms)
+
+    def _fits(
+        self,
+        plan: StopPlan,
+        admission: AdmissionRule,
+        operation: str,
+        start_ms: float,
+    ) -> bool:
+        run_ms = admission.run_times.high_ms(operation)
+        return not self._is_finishing and plan.has_time_for(run_ms, start_ms)
 
 
 __all__ = ('HomeStop', 'StopPhase', 'StopProgress')
--- a/src/jackdawhead/policy/run_times.py
+++ b/src/jackdawhead/policy/run_times.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+from .completion_times import CompletionTimes
+
 if TYPE_CHECKING:
     from ..config.model import Operation
 
@@ -27,6 +29,7 @@
         self._operations = operations
         self._average_ms: dict[str, float] = {}
         self._counts: dict[str, int] = {}
+        self._completions = CompletionTimes()
 
     def replace_operations(self, operations: dict[str, Operation]) -> None:
         """Replace the operations; averages of those that remain are kept.
@@ -50,6 +53,16 @@
         configured = self._operations.get(operation)
         return float(configured.expected_ms) if configured else _DEFAULT_RUN_MS
 
+    def high_ms(self, operation: str) -> float:
+        """Return a run time that nearly no work of an operation exceeds.
+
+        :param operation: name; an unknown one gets the expected run time.
+        """
+        configured = self._operations.get(operation)
+        if configured is None:
+            return self.expected_ms(operation)
+        return self._completions.high_ms(configured)
+
     @property
     def learned_ms(self) -> float:
         """Mean of the learned averages, 0 if nothing has been learned."""
@@ -69,6 +82,7 @@
         before = self.expected_ms(operation)
         weight = max(_NEW_RUN_WEIGHT, 1 / count)
         self._average_ms[operation] = before + weight * (run_ms - before)
+        self._completions.note(operation, run_ms)
 
 
 __all__ = ('RunTimes',)
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -192,11 +192,14 @@
         if is_slow:
             self._evidence.add(work.operation, Sample(now_ms, True, ran_ms))
 
-    def status(self, operation: str, now_ms: float) -> UpstreamStatus:
+    def status(
+        self, operation: str, now_ms: float, refusing_ms: float = 0
+    ) -> UpstreamStatus:
         """Return the status message for entries, with load and evidence.
 
         :param operation: name of the operation whose evidence is included.
         :param now_ms: monotonic time.
+        :param refusing_ms: time for which the home refuses all work.
         """
         summary = self._evidence.summary(operation, now_ms)
         return UpstreamStatus(
@@ -210,7 +213,7 @@
             median_ms=int(summary.run_ms),
             least_ms=int(summary.least_ms),
             cusum=int(summary.cusum * CUSUM_SCALE),
-            avoid_ms=max(0, int(self._avoid_until_ms - now_ms)),
+            avoid_ms=int(max(refusing_ms, self._avoid_until_ms - now_ms)),
             draining=self.is_draining(now_ms),
             risk=int(RISK_SCALE * self.risk(now_ms)),
         )
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -236,7 +236,7 @@
         upstream = self._upstreams[load.upstream]
         if not upstream.is_home_down:
             now_ms = self._context.timeline.now_ms
-            status = upstream.state.status(request.operation.name, now_ms)
+            status = upstream.status(request.operation.name)
             request.router.note_status(status, now_ms)
 
     def _record_outcome(
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -97,7 +97,8 @@
         if self.is_home_down:
             job.answer(HomeAnswer(Outcome.UNKNOWN, Reason.PEER_LOST))
             return
-        if not self.stop.accepts():
+        rule = self.state.admission
+        if not self.stop.accepts(rule, job.work.operation, now_ms):
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.NODE_LEAVING))
             return
         if self.state.is_draining(now_ms):
@@ -150,6 +151,25 @@
         """Number of running and queued requests."""
         return len(self._running) + len(self._waiting)
 
+    def finish_running(self) -> UpstreamStatus | None:
+        """Refuse all work but that which runs.
+
+        :returns: status for all entries, None if nothing has changed.
+        """
+        if not self.stop.finish():
+            return None
+        self._refuse_unfinishable()
+        return self.status(next(iter(self._service.operations)))
+
+    def status(self, operation: str) -> UpstreamStatus:
+        """Return the load and health report for entries.
+
+        :param operation: operation whose recent runs the report covers.
+        """
+        now_ms = self._context.timeline.now_ms
+        refusing_ms = self.stop.refusing_ms(now_ms)
+        return self.state.status(operation, now_ms, refusing_ms)
+
     def stop_home(self) -> None:
         """End the home: running work is cut off, queued work is refused."""
         self.is_home_down = True
@@ -167,6 +187,15 @@
             self._name, self._service, self._context.rng, _ignore_change
         )
 
+    def _refuse_unfinishable(self) -> None:
+        rule = self.state.admission
+        queued = [job.work for job in self._waiting.values()]
+        now_ms = self._context.timeline.now_ms
+        for work in self.stop.unfinishable(rule, queued, now_ms):
+            if rule.withdraw(work):
+                job = self._waiting.pop(work.work_id)
+                job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.NODE_LEAVING))
+
     def _withdraw_waiting(self) -> None:
         for work in self.state.admission.withdraw_all():
             job = self._waiting.pop(work.work_id)
@@ -234,6 +263,7 @@
             self._end(other, Run(RunResult.CRASHED, 1))
 
     def _start_waiting(self) -> None:
+        self._refuse_unfinishable()
         while True:
             work = self.state.admission.start_next(
                 self._context.timeline.now_ms
@@ -255,6 +285,7 @@
         for work in self.state.admission.expire(now_ms):
             job = self._waiting.pop(work.work_id)
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.DEADLINE))
+        self._refuse_unfinishable()
         if self._waiting:
             self._schedule_expiry()
 
--- a/src/jackdawhead/replay/stops.py
+++ b/src/jackdawhead/replay/stops.py
@@ -98,22 +98,33 @@
 
     def _close_listener(self, plan: StopPlan) -> None:
         self._entries[self._stop.node].is_listening = False
-        self._poll(StopProgress(plan, self._timeline.now_ms))
+        self._poll(StopProgress(plan))
 
     def _poll(self, progress: StopProgress) -> None:
+        # A closed entry gets no further requests.
+        entry_active = bool(self._entries[self._stop.node].active)
         phase = progress.step(
             self._timeline.now_ms,
-            entry_active=bool(self._entries[self._stop.node].active),
+            older_active=entry_active,
+            entry_active=entry_active,
             home_active=any(
                 upstream.active_requests for upstream in self._upstreams()
             ),
         )
         if phase is StopPhase.ENDED:
             self._end()
-        else:
-            self._timeline.schedule_after(
-                _POLL_MS, lambda: self._poll(progress)
-            )
+            return
+        if phase is not StopPhase.SERVING:
+            self._finish_running()
+        self._timeline.schedule_after(_POLL_MS, lambda: self._poll(progress))
+
+    def _finish_running(self) -> None:
+        for upstream in self._upstreams():
+            status = upstream.finish_running()
+            if status is not None:
+                service = status.upstream.rpartition('/')[2]
+                for entry in self._entries.values():
+                    entry.view.on_status(service, status)
 
     def _end(self) -> None:
         self._is_running = False
