Entries use a leaving home while others are full, until it has started again

Callers waited or were refused at full upstreams while one beside a stopping node was idle: each entry avoided a leaving home for 3 s from each of its heartbeats, as if it were unreachable, and so for up to 3 s after it had ended or was back.

A home that stops now costs one run time more, so that others go first and it is used when they are full or likely failing; nothing more during a shortage, as its slots are lost when it stops. Trials go there during a shortage only. The mark ends when a new incarnation of the node is linked; a late notice of the former one is ignored. A refusal as node-leaving excludes the home for that operation and half a second, since a home still accepts short work when it has no time left for long work. An entry that links to a home that refuses all work is told so.

--- /dev/null
+++ b/features/policy/leaving_home.feature
@@ -0,0 +1,85 @@
+Feature: A home that stops finishes what it accepts, and entries use it last
+
+  Scenario: A stopping home accepts work that it can finish
+    Given the home of a node that began to stop, to end after 5000 ms
+    Then the home accepts work of 300 ms after 2000 ms
+    And the home refuses work of 300 ms after 4500 ms
+
+  Scenario: Work in the queue that can no longer be finished is handed back
+    Given the home of a node that began to stop, to end after 5000 ms
+    When work of 300 ms is in its queue
+    Then the queued work stays after 2000 ms
+    And the queued work is handed back after 4500 ms
+
+  # Work for other entries must not lengthen the stop, nor calls made by it.
+  Scenario: The home refuses all work once its entry has finished its older requests
+    Given the home of a node that began to stop, to end after 5000 ms
+    When the entry has older requests after 2600 ms
+    Then the node is serving
+    When the entry has only newer requests and the home has work after 2800 ms
+    Then the node is finishing
+    And the home refuses work of 1 ms after 2800 ms
+    When the entry has older requests after 2900 ms
+    Then the node is closed
+    When the entry has no requests after 3100 ms
+    Then the node is closed
+    When the entry has no requests after 3300 ms
+    Then the node is ended
+
+  Scenario: A stop ends in time though work is in progress
+    Given the home of a node that began to stop, to end after 5000 ms
+    When the entry has older requests after 4900 ms
+    Then the node is serving
+    When the entry has older requests after 5000 ms
+    Then the node is ended
+
+  Scenario: An entry uses a leaving home while the others are full
+    Given an entry whose upstreams 1 and 2 have 0 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    Then work goes to upstream 2
+
+  Scenario: An entry prefers homes that stay while they have free slots
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    Then work goes to upstream 1
+
+  # Slots that are not used before the stop are lost.
+  Scenario: An entry uses a leaving home like the others during a shortage
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    And the entry refuses work as overloaded
+    Then work goes to upstream 2
+
+  Scenario: An entry prefers a leaving home to an upstream that fails
+    Given an entry whose upstreams 1 and 2 have 3 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    And upstream 1 has just failed
+    Then work goes to upstream 2
+
+  Scenario: A leaving home that refused an operation is not offered it again at once
+    Given an entry whose upstreams 1 and 2 have 0 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    And home 2 refuses "once" as node-leaving
+    Then "once" goes to upstream 1
+    And "again" goes to upstream 2
+    When 600 ms pass at the entry
+    Then "once" goes to upstream 2
+
+  Scenario: A home is used like the others once its node has started again
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    And home 2 refuses "once" as node-leaving
+    And a new process of home 2 is linked
+    Then "once" goes to upstream 2
+
+  Scenario: A late notice of the process that has ended is ignored
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When a new process of home 2 is linked
+    And the former process of home 2 says that it stops
+    Then work goes to upstream 2
+
+  Scenario: An upstream that joins beside a leaving node is preferred as little
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    And upstream 2 leaves the list and joins it again
+    Then work goes to upstream 1
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -206,8 +206,15 @@
         budget.settle_reservation(
             _attempt_end(answer), was_reserved=is_reserved
         )
-        if isinstance(answer, Refused) and uses_risk_balancer(call.router):
-            call.tried.note_refused(load.upstream, answer.reason)
+        if isinstance(answer, Refused):
+            call.router.note_refusal(
+                load.upstream,
+                call.operation.name,
+                answer.reason,
+                monotonic_ms(),
+            )
+            if uses_risk_balancer(call.router):
+                call.tried.note_refused(load.upstream, answer.reason)
         return answer
 
     def _may_resend(self, call: Call, answer: Answer, attempt: int) -> bool:
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -10,6 +10,7 @@
 from ...clock import monotonic_ms, seconds
 from ...policy.detection import Health, HealthChange
 from ...policy.service_router import ServiceRouter
+from .leaving_homes import LeavingHomes
 from .members import ServiceCount, ServiceMembers
 from .routes import RouteTable
 
@@ -63,6 +64,9 @@
         self._routers: dict[str, ServiceRouter] = {}
         self._members = ServiceMembers(vm, zone)
         self._silent_homes: set[str] = set()
+        self.leaving = LeavingHomes(
+            self.routers, lambda home: self.avoid(home, 0)
+        )
         board.config.subscribe(lambda _: self._apply_config())
         board.vm_list.subscribe(lambda _: self._apply_vm_list())
 
@@ -269,7 +273,9 @@
                 router.replace_service(service, self._members.used(service))
 
     def _apply_vm_list(self) -> None:
-        self._members.replace(self._board.vm_list.read())
+        vm_list = self._board.vm_list.read()
+        self._members.replace(vm_list)
+        self.leaving.retain(vm_list.vms)
         self._refresh_members()
 
     def _refresh_members(self) -> None:
@@ -279,6 +285,7 @@
     def _add_router(self, service: Service) -> ServiceRouter:
         router = ServiceRouter(service, self._zone, self.rng)
         router.replace_members(self._members.used(service))
+        self.leaving.apply_to(router)
         self._routers[service.name] = router
         return router
 
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from ..audit import AuditKind
 from ..wire.messages import (
@@ -23,8 +23,6 @@
     from .links import Link
     from .parts import NodeParts
 
-_AVOID_LEAVING_PEER_MS: Final = 3000
-
 
 class GossipController:
     """Handles updates from other nodes and forwards those that are new.
@@ -83,14 +81,17 @@
         )
 
     def on_link_ready(self, link: Link) -> None:
-        """Send this node's versions and crash reports to a new peer.
+        """Send this node's versions, crash reports and refusals to a new peer.
 
         :param link: link whose handshake has just completed.
         """
         self._parts.audit.record(
             AuditKind.PEER_JOINED, link.vm, f'incarnation {link.incarnation}'
         )
+        self._parts.routing.leaving.note_linked(link.vm, link.incarnation)
         link.send(self.heartbeat())
+        for status in self._parts.home.refusals():
+            link.send(status)
         for report in self._parts.crashes.recent_crashes():
             link.send(report)
 
@@ -128,7 +129,7 @@
         self._puller.note_heartbeat(link, beat)
         link.heard_heartbeat.set()
         if beat.leaving:
-            self._parts.routing.avoid(link.vm, _AVOID_LEAVING_PEER_MS)
+            self._parts.routing.leaving.note_leaving(link.vm, link.incarnation)
 
     def _answer_request(
         self, request: VmListRequest | ConfigRequest, link: Link
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import Event
 
+from ...clock import monotonic_ms
 from ...config.settings import Address
 from ...policy.home_stop import HomeStop
 from ...policy.homes import HomeMap
@@ -103,8 +104,17 @@
             return
         for upstream in self.all():
             upstream.expire()
-            operation = next(iter(upstream.spec.service.operations))
-            self._on_status(upstream.status(operation))
+        for status in self.refusals():
+            self._on_status(status)
+
+    def refusals(self) -> tuple[UpstreamStatus, ...]:
+        """Return a report on each upstream if this home refuses all work."""
+        if not self._stop.refusing_ms(monotonic_ms()):
+            return ()
+        return tuple(
+            upstream.status(next(iter(upstream.spec.service.operations)))
+            for upstream in self.all()
+        )
 
     def close(self) -> None:
         """Close all upstreams."""
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -74,8 +74,8 @@
         remote = self._best(pool.remote, query, rng)
         if remote is None or local is None:
             return local or remote
-        remote_ms = remote.completion_ms(query.now_ms) + _OTHER_ZONE_PENALTY_MS
-        is_remote_faster = remote_ms < local.completion_ms(query.now_ms)
+        remote_ms = _completion_ms(query, remote) + _OTHER_ZONE_PENALTY_MS
+        is_remote_faster = remote_ms < _completion_ms(query, local)
         return remote if is_remote_faster else local
 
     def _best(
@@ -84,18 +84,22 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
-        drawn = sample(members, _SAMPLE_SIZE, query.tried, rng)
-        return least(drawn, partial(_jittered_ms, query.now_ms, rng))
+        drawn = sample(members, _SAMPLE_SIZE, query.excluded, rng)
+        return least(drawn, partial(_jittered_ms, query, rng))
 
 
-def _jittered_ms(now_ms: float, rng: Random, load: UpstreamLoad) -> float:
+def _completion_ms(query: RoutingQuery, load: UpstreamLoad) -> float:
+    return load.completion_ms(query.now_ms, has_shortage=query.has_shortage)
+
+
+def _jittered_ms(query: RoutingQuery, rng: Random, load: UpstreamLoad) -> float:
     """Return the expected completion time, with jitter.
 
     Without jitter, an upstream whose average is higher by chance would get no
     work, and hence no new evidence to correct the average.
     """
     jitter = _WAIT_JITTER_SHARE * (rng.random() - _HALF)
-    return load.completion_ms(now_ms) + jitter * load.report.run_ms
+    return _completion_ms(query, load) + jitter * load.report.run_ms
 
 
 @BALANCERS.register(RISK_BALANCER)
@@ -115,7 +119,7 @@
     ) -> UpstreamLoad | None:
         if query.trial is not None and not query.tried:
             trial = pick_trial(
-                pool.local + pool.remote,
+                _remaining(pool.local + pool.remote, query.refusing),
                 query.trial,
                 query.now_ms,
                 rng,
@@ -125,12 +129,13 @@
         transfer_ms = (
             _ZONE_ROUND_TRIP_MS + query.transfer_bytes * _OTHER_ZONE_MS_PER_BYTE
         )
+        excluded = query.excluded
         local = least(
-            [each for each in pool.local if each.upstream not in query.tried],
+            _remaining(pool.local, excluded),
             partial(_risk_weighted_ms, query, rng, 0),
         )
         remote = least(
-            [each for each in pool.remote if each.upstream not in query.tried],
+            _remaining(pool.remote, excluded),
             partial(_risk_weighted_ms, query, rng, transfer_ms),
         )
         if local is None or remote is None:
@@ -140,6 +145,12 @@
         return local if local_ms <= remote_ms else remote
 
 
+def _remaining(
+    members: tuple[UpstreamLoad, ...], excluded: frozenset[str]
+) -> list[UpstreamLoad]:
+    return [each for each in members if each.upstream not in excluded]
+
+
 def _risk_weighted_ms(
     query: RoutingQuery,
     rng: Random,
@@ -148,7 +159,7 @@
 ) -> float:
     jitter_ms = _RISK_JITTER_SHARE * rng.random() * load.report.run_ms
     risk_ms = query.failure_cost_ms * load.risk_now(query.now_ms)
-    return load.completion_ms(query.now_ms) + transfer_ms + risk_ms + jitter_ms
+    return _completion_ms(query, load) + transfer_ms + risk_ms + jitter_ms
 
 
 @BALANCERS.register('two-choices')
@@ -161,7 +172,9 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
-        drawn = sample(pool.local + pool.remote, _TWO_CHOICES, query.tried, rng)
+        drawn = sample(
+            pool.local + pool.remote, _TWO_CHOICES, query.excluded, rng
+        )
         return least(drawn, lambda each: each.in_flight)
 
 
@@ -175,7 +188,7 @@
         query: RoutingQuery,
         rng: Random,
     ) -> UpstreamLoad | None:
-        drawn = sample(pool.local + pool.remote, 1, query.tried, rng)
+        drawn = sample(pool.local + pool.remote, 1, query.excluded, rng)
         return drawn[0] if drawn else None
 
 
@@ -196,7 +209,7 @@
         for _ in members:
             self._next = (self._next + 1) % len(members)
             member = members[self._next]
-            if member.upstream not in query.tried:
+            if member.upstream not in query.excluded:
                 return member
         return None
 
--- a/src/jackdawhead/policy/expiry.py
+++ b/src/jackdawhead/policy/expiry.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
 
-def pop_expired(until_ms: dict[str, float], now_ms: float) -> tuple[str, ...]:
+_KeyT = TypeVar('_KeyT')
+
+
+def pop_expired(
+    until_ms: dict[_KeyT, float], now_ms: float
+) -> tuple[_KeyT, ...]:
     """Remove the keys whose time is over, and return them.
 
     :param until_ms: monotonic time of the end by key.
--- a/src/jackdawhead/policy/home_stop.py
+++ b/src/jackdawhead/policy/home_stop.py
@@ -17,15 +17,18 @@
 
 # An entry has ended once no request has been in progress for this long.
 _QUIET_MS: Final = 300
+# Time for requests on connections that were accepted just before the listener
+# was closed.
+_CLOSED_MS: Final = 100
 
 
 class StopPhase(Enum):
     """Phase of a stop after the time in which callers may connect.
 
     While ``SERVING``, the entry has requests in progress, and the home accepts
-    work as well. While ``FINISHING``, the home refuses all work but that which
-    it runs; the listener is open, since the upstream may call through this node.
-    While ``CLOSED``, the entry finishes what has come meanwhile.
+    work as well. While ``FINISHING``, the home only finishes what it runs; the
+    listener is open, since the upstream may call through this node. While
+    ``CLOSED``, the entry finishes what has come meanwhile.
     """
 
     SERVING = auto()
@@ -46,7 +49,8 @@
     def __init__(self, plan: StopPlan) -> None:
         self._plan = plan
         self._is_serving = True
-        self._active_at_ms: float | None = None
+        self._active_at_ms = plan.closes_at_ms
+        self._closed_at_ms: float | None = None
 
     def step(
         self,
@@ -68,12 +72,18 @@
             return StopPhase.ENDED
         self._is_serving = self._is_serving and older_active
         if self._is_serving:
+            self._active_at_ms = now_ms
             return StopPhase.SERVING
+        if entry_active:
+            self._active_at_ms = now_ms
         if home_active:
             return StopPhase.FINISHING
-        if entry_active or self._active_at_ms is None:
-            self._active_at_ms = now_ms
-        is_quiet = now_ms - self._active_at_ms > _QUIET_MS
+        if self._closed_at_ms is None:
+            self._closed_at_ms = now_ms
+        is_quiet = (
+            now_ms - self._active_at_ms > _QUIET_MS
+            and now_ms - self._closed_at_ms > _CLOSED_MS
+        )
         return StopPhase.ENDED if is_quiet else StopPhase.CLOSED
 
 
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -19,6 +19,8 @@
 _STALL_AVOID_MS: Final = 1000
 # An upstream that takes this many times as long as the others is slow.
 _SLOW_FACTOR: Final = 2
+# A home that stops is used if the others would take a run time longer.
+_LEAVING_COST_RUNS: Final = 1
 # Rounding and network time change a reported risk by less than this.
 _MAX_RISK_DRIFT: Final = 0.01
 
@@ -63,6 +65,7 @@
         risk is unknown.
     :param trial_at_ms: monotonic time from which on the upstream may be tried
         again if it is likely failing.
+    :param is_home_leaving: whether the node of its home is stopping.
     """
 
     upstream: str
@@ -80,6 +83,7 @@
     risk: float = 0
     risk_reported_at_ms: float | None = None
     trial_at_ms: float = 0
+    is_home_leaving: bool = False
 
     def risk_now(self, now_ms: float) -> float:
         """Return the current risk of a spell of failing, 0 if unknown.
@@ -150,24 +154,32 @@
         return now_ms < max(self.avoid_until_ms, self.stalled_until_ms)
 
     def is_idle(self, now_ms: float) -> bool:
-        """Return whether at least two slots are known to be free.
+        """Return whether at least two slots are free at a home that stays.
 
         :param now_ms: monotonic time.
         """
         has_slots = self.report.free - self.sent_since_report > 1
-        return has_slots and not self.is_avoided(now_ms)
+        is_preferred = not self.is_home_leaving
+        return has_slots and is_preferred and not self.is_avoided(now_ms)
 
-    def completion_ms(self, now_ms: float) -> float:
+    def completion_ms(
+        self, now_ms: float, *, has_shortage: bool = False
+    ) -> float:
         """Return the expected queueing plus run time of short work sent now.
 
         The fewer slots are free, the more likely it is that another node takes
-        them first; a share of a run time is added for that risk.
+        them first; a share of a run time is added for that risk. One more is
+        added for a home that leaves, unless there is a shortage: its slots are
+        lost when it stops, while those of the others can still be used then.
 
         :param now_ms: monotonic time.
+        :param has_shortage: whether work is refused for lack of capacity.
         """
         report = self.report
         left = max(0, report.free - self.sent_since_report)
         risk_ms = report.run_ms / (1 + left) ** 2
+        if self.is_home_leaving and not has_shortage:
+            risk_ms += _LEAVING_COST_RUNS * report.run_ms
         return self.expected_wait_ms(now_ms) + report.run_ms + risk_ms
 
     def note_sent(self) -> None:
@@ -245,6 +257,8 @@
     :param transfer_bytes: expected size of request plus answer, 0 if unknown.
     :param trial: conditions under which the request may test an upstream that
         is likely to fail, None if it may not.
+    :param refusing: upstreams that are excluded, since their homes stop and
+        have just refused such work.
     """
 
     now_ms: float
@@ -252,6 +266,17 @@
     failure_cost_ms: float = 0
     transfer_bytes: float = 0
     trial: TrialRule | None = None
+    refusing: frozenset[str] = field(default_factory=frozenset)
+
+    @property
+    def has_shortage(self) -> bool:
+        """Whether work is refused for lack of capacity."""
+        return self.trial is not None and self.trial.has_shortage
+
+    @property
+    def excluded(self) -> frozenset[str]:
+        """Upstreams that must not be chosen."""
+        return self.tried | self.refusing
 
 
 __all__ = (
--- a/src/jackdawhead/policy/member_loads.py
+++ b/src/jackdawhead/policy/member_loads.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from statistics import median
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from .expiry import pop_expired
 from .loads import LoadReport, UpstreamLoad
 
+if TYPE_CHECKING:
+    from .loads import RoutingQuery
+
 # An upstream counts as draining for this long after its last notice, as no
 # notice says that it has stopped.
 DRAIN_NOTICE_LIFE_MS: Final = 5000.0
+# A home that stops and has refused an operation isn't offered it for this long.
+_REFUSAL_LIFE_MS: Final = 500.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +43,8 @@
     def __init__(self) -> None:
         self._loads: dict[str, UpstreamLoad] = {}
         self._draining_until_ms: dict[str, float] = {}
+        self._leaving_homes: set[str] = set()
+        self._refusing_until_ms: dict[tuple[str, str], float] = {}
 
     def __len__(self) -> int:
         """Return the number of upstreams that take new work, in O(1)."""
@@ -123,6 +130,57 @@
             if load.home == home:
                 load.avoid_until_ms = until_ms
 
+    def mark_home_leaving(self, home: str, leaving: bool) -> None:
+        """Mark a home as leaving, or unmark it once its node has started again.
+
+        :param home: VM of the home.
+        :param leaving: whether its node is stopping.
+        """
+        if leaving:
+            self._leaving_homes.add(home)
+        else:
+            self._leaving_homes.discard(home)
+        for load in self._loads.values():
+            if load.home == home:
+                load.is_home_leaving = leaving
+                if not leaving:
+                    self._forget_refusals(load.upstream)
+
+    def note_leaving_refusal(
+        self, upstream: str, operation: str, now_ms: float
+    ) -> None:
+        """Record that a home that stops has no time left for some work.
+
+        :param upstream: identity of the upstream.
+        :param operation: name of the work's operation.
+        :param now_ms: monotonic time.
+        """
+        until_ms = now_ms + _REFUSAL_LIFE_MS
+        self._refusing_until_ms[upstream, operation] = until_ms
+
+    def without_refusing(
+        self, query: RoutingQuery, operation: str
+    ) -> RoutingQuery:
+        """Return a query that excludes homes that have just refused such work.
+
+        :param query: properties of an attempt.
+        :param operation: name of the work's operation.
+        """
+        if not self._refusing_until_ms:
+            return query
+        pop_expired(self._refusing_until_ms, query.now_ms)
+        refusing = frozenset(
+            upstream
+            for upstream, refused in self._refusing_until_ms
+            if refused == operation
+        )
+        return replace(query, refusing=refusing)
+
+    def _forget_refusals(self, upstream: str) -> None:
+        for refused in tuple(self._refusing_until_ms):
+            if refused[0] == upstream:
+                self._refusing_until_ms.pop(refused)
+
     def _is_unchanged(self, member: Member) -> bool:
         present = self._loads.get(member.name)
         return present is not None and present.home == member.home
@@ -138,7 +196,12 @@
         run_ms = median(known_ms) if known_ms else expected_ms
         report = LoadReport(0, run_ms, 1, 1)
         return UpstreamLoad(
-            member.name, member.zone, member.home, report, slots=member.slots
+            member.name,
+            member.zone,
+            member.home,
+            report,
+            slots=member.slots,
+            is_home_leaving=member.home in self._leaving_homes,
         )
 
 
--- a/src/jackdawhead/policy/pools.py
+++ b/src/jackdawhead/policy/pools.py
@@ -95,7 +95,7 @@
         if not trials or self._waits_for_idempotent(operation, service, query):
             return None
         for load in trials:
-            is_free = not load.in_flight and load.upstream not in query.tried
+            is_free = not load.in_flight and load.upstream not in query.excluded
             if is_free and load.avoid_until_ms <= query.now_ms:
                 return load
         return None
--- a/src/jackdawhead/policy/risk_policy.py
+++ b/src/jackdawhead/policy/risk_policy.py
@@ -90,7 +90,8 @@
     one of them through only now and then. During a shortage any work may be
     used: at upstreams that are at least as likely healthy as failing, and at
     all others while fewer upstreams are in use than the floor requires.
-    Idempotent work then also tests whether slow upstreams have recovered.
+    Idempotent work then also tests whether slow upstreams have recovered, and
+    upstreams whose home is leaving are tried as well.
 
     The upstream is drawn at random. Entries learn of a spell at the same time,
     so that an order by age would have all of them try the same upstreams.
@@ -112,6 +113,7 @@
         each
         for each in loads
         if not each.is_avoided(now_ms)
+        and (rule.has_shortage or not each.is_home_leaving)
         and (
             _is_due_for_trial(each, now_ms)
             or each.may_be_fast_again(typical_ms, now_ms)
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from ..reasons import Reason
 from .balancers import BALANCERS
 from .completion_times import CompletionTimes
 from .detection import Health, HealthChange
 from .detectors import DETECTORS
 from .evidence import CUSUM_SCALE, Sample, Summary
-from .loads import LoadReport, RoutingQuery, UpstreamLoad
+from .loads import LoadReport
 from .member_loads import MemberLoads
 from .poison import PoisonTable
 from .pools import Pools
@@ -24,6 +26,7 @@
     from ..config.model import Service
     from ..wire.messages import UpstreamStatus
     from .detection import Detector
+    from .loads import RoutingQuery, UpstreamLoad
     from .member_loads import Member
 
 # A router is kept for at least this long after its last use.
@@ -127,6 +130,7 @@
         :param operation: name of the request's operation.
         :param query: properties of the attempt, with the excluded upstreams.
         """
+        query = self._members.without_refusing(query, operation)
         trial = self._pools.due_trial(self.service, operation, query)
         if trial is not None:
             return trial
@@ -135,8 +139,8 @@
         if not query.tried:
             return chosen
         if chosen is None or chosen.is_avoided(query.now_ms):
-            again = RoutingQuery(
-                query.now_ms, failure_cost_ms=query.failure_cost_ms
+            again = replace(
+                query, tried=frozenset(), transfer_bytes=0, trial=None
             )
             chosen = self._balancer.choose(pool, again, self._rng)
         return chosen
@@ -239,6 +243,25 @@
         """
         self._members.avoid_home_until(home, until_ms)
 
+    def mark_home_leaving(self, home: str, leaving: bool) -> None:
+        """Mark a home as leaving, or unmark it once its node has started again.
+
+        :param home: VM of the home.
+        :param leaving: whether its node is stopping.
+        """
+        self._members.mark_home_leaving(home, leaving)
+
+    def note_refusal(
+        self, upstream: str, operation: str, reason: Reason, now_ms: float
+    ) -> None:
+        """Learn from the refusal of an attempt.
+
+        :param operation: name of the work's operation.
+        :param now_ms: monotonic time.
+        """
+        if reason is Reason.NODE_LEAVING:
+            self._members.note_leaving_refusal(upstream, operation, now_ms)
+
     def tick(self, now_ms: float) -> tuple[HealthChange, ...]:
         """Re-evaluate the health of the upstreams.
 
--- a/src/jackdawhead/replay/engine.py
+++ b/src/jackdawhead/replay/engine.py
@@ -10,8 +10,9 @@
 from ..policy.member_loads import Member
 from ..trace.records import ArrivalRecord, PathRecord, UpstreamRecord
 from .behaviour import RecordedBehaviour
+from .context import ReplayContext
 from .entries import ReplayEntry
-from .homes import ReplayContext, ReplayUpstream
+from .homes import ReplayUpstream
 from .result import ReplayResult
 from .stops import NodeRestart, PlannedStop
 from .timeline import Timeline
@@ -46,6 +47,7 @@
         self._config = config
         self._trace = trace
         self._stops = stops
+        self._restarts: list[NodeRestart] = []
         self._timeline = Timeline()
         self._result = ReplayResult(len(trace.nodes))
         self._start_ms = max(node.at_ms for node in trace.nodes)
@@ -134,10 +136,16 @@
                 self._entries,
                 self._homes_on,
                 self._context,
-                self._add_services,
+                self._restart_entry,
             )
+            self._restarts.append(restart)
             self._timeline.schedule_at(stop.at_ms, restart.begin)
 
+    def _restart_entry(self, entry: ReplayEntry) -> None:
+        self._add_services(entry)
+        for restart in self._restarts:
+            restart.tell(entry.view)
+
     def _homes_on(self, node: str) -> list[ReplayUpstream]:
         return [
             self._upstreams[member.name]
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -8,17 +8,14 @@
 from ..policy.evidence import Sample
 from ..policy.hedging import hedge_after_ms, may_hedge_at
 from ..policy.loads import RoutingQuery, UpstreamLoad
-from ..policy.placement import (
-    home_risk_limit,
-    routing_query,
-    uses_risk_balancer,
-)
+from ..policy.placement import home_risk_limit, routing_query
 from ..policy.resend import is_resend_safe
 from ..policy.retries import backoff_ms
 from ..policy.tried_upstreams import TriedUpstreams
 from ..reasons import Reason
+from .context import ReplayContext
 from .home_answers import HomeAnswer, HomeJob
-from .homes import ReplayContext, ReplayUpstream
+from .homes import ReplayUpstream
 from .outcomes import attempt_end, finished_request
 from .requests import ReplayCopy, ReplayRequest
 from .views import EntryView
@@ -111,6 +108,7 @@
             answer = HomeAnswer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
             self._end_attempt(request, answer)
             return
+        self.view.note_linked(load.home)
         may_redirect = not request.tried.was_busy(load.upstream)
         request.is_reserved = (
             may_redirect
@@ -202,8 +200,8 @@
         load.note_done()
         request.copies.remove(copy)
         self._record_outcome(request, load, answer, now_ms - copy.sent_ms)
-        if answer.reason and uses_risk_balancer(request.router):
-            request.tried.note_refused(load.upstream, answer.reason)
+        if answer.reason:
+            request.note_refused(load.upstream, answer.reason, now_ms)
         if answer.is_good:
             self._cancel_copies(request)
         if not request.copies:
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -12,16 +11,15 @@
 from ..policy.upstream_state import FinishedRun, UpstreamState
 from ..policy.work import Verdict, Work
 from ..reasons import Reason
-from .behaviour import RecordedBehaviour, Run
+from .behaviour import Run
 from .home_answers import HomeAnswer, HomeJob, answer_of
-from .result import ReplayResult, StartedRun
+from .result import StartedRun
 
 if TYPE_CHECKING:
-    from random import Random
-
     from ..config.model import Service
     from ..wire.messages import UpstreamStatus
-    from .timeline import Timeline
+    from .context import ReplayContext
+    from .views import EntryView
 
 # How often queued requests are checked for their deadline.
 _EXPIRY_INTERVAL_MS: Final = 20
@@ -29,23 +27,6 @@
 _CRASH_RESTART_MS: Final = 500
 
 
-@dataclass(frozen=True, slots=True)
-class ReplayContext:
-    """State shared by all entries and homes of a replay.
-
-    :param trace_start_ms: trace time at virtual time 0, in milliseconds.
-    :param on_status: notifies the entries that a spell of failing has
-        begun or ended.
-    """
-
-    timeline: Timeline
-    behaviour: RecordedBehaviour
-    result: ReplayResult
-    rng: Random
-    trace_start_ms: float
-    on_status: Callable[[Service, UpstreamStatus], None]
-
-
 @dataclass(slots=True)
 class _Running:
     """A run in progress; a crash ends all runs of the upstream.
@@ -151,15 +132,23 @@
         """Number of running and queued requests."""
         return len(self._running) + len(self._waiting)
 
-    def finish_running(self) -> UpstreamStatus | None:
+    def finish_running(self) -> bool:
         """Refuse all work but that which runs.
 
-        :returns: status for all entries, None if nothing has changed.
+        :returns: whether this has changed.
         """
         if not self.stop.finish():
-            return None
+            return False
         self._refuse_unfinishable()
-        return self.status(next(iter(self._service.operations)))
+        return True
+
+    def report_to(self, view: EntryView) -> None:
+        """Send a status to an entry.
+
+        :param view: routing state of the entry.
+        """
+        status = self.status(next(iter(self._service.operations)))
+        view.on_status(self._service.name, status)
 
     def status(self, operation: str) -> UpstreamStatus:
         """Return the load and health report for entries.
@@ -294,4 +283,4 @@
     """Ignore a state change that only the audit trail of live nodes needs."""
 
 
-__all__ = ('ReplayContext', 'ReplayUpstream')
+__all__ = ('ReplayUpstream',)
--- a/src/jackdawhead/replay/requests.py
+++ b/src/jackdawhead/replay/requests.py
@@ -6,6 +6,7 @@
 from itertools import count
 from typing import TYPE_CHECKING, Final
 
+from ..policy.placement import uses_risk_balancer
 from ..policy.work import Work
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
     from ..policy.loads import UpstreamLoad
     from ..policy.service_router import ServiceRouter
     from ..policy.tried_upstreams import TriedUpstreams
+    from ..reasons import Reason
     from ..trace.records import ArrivalRecord
     from .home_answers import HomeJob
 
@@ -60,6 +62,20 @@
         """Virtual time of the deadline, in milliseconds."""
         return self.arrived_ms + self.operation.deadline_ms
 
+    def note_refused(
+        self, upstream: str, reason: Reason, now_ms: float
+    ) -> None:
+        """Record that an upstream's home has refused a copy.
+
+        :param upstream: identity of the upstream.
+        :param reason: reason that the home gave.
+        :param now_ms: virtual time, in milliseconds.
+        """
+        name = self.operation.name
+        self.router.note_refusal(upstream, name, reason, now_ms)
+        if uses_risk_balancer(self.router):
+            self.tried.note_refused(upstream, reason)
+
     def work(self, arrived_ms: float) -> Work:
         """Return the unit of work for one copy, with a unique id.
 
--- a/src/jackdawhead/replay/stops.py
+++ b/src/jackdawhead/replay/stops.py
@@ -12,11 +12,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .context import ReplayContext
     from .entries import ReplayEntry
-    from .homes import ReplayContext, ReplayUpstream
+    from .homes import ReplayUpstream
     from .views import EntryView
 
-_HEARTBEAT_INTERVAL_MS: Final = 1000
 _POLL_MS: Final = 20
 # One-way network delay of messages between nodes.
 _HOP_MS: Final = 2.5
@@ -63,30 +63,35 @@
         self._upstreams_on = upstreams_on
         self._timeline = context.timeline
         self._add_services = add_services
-        self._is_running = True
+        self._is_stopping = False
 
     def begin(self) -> None:
         """Deliver the stop signal."""
+        self._is_stopping = True
         stop = self._stop
         now_ms = self._timeline.now_ms
         plan = StopPlan(now_ms, now_ms + stop.accept_ms, now_ms + stop.drain_ms)
         for upstream in self._upstreams():
             upstream.stop.begin(plan)
-        self._send_heartbeats()
+        self._notify(lambda view: view.note_leaving(stop.node))
         self._timeline.schedule_at(
             plan.closes_at_ms, lambda: self._close_listener(plan)
         )
 
-    def _upstreams(self) -> list[ReplayUpstream]:
-        return self._upstreams_on(self._stop.node)
+    def tell(self, view: EntryView) -> None:
+        """Tell a new entry of the stop, as its first link to the home does.
 
-    def _send_heartbeats(self) -> None:
-        if not self._is_running:
+        :param view: routing state of the entry.
+        """
+        if not self._is_stopping:
             return
-        self._notify(lambda view: view.note_leaving(self._stop.node))
-        self._timeline.schedule_after(
-            _HEARTBEAT_INTERVAL_MS, self._send_heartbeats
-        )
+        view.note_leaving(self._stop.node)
+        for upstream in self._upstreams():
+            if upstream.stop.refusing_ms(self._timeline.now_ms):
+                upstream.report_to(view)
+
+    def _upstreams(self) -> list[ReplayUpstream]:
+        return self._upstreams_on(self._stop.node)
 
     def _notify(self, action: Callable[[EntryView], None]) -> None:
         own = self._entries[self._stop.node]
@@ -120,14 +125,12 @@
 
     def _finish_running(self) -> None:
         for upstream in self._upstreams():
-            status = upstream.finish_running()
-            if status is not None:
-                service = status.upstream.rpartition('/')[2]
+            if upstream.finish_running():
                 for entry in self._entries.values():
-                    entry.view.on_status(service, status)
+                    upstream.report_to(entry.view)
 
     def _end(self) -> None:
-        self._is_running = False
+        self._is_stopping = False
         for upstream in self._upstreams():
             upstream.stop_home()
         self._entries[self._stop.node].stop()
@@ -145,7 +148,7 @@
         self._add_services(entry)
         entry.is_listening = True
         for other in self._entries.values():
-            other.view.mark_path(self._stop.node, is_up=True)
+            other.view.note_restarted(self._stop.node)
 
 
 __all__ = ('NodeRestart', 'PlannedStop')
--- a/src/jackdawhead/replay/views.py
+++ b/src/jackdawhead/replay/views.py
@@ -13,14 +13,13 @@
     from ..config.model import Service
     from ..policy.member_loads import Member
     from ..wire.messages import UpstreamStatus
-    from .homes import ReplayContext
+    from .context import ReplayContext
 
 # One-way network delays between VMs.
 _SAME_ZONE_HOP_MS: Final = 0.5
 _CROSS_ZONE_HOP_MS: Final = 2.5
 # How long a home is avoided after it was found to be unreachable.
 _AVOID_UNREACHABLE_MS: Final = 500
-_AVOID_LEAVING_MS: Final = 3000
 _ALL_REACHABLE: Final[frozenset[str]] = frozenset()
 
 
@@ -36,6 +35,7 @@
         self.node = node
         self.routers: dict[str, ServiceRouter] = {}
         self.unreachable_homes: set[str] = set()
+        self._restarted_homes: set[str] = set()
         self._zone = zone
         self._context = context
         self._zones: dict[str, str] = {}
@@ -78,15 +78,12 @@
         else:
             self.unreachable_homes.add(home)
 
-    def avoid(
-        self, home: str, duration_ms: float = _AVOID_UNREACHABLE_MS
-    ) -> None:
+    def avoid(self, home: str) -> None:
         """Avoid a home that could not be reached, or whose link was closed.
 
         :param home: VM of the home.
-        :param duration_ms: how long to avoid it.
         """
-        until_ms = self._context.timeline.now_ms + duration_ms
+        until_ms = self._context.timeline.now_ms + _AVOID_UNREACHABLE_MS
         for router in self.routers.values():
             router.avoid_home_until(home, until_ms)
 
@@ -95,7 +92,27 @@
 
         :param home: VM of the home.
         """
-        self.avoid(home, _AVOID_LEAVING_MS)
+        for router in self.routers.values():
+            router.mark_home_leaving(home, leaving=True)
+
+    def note_linked(self, home: str) -> None:
+        """Record that a link to a home is open, so that it has not stopped.
+
+        :param home: VM of the home.
+        """
+        if home not in self._restarted_homes:
+            return
+        self._restarted_homes.discard(home)
+        for router in self.routers.values():
+            router.mark_home_leaving(home, leaving=False)
+
+    def note_restarted(self, home: str) -> None:
+        """Expect a new incarnation when the home is next linked.
+
+        :param home: VM of the home.
+        """
+        self._restarted_homes.add(home)
+        self.unreachable_homes.discard(home)
 
     def note_crash(self, service: str, fingerprint: int, upstream: str) -> None:
         """Record that a request crashed an upstream, seen by any entry."""
--- a/src/jackdawhead/wire/link_messages.py
+++ b/src/jackdawhead/wire/link_messages.py
@@ -61,8 +61,8 @@
 
     :param config_version: version of the sender's active configuration.
     :param config_digest: leading bits of the digest of that configuration.
-    :param leaving: whether the sender is shutting down and accepts no new
-        requests.
+    :param leaving: whether the sender is shutting down; its home accepts only
+        work that it can finish.
     :param vm_list_version: version of the sender's VM list.
     """
 
