--- a/src/jackdawhead/cli/run.py
+++ b/src/jackdawhead/cli/run.py
@@ -25,12 +25,7 @@
     :param arguments: command line arguments without the program name.
     :returns: the exit code of the process.
     """
-    command_word = arguments[0] if arguments else ''
-    if command_word == _NODE_COMMAND:
-        # By default it ends the process. A starting node reads its settings
-        # anyway, and sets a handler once its libraries are loaded.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    commands = load_commands(command_word)
+    commands = load_commands(_command_word(arguments))
     options = build_parser(commands).parse_args(arguments)
     try:
         return int(options.run(options))
@@ -44,9 +39,18 @@
 def main() -> None:
     """Run the command given by the arguments of this process, then exit."""
     arguments = sys.argv[1:]
+    command_word = _command_word(arguments)
+    if command_word == _NODE_COMMAND:
+        # By default it ends the process. A starting node reads its settings
+        # anyway, and sets a handler once its libraries are loaded.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     with without_collection():
-        load_commands(arguments[0] if arguments else '')
+        load_commands(command_word)
     sys.exit(run(arguments))
 
 
+def _command_word(arguments: Sequence[str]) -> str:
+    return arguments[0] if arguments else ''
+
+
 __all__ = ('main', 'run')
