A mark of a leaving home ends with its VM in the list

A new upstream at the address of a VM that had left while its node stopped cost one run time more than the others for ever, outside of shortages: the routers kept the mark when the VM was forgotten, and VMs are named by their addresses, which are used again. The reverse, too: after a VM was missing from the list for a time, a notice that its node stops was ignored.

The mark goes when the VM does, and a notice is believed from a node of which no process is known. Both scenarios failed before. Found in review.

--- a/features/policy/leaving_home.feature
+++ b/features/policy/leaving_home.feature
@@ -72,6 +72,19 @@
     And a new process of home 2 is linked
     Then "once" goes to upstream 2
 
+  # The address of a VM is used again by another one.
+  Scenario: A mark ends with the VM in the list
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When the node of home 2 says that it stops
+    And the VM of home 2 leaves the list
+    Then work goes to upstream 2
+
+  Scenario: A VM that was missing from the list for a time can still leave
+    Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
+    When the VM of home 2 leaves the list
+    And the node of home 2 says that it stops
+    Then work goes to upstream 1
+
   Scenario: A late notice of the process that has ended is ignored
     Given an entry whose upstreams 1 and 2 have 1 and 3 free slots of 3
     When a new process of home 2 is linked
--- a/features/steps/leaving_home_steps.py
+++ b/features/steps/leaving_home_steps.py
@@ -185,6 +185,12 @@
     context.homes.note_linked(f'vm-{number}', _NEW)
 
 
+@when('the VM of home {number:d} leaves the list')
+def unlist_vm(context: Context, number: int) -> None:
+    """Forget a VM that is listed no more."""
+    context.homes.retain({'vm-1', 'vm-2'} - {f'vm-{number}'})
+
+
 @when('upstream {number:d} has just failed')
 def fail_upstream(context: Context, number: int) -> None:
     """Deliver a report with a high risk."""
--- a/src/jackdawhead/node/entry/leaving_homes.py
+++ b/src/jackdawhead/node/entry/leaving_homes.py
@@ -37,9 +37,7 @@
         self._incarnations[home] = incarnation
         if known in {None, incarnation}:
             return
-        self._leaving.discard(home)
-        for router in self._routers():
-            router.mark_home_leaving(home, leaving=False)
+        self._unmark(home)
         self._on_restart(home)
 
     def note_leaving(self, home: str, incarnation: int) -> None:
@@ -48,7 +46,8 @@
         :param home: VM of the node.
         :param incarnation: identity of its process.
         """
-        if self._incarnations.get(home) != incarnation or home in self._leaving:
+        known = self._incarnations.setdefault(home, incarnation)
+        if known != incarnation or home in self._leaving:
             return
         self._leaving.add(home)
         for router in self._routers():
@@ -70,7 +69,12 @@
         for home in tuple(self._incarnations):
             if home not in vms:
                 self._incarnations.pop(home)
-                self._leaving.discard(home)
+                self._unmark(home)
+
+    def _unmark(self, home: str) -> None:
+        self._leaving.discard(home)
+        for router in self._routers():
+            router.mark_home_leaving(home, leaving=False)
 
 
 __all__ = ('LeavingHomes',)
