Plan a stop from the arrival of its signal

A node that gets SIGTERM while its HTTP libraries are imported began its plan only after the start, so that it could end after the time that the platform gives it. The signal's time counts now. Read in review; no run shows a stop that was killed.

--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -19,7 +19,7 @@
 from .late_imports import import_listeners
 from .platform_client import PlatformClient
 from .platform_watch import CONFIG_KEY, VMS_KEY, PlatformWatch
-from .shutdown import Shutdown
+from .shutdown import Shutdown, StopRequest
 from .supervision import supervise
 
 if TYPE_CHECKING:
@@ -56,7 +56,7 @@
         self._settings = settings
         self._watch = watch
         self._rng = Random(SystemRandom().random())
-        self._stopping = Event()
+        self._stopping = StopRequest()
         self._started = False
         self._loop_failure: BaseException | None = None
         self.parts = build_parts(
@@ -113,12 +113,13 @@
 
         :raises OSError: if an address cannot be bound.
         """
-        gevent.signal_handler(signal.SIGTERM, self._stopping.set)
-        gevent.signal_handler(signal.SIGINT, self._stopping.set)
+        gevent.signal_handler(signal.SIGTERM, self._stopping.note)
+        gevent.signal_handler(signal.SIGINT, self._stopping.note)
         with ExitStack() as stack:
             self._start(stack)
             self._stopping.wait()
-            Shutdown(self.parts, self._channels, self.http.callers).run()
+            shutdown = Shutdown(self.parts, self._channels, self.http.callers)
+            shutdown.run(self._stopping.noted_at_ms)
         if self._loop_failure is not None:
             raise self._loop_failure
 
@@ -178,7 +179,7 @@
 
     def _on_loop_failure(self, greenlet: gevent.Greenlet) -> None:
         self._loop_failure = greenlet.exception
-        self._stopping.set()
+        self._stopping.note()
 
     def _settle(
         self,
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 import gevent
+from gevent.event import Event
 
 from ..audit import AuditKind
 from ..clock import monotonic_ms, seconds
@@ -19,6 +20,24 @@
 _DRAIN_POLL_MS: Final = 20
 
 
+class StopRequest:
+    """The first request to stop, and when it came."""
+
+    def __init__(self) -> None:
+        self.noted_at_ms: float = 0
+        self._event = Event()
+
+    def note(self) -> None:
+        """Record a request; only the first one counts."""
+        if not self._event.is_set():
+            self.noted_at_ms = monotonic_ms()
+            self._event.set()
+
+    def wait(self) -> None:
+        """Wait for a request."""
+        self._event.wait()
+
+
 class Shutdown:
     """Stops accepting requests and finishes those in progress.
 
@@ -35,10 +54,13 @@
         self._callers = callers
         self._closed_ms: float = 0
 
-    def run(self) -> None:
-        """Announce the stop and return once the process may end."""
+    def run(self, requested_at_ms: float) -> None:
+        """Announce the stop and return once the process may end.
+
+        :param requested_at_ms: monotonic time at which the stop was requested.
+        """
         settings = self._parts.settings
-        plan = self._plan()
+        plan = self._plan(requested_at_ms)
         self._parts.board.stop.write(plan)
         self._parts.audit.record(
             AuditKind.NODE_LEAVING, settings.vm, 'received a stop signal'
@@ -71,13 +93,12 @@
                 self._closed_ms = monotonic_ms()
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
-    def _plan(self) -> StopPlan:
-        now_ms = monotonic_ms()
+    def _plan(self, began_at_ms: float) -> StopPlan:
         settings = self._parts.settings
         return StopPlan(
-            began_at_ms=now_ms,
-            closes_at_ms=now_ms + settings.accept_while_leaving_ms,
-            ends_at_ms=now_ms + settings.drain_ms,
+            began_at_ms=began_at_ms,
+            closes_at_ms=began_at_ms + settings.accept_while_leaving_ms,
+            ends_at_ms=began_at_ms + settings.drain_ms,
         )
 
     def _is_entry_active(self) -> bool:
@@ -95,4 +116,4 @@
         )
 
 
-__all__ = ('Shutdown',)
+__all__ = ('Shutdown', 'StopRequest')
