--- a/features/steps/scripted_steps.py
+++ b/features/steps/scripted_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 from gevent import socket
 
+from features.steps.ambiguous_steps import read_all
 from features.steps.fleet_steps import node_at
 from standins.fleet import Fleet, UpstreamEndpoint, config_files, wait_until
 from standins.scripted import ScriptedUpstream
@@ -101,19 +102,6 @@
         return parse(read_all(sock), method)
 
 
-def read_all(sock: socket.socket) -> bytes:
-    """Return all bytes up to the end of a connection."""
-    received = b''
-    while True:
-        try:
-            block = sock.recv(_BLOCK_BYTES)
-        except ConnectionResetError:
-            return received
-        if not block:
-            return received
-        received += block
-
-
 def parse(received: bytes, method: str) -> Received:
     """Return the answer, and whether its framing says that it is whole."""
     head, separator, body = received.partition(b'\r\n\r\n')
--- a/src/jackdawhead/node/listed_types.py
+++ b/src/jackdawhead/node/listed_types.py
@@ -11,11 +11,9 @@
 from msgspec import Meta
 
 from ..config.schema import NAME_PATTERN
-from ..wire.field_bounds import MAX_VERSION
+from ..wire.field_bounds import MAX_DURATION_MS, MAX_SLOTS, MAX_VERSION
 
 _MAX_PORT: Final = 65_535
-_MAX_SLOTS: Final = 100_000
-_DAY_MS: Final = 86_400_000
 # Still exact as a floating-point number, and within 64 bits.
 _MAX_UNIX_MS: Final = 9_007_199_254_740_991
 # The version of a list is twice its revision, or one more.
@@ -32,16 +30,16 @@
 IpPort = Annotated[str, Meta(pattern=rf'^{_IP}:[0-9]{{1,5}}\Z')]
 Port = Annotated[int, Meta(ge=1, le=_MAX_PORT)]
 Instance = Annotated[str, Meta(pattern=rf'^{_INSTANCE}{{1,128}}\Z')]
-Slots = Annotated[int, Meta(ge=1, le=_MAX_SLOTS)]
+Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
 Version = Annotated[int, Meta(ge=0, le=MAX_VERSION)]
 BornMs = Annotated[int, Meta(ge=0, le=_MAX_UNIX_MS)]
-ColdMs = Annotated[int, Meta(ge=0, le=_DAY_MS)]
+ColdMs = Annotated[int, Meta(ge=0, le=MAX_DURATION_MS)]
 
 # Of a VM list, where details may be missing.
 OptionalPort = Annotated[int, Meta(ge=0, le=_MAX_PORT)]
 OptionalInstance = Annotated[str, Meta(pattern=rf'^{_INSTANCE}{{0,128}}\Z')]
-OptionalSlots = Annotated[int, Meta(ge=0, le=_MAX_SLOTS)]
+OptionalSlots = Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
 
 __all__ = (
     'MAX_REVISION',
--- a/src/jackdawhead/wire/field_bounds.py
+++ b/src/jackdawhead/wire/field_bounds.py
@@ -12,8 +12,8 @@
 _MAX_UINT64: Final = 0xFFFFFFFFFFFFFFFF
 # Versions are counters; a larger one would outdate all that follow.
 MAX_VERSION: Final = 9_007_199_254_740_991
-_MAX_DURATION_MS: Final = 86_400_000
-_MAX_SLOTS: Final = 100_000
+MAX_DURATION_MS: Final = 86_400_000
+MAX_SLOTS: Final = 100_000
 _MAX_PERMILLE: Final = 1000
 # Interim answers are not passed on.
 _MIN_STATUS: Final = 200
@@ -33,7 +33,7 @@
 
 
 _DEFAULT: Final = Bounds()
-_DURATION: Final = Bounds(most=_MAX_DURATION_MS, clamps=True)
+_DURATION: Final = Bounds(most=MAX_DURATION_MS, clamps=True)
 _VERSION: Final = Bounds(most=MAX_VERSION)
 _PERMILLE: Final = Bounds(most=_MAX_PERMILLE)
 _BY_NAME: Final = {
@@ -42,7 +42,7 @@
     'body_bytes': Bounds(least=-1),
     'config_version': _VERSION,
     # Negative while more requests run than there are slots.
-    'free': Bounds(-_MAX_SLOTS, _MAX_SLOTS),
+    'free': Bounds(-MAX_SLOTS, MAX_SLOTS),
     'risk': _PERMILLE,
     'risk_limit': _PERMILLE,
     'status': Bounds(_MIN_STATUS, _MAX_STATUS),
@@ -61,4 +61,10 @@
     return _BY_NAME.get(field, _DEFAULT)
 
 
-__all__ = ('MAX_VERSION', 'Bounds', 'bounds_of')
+__all__ = (
+    'MAX_DURATION_MS',
+    'MAX_SLOTS',
+    'MAX_VERSION',
+    'Bounds',
+    'bounds_of',
+)
