A reader that was turned away does not list again what others saw leave

Traced by a replay with all logs: the store refused one node from 2.5 to 11.7 s. At its return that node read that many entries were gone, delayed their removal for 2.2 s, as the store may have lost them in an outage, and published its own entries of 9 s ago under a new version. All nodes listed 21 upstreams again that had left.

During the grace period a missing entry is kept only if the list that the node follows still has that instance and it doesn't leave: in an outage for all readers it does, and where others were served they have seen it go.

--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -29,6 +29,16 @@
     And the source is read
     Then 2 upstreams are known
 
+  # Its list is newer than those of the readers that the store has served.
+  Scenario: A reader that was turned away does not list again what others saw leave
+    Given a store with 3 upstreams and a configuration
+    When the source is read
+    And the store is down until entries may expire
+    And all upstreams are removed, and the list in force has only 1 of them
+    And the store is up again
+    And the source is read
+    Then 1 upstreams are known
+
   Scenario: A change withheld from watches is found when history is lost
     Given a store with 3 upstreams and a configuration
     When the source is read
--- a/features/steps/fuzz_list_steps.py
+++ b/features/steps/fuzz_list_steps.py
@@ -33,9 +33,9 @@
     VMS_KEY,
     PlatformWatch,
 )
+from jackdawhead.node.listing_rules import ListingRules
 from jackdawhead.node.upstream_list import (
     ListedUpstreams,
-    ListingRules,
     Moment,
 )
 from jackdawhead.platform.store_types import StoredItem
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -29,9 +29,9 @@
 from jackdawhead.node.home.answer_reader import AnswerReader, HTTPParseError
 from jackdawhead.node.request_framing import framing_problem
 from jackdawhead.node.request_headers import RequestHeaders
+from jackdawhead.node.listing_rules import ListingRules
 from jackdawhead.node.upstream_list import (
     ListedUpstreams,
-    ListingRules,
     Moment,
 )
 from jackdawhead.node.vm_list_codec import parse_vm_list
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -16,6 +16,7 @@
 from jackdawhead.config.sources import SourceFile
 from jackdawhead.platform.config_translation import decode_document
 from jackdawhead.platform.formats import parse_duration_ms, parse_version
+from jackdawhead.node.vm_list_codec import parse_vm_list
 from jackdawhead.platform.settings_file import read_settings
 from jackdawhead.platform.store_source import StoreSource
 from jackdawhead.platform.store_types import StoredItem
@@ -434,6 +435,19 @@
         context.store.remove(f'servers/i-{number}')
 
 
+@when(
+    'all upstreams are removed, and the list in force has only {count:d} of'
+    ' them'
+)
+def remove_seen(context: Context, count: int) -> None:
+    """Remove all entries; other readers have seen most of them leave."""
+    remove_all(context)
+    plain = context.known['vms'].content[:count]
+    text = json.dumps(plain)
+    in_force = parse_vm_list(1, text, lambda _: None).unwrap()
+    context.source.follow(lambda: in_force)
+
+
 @when('{count:d} upstreams are registered again')
 def register_again(context: Context, count: int) -> None:
     """Write entries again after their removal."""
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -17,6 +17,9 @@
 from .listed_types import Version
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..blackboard import VmList
     from ..config.settings import Address
 
 _OK: Final = 200
@@ -50,6 +53,12 @@
 
     call_count: int = 0
 
+    def follow(self, list_in_force: Callable[[], VmList]) -> None:
+        """Use the VM list that the node follows; ignored by default.
+
+        :param list_in_force: returns that list.
+        """
+
     @abstractmethod
     def read(
         self,
--- a/src/jackdawhead/node/upstream_list.py
+++ b/src/jackdawhead/node/upstream_list.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
+from ..blackboard import VmList
 from .listed_types import (
     BornMs,
     ColdMs,
@@ -17,9 +18,10 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from ..policy.removal_grace_period import RemovalGracePeriod
+    from .listing_rules import ListingRules
 
 # A start that is further in the future than clocks of VMs differ is no order:
 # without this bound one entry would keep all later ones out.
@@ -74,33 +76,6 @@
     return ip.replace('.', '-')
 
 
-@dataclass(frozen=True, slots=True)
-class ListingRules:
-    """What an upstream's entry must agree with to be listed.
-
-    :param zones: the platform's availability zones.
-    :param node_ports: ports that the nodes listen on, the same on all VMs.
-    """
-
-    zones: frozenset[str]
-    node_ports: frozenset[int]
-
-    def objection(self, upstream: ListedUpstream) -> str:
-        """Return why an upstream must not be listed, empty if it may be.
-
-        No node would use an upstream of an unknown zone, but it would take
-        its whole VM there. Work sent to a node's own listener comes back to
-        that node as new requests.
-
-        :param upstream: the upstream, as the platform lists it.
-        """
-        if upstream.zone not in self.zones:
-            return f'unknown zone {upstream.zone!r}'
-        if upstream.port in self.node_ports:
-            return f'port {upstream.port} is one of the nodes themselves'
-        return ''
-
-
 @dataclass(frozen=True, slots=True)
 class _Entry:
     """A listed upstream.
@@ -171,6 +146,9 @@
     :param rules: what entries must agree with.
     :param grace_period: delays removals until a missing entry can be trusted.
     :param expiry_ms: time within which a live upstream writes its entry again.
+
+    The attribute ``list_in_force`` returns the list that this node follows,
+    which may come from other readers.
     """
 
     def __init__(
@@ -182,6 +160,7 @@
     ) -> None:
         self.grace_period = grace_period
         self._stream_port = stream_port
+        self.list_in_force: Callable[[], VmList] = VmList
         self._rules = rules
         self._expiry_ms = expiry_ms
         self._entries: dict[str, _Entry] = {}
@@ -238,8 +217,10 @@
         :param now_ms: monotonic time in milliseconds.
         :returns: the list, or ``None`` if it is unchanged.
         """
-        if not self.grace_period.remaining_ms(now_ms):
-            self._apply_removals()
+        if self.grace_period.remaining_ms(now_ms):
+            self._apply_removals(filter(self._has_left, self._pending_removals))
+        else:
+            self._apply_removals(self._pending_removals)
             self._apply_earlier_starts(now_ms)
         if not self._has_changed:
             return None
@@ -255,12 +236,27 @@
         self._entries[key] = entry
         self._earlier_starts.pop(key, None)
 
-    def _apply_removals(self) -> None:
-        for gone in self._pending_removals:
+    def _apply_removals(self, keys: Iterable[str]) -> None:
+        for gone in tuple(keys):
             self._entries.pop(gone)
             self._earlier_starts.pop(gone, None)
+            self._pending_removals.discard(gone)
             self._has_changed = True
-        self._pending_removals.clear()
+
+    def _has_left(self, key: str) -> bool:
+        """Return whether the list in force no longer has an upstream.
+
+        Other readers, which the platform served meanwhile, have seen it leave.
+        """
+        vm_list = self.list_in_force()
+        if not vm_list.version:
+            return False
+        upstream = self._entries[key].upstream
+        vm = vm_list.vms.get(vm_name(upstream.ip))
+        if vm is None:
+            return True
+        details = vm.upstream_details(upstream.service)
+        return details.leaving or details.instance != upstream.instance
 
     def _apply_earlier_starts(self, now_ms: float) -> None:
         due_since_ms = now_ms - self._expiry_ms
@@ -278,7 +274,6 @@
 __all__ = (
     'ListedUpstream',
     'ListedUpstreams',
-    'ListingRules',
     'Moment',
     'compose_vms',
     'vm_name',
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -12,7 +12,8 @@
 from ..node.platform_client import PlatformSource, PublishedValue
 from ..node.platform_watch import CONFIG_KEY, VMS_KEY
 from ..node.refusal_log import RefusalLog
-from ..node.upstream_list import ListedUpstreams, ListingRules, Moment
+from ..node.listing_rules import ListingRules
+from ..node.upstream_list import ListedUpstreams, Moment
 from ..policy.removal_grace_period import (
     DEFAULT_REREGISTRATION_MS,
     RemovalGracePeriod,
@@ -24,7 +25,9 @@
 from .upstream_entries import decode_record
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
+
+    from ..blackboard import VmList
 
     from ..config.settings import Address
 
@@ -72,6 +75,9 @@
         """Number of calls made to the store."""
         return self._client.call_count
 
+    def follow(self, list_in_force: Callable[[], VmList]) -> None:
+        self._upstreams.list_in_force = list_in_force
+
     def read(
         self,
         key: str,
