Log what a stopping entry takes, refuses and leaves unfinished

A request that is given up at the end of a stop left no trace of why it had been taken: the estimate and the time left of the stop were in no line, and nothing named the requests that the end of the process cut. One line for each attempt while the node stops (stop-decision), for each request refused while its body is read (stop-refused-unread), for each one in progress at the end (stop-unfinished), and for the end itself (stop-ended).

--- a/src/jackdawhead/node/entry/body_reads.py
+++ b/src/jackdawhead/node/entry/body_reads.py
@@ -9,6 +9,7 @@
 
 from ...clock import monotonic_ms, seconds
 from ...policy.stopping import fits_before_stop
+from ..stop_log import log_stop_read
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,21 +35,29 @@
         board.stop.subscribe(self._note_plan)
 
     @contextmanager
-    def track(self) -> Iterator[None]:
+    def track(self, request_id: str) -> Iterator[None]:
         """Interrupt the current greenlet when its request has become too late.
 
+        :param request_id: identity that the caller gave the request.
         :raises NodeStopsError: inside the block when the time is over, or on
             entry if it already is.
         """
-        if not fits_before_stop(self._board.stop.read(), 0, monotonic_ms()):
-            raise NodeStopsError
+        began_at_ms = monotonic_ms()
         reader = gevent.getcurrent()
-        self._readers.add(reader)
         try:
+            self._check_time()
+            self._readers.add(reader)
             yield
+        except NodeStopsError:
+            log_stop_read(request_id, self._board.stop.read(), began_at_ms)
+            raise
         finally:
             self._readers.discard(reader)
 
+    def _check_time(self) -> None:
+        if not fits_before_stop(self._board.stop.read(), 0, monotonic_ms()):
+            raise NodeStopsError
+
     def _note_plan(self, plan: StopPlan | None) -> None:
         if plan is not None:
             left_ms = max(0, plan.refuses_from_ms - monotonic_ms())
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -134,7 +134,7 @@
             attempt_number += 1
 
     def _attempt(self, call: Call, attempt_number: int) -> Answer:
-        if not self._limits.has_time_for(call):
+        if not self._limits.admits(call):
             return STOP_REFUSAL
         now_ms = monotonic_ms()
         quarantine_remaining_ms = call.router.poison.quarantine_remaining_ms(
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -184,7 +184,7 @@
         """Choose another upstream; one that was busy before may be free now."""
         if call.router.member_count <= 1 or call.left_ms() <= 0:
             return None
-        if not self._limits.has_time_for(call):
+        if not self._limits.admits(call):
             return None
         if call.max_attempts and call.runs + 2 > call.max_attempts:
             return None
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -13,7 +13,7 @@
 from ...logs import log_event
 from ...outcome import Outcome
 from ...reasons import Reason
-from ..http_server import SOCKET_KEY
+from ..http_server import READ_KEY, SOCKET_KEY
 from ..tickets.store import TICKET_LIFETIME_MS
 from .body_reads import BodyReads, NodeStopsError
 from .caller_watch import WatchedBody, watch_caller
@@ -159,7 +159,7 @@
             return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
         idle_ms = self._settings.caller_idle_ms
         try:
-            with self._reads.track():
+            with self._reads.track(header_of(environ, names.request_id)):
                 call = read_request(environ, names, length, idle_ms)
         except NodeStopsError:
             return TICKET_STOP_REFUSAL if ticket else STOP_REFUSAL
@@ -167,6 +167,7 @@
             return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         except OSError:
             return Refused(Outcome.NOT_RUN, Reason.BODY_CUT)
+        environ[READ_KEY] = call.request_id
         if ticket:
             # Not cancelled when the caller disconnects: a resend with the same
             # ticket returns the answer of this run.
--- a/src/jackdawhead/node/entry/stop_limits.py
+++ b/src/jackdawhead/node/entry/stop_limits.py
@@ -9,6 +9,7 @@
 from ...outcome import Outcome
 from ...policy.stopping import fits_before_stop
 from ...reasons import Reason
+from ..stop_log import log_stop_decision
 from .requests import Refused
 
 if TYPE_CHECKING:
@@ -36,6 +37,18 @@
     def __init__(self, board: Blackboard) -> None:
         self._board = board
 
+    def admits(self, call: Call) -> bool:
+        """Return whether one more attempt is made now, and log it.
+
+        :param call: the request and its state.
+        """
+        plan = self._board.stop.read()
+        if plan is None:
+            return True
+        has_time = self.has_time_for(call)
+        log_stop_decision(call, plan, _estimate_ms(call), is_taken=has_time)
+        return has_time
+
     def has_time_for(self, call: Call) -> bool:
         """Return whether one more attempt will end before this node does.
 
@@ -43,8 +56,7 @@
         """
         if self._board.stop.read() is None:
             return True
-        high_ms = call.router.completion_times.high_ms(call.operation)
-        return self._fits(min(call.left_ms(), high_ms))
+        return self._fits(min(call.left_ms(), _estimate_ms(call)))
 
     def may_wait(self, call: Call) -> bool:
         """Return whether a home may queue the request.
@@ -73,4 +85,8 @@
         return fits_before_stop(plan, work_ms, monotonic_ms())
 
 
+def _estimate_ms(call: Call) -> float:
+    return call.router.completion_times.high_ms(call.operation)
+
+
 __all__ = ('STOP_REFUSAL', 'TICKET_STOP_REFUSAL', 'StopLimits')
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -28,10 +29,27 @@
 
 SOCKET_KEY: Final = 'jackdawhead.socket'
 HEADERS_KEY: Final = 'jackdawhead.headers'
+# Set by the application once it has read the request: the request's id.
+READ_KEY: Final = 'jackdawhead.read'
 _REASON_PHRASES: Final = {400: 'Bad Request', 501: 'Not Implemented'}
 _EXPECTED_ERRORS: Final = (CutAnswerError, CallerGoneError, TimeoutError)
 
 
+@dataclass(frozen=True, slots=True)
+class RequestInProgress:
+    """A request that has no complete answer yet.
+
+    :param request_id: identity that the caller gave the request, empty until
+        it has been read.
+    :param progress: ``reading``, ``running`` or ``answering``.
+    :param began_at_ms: monotonic time at which its head was read.
+    """
+
+    request_id: str
+    progress: str
+    began_at_ms: float
+
+
 class _FramingError(ValueError):
     """A request with ambiguous or unsupported framing."""
 
@@ -69,6 +87,17 @@
         finally:
             self.server.begun_ms.pop(self)
 
+    @property
+    def in_progress(self) -> RequestInProgress:
+        """The request that is being served."""
+        request_id = self.environ.get(READ_KEY)
+        progress = 'reading' if request_id is None else 'running'
+        if self.headers_sent:
+            progress = 'answering'
+        return RequestInProgress(
+            request_id or '', progress, self.server.begun_ms[self]
+        )
+
     def read_request(self, raw_requestline: str) -> bool:
         """Read the request line and the headers.
 
@@ -164,6 +193,11 @@
         """Number of requests in progress."""
         return len(self.begun_ms)
 
+    @property
+    def in_progress(self) -> tuple[RequestInProgress, ...]:
+        """Requests in progress."""
+        return tuple(handler.in_progress for handler in self.begun_ms)
+
     def has_request_from_before(self, at_ms: float) -> bool:
         """Return whether a request in progress began before a time.
 
@@ -172,4 +206,10 @@
         return any(begun_ms < at_ms for begun_ms in self.begun_ms.values())
 
 
-__all__ = ('HEADERS_KEY', 'SOCKET_KEY', 'HttpServer')
+__all__ = (
+    'HEADERS_KEY',
+    'READ_KEY',
+    'SOCKET_KEY',
+    'HttpServer',
+    'RequestInProgress',
+)
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -11,6 +11,7 @@
 from ..clock import monotonic_ms, seconds
 from ..policy.home_stop import StopPhase, StopProgress
 from ..policy.stopping import StopPlan
+from .stop_log import log_stop_end, log_unfinished
 
 if TYPE_CHECKING:
     from .channels import Channels
@@ -85,6 +86,7 @@
             if phase is StopPhase.ENDED:
                 # A request that is read from now on would be cut off.
                 self._parts.board.stop.write(plan.ending_at(monotonic_ms()))
+                self._log_end(plan)
                 return
             if phase is not StopPhase.SERVING:
                 home.finish_running()
@@ -93,6 +95,12 @@
                 self._closed_ms = monotonic_ms()
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
+    def _log_end(self, plan: StopPlan) -> None:
+        requests = self._callers.in_progress
+        log_stop_end(plan, len(requests), len(self._parts.attempts))
+        for request in requests:
+            log_unfinished(request, plan)
+
     def _plan(self, began_at_ms: float) -> StopPlan:
         settings = self._parts.settings
         return StopPlan(
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -31,6 +31,13 @@
         """
         return max(0, self.ends_at_ms - now_ms)
 
+    def elapsed_ms(self, now_ms: float) -> float:
+        """Return the time since the stop signal.
+
+        :param now_ms: monotonic time.
+        """
+        return now_ms - self.began_at_ms
+
     @property
     def refuses_from_ms(self) -> float:
         """Time from which on no work is accepted, however short."""
