Test: late requests on kept connections that take far longer than usual

Four homes, one entry, the platform's stop times; 162 quick requests of 60 ms, one of 4,500 ms that keeps the entry running, then 30 requests from 2.65 s after SIGTERM on, one every 100 ms, of which every third takes 2,500 ms.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -18,6 +18,24 @@
       | POST   | ms=900                 |
       | GET    | bytes=200000&stall=900 |
 
+  Scenario Outline: A late <method> of "<slow>" is not cut where "<query>" is usual
+    Given 30 kept connections to the entry, which has answered <method> with "<query>"
+    And the entry has answered it 150 times more
+    And a request of 4500 ms that keeps the entry running
+    When one of them sends such a request every 100 ms from 2650 ms after SIGTERM on, and "<slow>" instead in every third of them
+    Then each request that an upstream began has its whole answer
+    And each refused request was not run and its connection was closed
+    And each request without an answer was not run, and its connection was closed at the end of the process
+    And the requests whose deadline ends well before the stop are served
+    And the request that kept the entry running has its whole answer
+    And some requests are refused as "node-leaving"
+
+    Examples: a rare slow one
+      | method | query                 | slow                    |
+      | POST   | ms=60                 | ms=2500                 |
+      | GET    | ms=60                 | ms=2500                 |
+      | GET    | bytes=200000&stall=60 | bytes=200000&stall=2500 |
+
   Scenario: Requests near the end of a stop do not wait in queues that outlast it
     Given 40 kept connections to the entry, which has answered POST with "ms=900"
     When each sends one such request 2500 ms after the entry got SIGTERM
