Home: the log tells work accepted and runs cut while the node stops

An entry beside a stopping home saw only peer-lost. The home now writes with each work-offered of a stop the estimate and the time until the end of the node, beside the deadline that was there, and run-cut for each run in progress at the end.

--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from ..blackboard import Blackboard
+    from ..policy.home_stop import HomeStop
     from ..policy.loads import UpstreamLoad
     from ..policy.upstream_state import UpstreamState
     from .entry.call_state import Call
@@ -75,12 +76,15 @@
     }
 
 
-def log_admission(job: Job, state: UpstreamState, verdict: str) -> None:
+def log_admission(
+    job: Job, state: UpstreamState, verdict: str, stop: HomeStop
+) -> None:
     """Log a home's admission decision for a request.
 
     :param job: the request.
     :param state: state of the upstream.
     :param verdict: the decision.
+    :param stop: planned stop of the node, if any.
     """
     now_ms = monotonic_ms()
     log_event(
@@ -94,9 +98,26 @@
         risk_limit=job.submit.risk_limit,
         evidence_age_ms=_age_ms(state, now_ms),
         left_ms=job.submit.deadline_ms,
+        **_stop_fields(job, state, stop, now_ms),
     )
 
 
+def _stop_fields(
+    job: Job, state: UpstreamState, stop: HomeStop, now_ms: float
+) -> dict[str, object]:
+    ends_in_ms = stop.ends_in_ms(now_ms)
+    if ends_in_ms is None:
+        return {}
+    rule = state.admission
+    wait_ms = rule.expected_wait_ms(now_ms)
+    high_ms = rule.run_times.high_ms(job.operation.name)
+    return {
+        'idempotent': job.operation.idempotent,
+        'estimate_ms': int(wait_ms + high_ms),
+        'ends_in_ms': int(ends_in_ms),
+    }
+
+
 def log_run(job: Job, result: ExecutionResult, state: UpstreamState) -> None:
     """Log the end of a run.
 
@@ -132,6 +153,24 @@
     )
 
 
+def log_cut(job: Job, upstream: str) -> None:
+    """Log a run that is still in progress when its node ends.
+
+    :param job: the request.
+    :param upstream: identity of the upstream.
+    """
+    now_ms = monotonic_ms()
+    log_event(
+        'run-cut',
+        id=job.caller_id,
+        upstream=upstream,
+        operation=job.operation.name,
+        idempotent=job.operation.idempotent,
+        ran_ms=int(now_ms - job.started_ms),
+        left_ms=int(job.work.deadline_at_ms - now_ms),
+    )
+
+
 def log_use(upstream: str, unused_ms: float, state: UpstreamState) -> None:
     """Log that an upstream runs a request after a long idle time.
 
@@ -160,6 +199,7 @@
     'log_answer',
     'log_cancel',
     'log_choice',
+    'log_cut',
     'log_run',
     'log_use',
 )
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -13,6 +13,7 @@
 from ...policy.home_stop import HomeStop
 from ...policy.homes import HomeMap
 from ..loop_clock import follow_event_loop
+from .started_runs import StartedRuns
 from .upstream import HomeUpstream
 from .upstream_spec import HomeEvents, UpstreamSpec
 
@@ -23,6 +24,7 @@
 
     from ...audit import AuditTrail
     from ...blackboard import Blackboard, Vm, VmList
+    from ...policy.stopping import StopPlan
     from ...wire.messages import UpstreamStatus
     from ..trace_recorder import TraceRecorder
 
@@ -62,11 +64,12 @@
         self._work_queued = Event()
         self._removed: tuple[HomeUpstream, ...] = ()
         self._stop = HomeStop()
+        self._runs = StartedRuns()
         self._has_started = False
         self._owned: tuple[tuple[Vm, str, int], ...] = ()
         board.config.subscribe(lambda _: self._update())
         board.vm_list.subscribe(self._apply_vm_list)
-        board.stop.subscribe(self._stop.begin)
+        board.stop.subscribe(self._apply_stop)
 
     def find(self, upstream: str) -> HomeUpstream | None:
         """Return an upstream of this home, or nothing if there is none.
@@ -126,6 +129,11 @@
             for upstream in self.all()
         )
 
+    def _apply_stop(self, plan: StopPlan | None) -> None:
+        self._stop.begin(plan)
+        if plan is not None and not plan.remaining_ms(monotonic_ms()):
+            self._runs.log_cut()
+
     def _close(self) -> None:
         for upstream in self.all():
             upstream.close()
@@ -179,6 +187,7 @@
                 self._recorder.note_end,
                 self._on_status,
                 self._board.handled_until_ms.read,
+                self._runs,
             ),
             self._stop,
             is_new=is_new,
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -26,8 +27,8 @@
     from .job import Job
     from .upstream_spec import HomeEvents, UpstreamSpec
 
-# Retry delay when this node stops: another home may run the work.
-_LEAVING_RETRY_AFTER_MS: Final = 200
+# When this node stops, another home may run the work.
+_RETRY_AFTER_MS: Final = MappingProxyType({Reason.NODE_LEAVING: 200})
 
 
 class HomeUpstream:
@@ -92,22 +93,14 @@
         :param job: the request.
         """
         job.caller_id = job.header(self.spec.headers.request_id) or ''
-        if self.draining:
-            log_admission(job, self._state, Reason.DRAINING.value)
-            job.refuse(Reason.DRAINING)
-            return
         now_ms = monotonic_ms()
-        rule = self._state.admission
-        if not self._stop.accepts(rule, job.operation.name, now_ms):
-            log_admission(job, self._state, Reason.NODE_LEAVING.value)
-            job.refuse(Reason.NODE_LEAVING, _LEAVING_RETRY_AFTER_MS)
-            return
-        if not self._state.accepts_risk(job.submit.risk_limit, now_ms):
-            log_admission(job, self._state, Reason.RISKY.value)
-            job.refuse(Reason.RISKY)
+        reason = _refusal_reason(job, self._state, self._stop, now_ms)
+        if reason is not None:
+            log_admission(job, self._state, reason.value, self._stop)
+            job.refuse(reason, _RETRY_AFTER_MS.get(reason, 0))
             return
         admission = self._state.offer(job.work, now_ms)
-        log_admission(job, self._state, admission.verdict.value)
+        log_admission(job, self._state, admission.verdict.value, self._stop)
         if admission.verdict is Verdict.START:
             self._start(job)
         elif admission.verdict is Verdict.WAIT:
@@ -200,10 +193,11 @@
         self._resends.note_run()
         job.started_ms = monotonic_ms()
         result: ExecutionResult | None = None
-        try:
-            result = Execution(job, self._target(job)).run()
-        finally:
-            self._finish(job, result)
+        with self._events.runs.track(job, self.spec.name):
+            try:
+                result = Execution(job, self._target(job)).run()
+            finally:
+                self._finish(job, result)
 
     def _target(self, job: Job) -> Target:
         return Target(
@@ -275,7 +269,7 @@
         for work in works:
             if self._state.admission.withdraw(work):
                 job = self._waiting.pop(work.work_id)
-                log_admission(job, self._state, reason.value)
+                log_admission(job, self._state, reason.value, self._stop)
                 job.refuse(reason)
 
     def _unfinishable(self) -> list[Work]:
@@ -290,4 +284,17 @@
             self._waiting.pop(work.work_id).refuse(reason)
 
 
+def _refusal_reason(
+    job: Job, state: UpstreamState, stop: HomeStop, now_ms: float
+) -> Reason | None:
+    """Return why a new request may neither run nor be queued, if so."""
+    if state.is_draining(now_ms):
+        return Reason.DRAINING
+    if not stop.accepts(state.admission, job.operation.name, now_ms):
+        return Reason.NODE_LEAVING
+    if not state.accepts_risk(job.submit.risk_limit, now_ms):
+        return Reason.RISKY
+    return None
+
+
 __all__ = ('HomeUpstream',)
--- a/src/jackdawhead/node/home/upstream_spec.py
+++ b/src/jackdawhead/node/home/upstream_spec.py
@@ -11,6 +11,7 @@
     from ...config.settings import Address
     from ...policy.upstream_state import FinishedRun
     from ...wire.messages import UpstreamStatus
+    from .started_runs import StartedRuns
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,7 @@
     :param on_run_end: called with upstream, fingerprint and end of each run.
     :param on_status: called with a report that all entries need at once.
     :param handled_until_ms: time up to which ends of runs are known.
+    :param runs: runs in progress at all upstreams of the home.
     """
 
     on_drain: Callable[[str, bool], None]
@@ -44,6 +46,7 @@
     on_run_end: Callable[[str, int, FinishedRun], None]
     on_status: Callable[[UpstreamStatus], None]
     handled_until_ms: Callable[[], float]
+    runs: StartedRuns
 
 
 __all__ = ('HomeEvents', 'UpstreamSpec')
--- a/src/jackdawhead/policy/home_stop.py
+++ b/src/jackdawhead/policy/home_stop.py
@@ -144,6 +144,13 @@
             if not self._fits(plan, admission, work.operation, now_ms)
         ]
 
+    def ends_in_ms(self, now_ms: float) -> float | None:
+        """Return the time until the node ends, none while it does not stop.
+
+        :param now_ms: monotonic time.
+        """
+        return self._plan.remaining_ms(now_ms) if self._plan else None
+
     def refusing_ms(self, now_ms: float) -> float:
         """Return how long all work is refused, 0 if some is accepted.
 
