Known red: a pause of a stopping node cuts answers that have arrived

Tests of what else may cut a request in progress: resends with tickets, calls of upstreams, downloads, second copies and attempts, several signals, changed settings, configurations that take routes, operations, zones and services away, an upstream that leaves the list, and pauses of the process.

A pause over the end of a stop: the end is noticed before the sockets are read, at the entry as at the home, and the caller gets 502 peer-lost although the answer had arrived. A signal that is sent during a pause: the stop counts from the moment at which it is handled.

--- /dev/null
+++ b/features/steps/elsewhere_steps.py
@@ -0,0 +1,313 @@
+"""Steps about requests in progress while something else changes."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import gevent
+from behave import given, then, when
+from gevent import socket
+
+from features.steps.fleet_steps import new_fleet, start_fleet
+from features.steps.stopping_steps import KeptConnection
+from standins.fleet import call, config_files, read_json, wait_until
+from standins.sites import HELVETIA
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_IP: Final = '127.0.0.1'
+_TIMEOUT_S: Final = 30.0
+_MS_PER_S: Final = 1000
+
+
+@dataclass
+class _Sent:
+    """A request on a connection of its own.
+
+    :param receiving: reads the answer.
+    """
+
+    kept: KeptConnection
+    receiving: gevent.Greenlet | None = None
+
+
+@given(
+    '{count:d} nodes and an entry whose stops take {drain:d} ms, {accept:d} ms'
+    ' of them with an open listener'
+)
+def start_small(context: Context, count: int, drain: int, accept: int) -> None:
+    """Start homes of a registry, and one entry without an upstream."""
+    fleet = new_fleet(
+        context,
+        drain_ms=drain,
+        accept_while_leaving_ms=accept,
+        drain_idle_ms=0,
+    )
+    start_fleet(fleet, 'registry-desk', count, entries=1)
+    context.sent = {}
+
+
+@given('connection "{key}" to {vm}')
+def open_connection(context: Context, key: str, vm: str) -> None:
+    """Open a connection and send one request on it that no route matches."""
+    port = context.fleet.nodes[vm].caller_port
+    kept = KeptConnection(
+        socket.create_connection((_IP, port), _TIMEOUT_S), key
+    )
+    context.stack.callback(kept.sock.close)
+    kept.send('GET /no/such/route HTTP/1.1\r\nHost: x')
+    kept.receive()
+    kept.reply = None
+    context.sent[key] = _Sent(kept)
+
+
+@given('a ticket of {vm}')
+def take_ticket(context: Context, vm: str) -> None:
+    """Ask a node for a ticket."""
+    port = context.fleet.nodes[vm].caller_port
+    reply = call(port, 'POST', '/cultivars/t', b'', {'X-Ticket': 'new'})
+    context.ticket = reply.headers['x-ticket']
+
+
+@when('{method} "{query}" is sent on connection "{key}"')
+def send_on(context: Context, method: str, query: str, key: str) -> None:
+    """Send a request and read its answer in the background."""
+    _send(context, method, query, key)
+
+
+@when('{method} "{query}" is sent with the ticket on connection "{key}"')
+def send_ticket_on(context: Context, method: str, query: str, key: str) -> None:
+    """Send a request with the ticket."""
+    _send(context, method, query, key, f'\r\nX-Ticket: {context.ticket}')
+
+
+def _send(
+    context: Context, method: str, query: str, key: str, header: str = ''
+) -> None:
+    sent = context.sent[key]
+    sent.kept.send(
+        f'{method} /cultivars/{key}?{query} HTTP/1.1\r\nHost: x\r\n'
+        f'Content-Length: 0\r\nX-Work-Key: {key}{header}'
+    )
+    sent.receiving = gevent.spawn(sent.kept.receive)
+
+
+@when('"{key}" runs')
+def await_run(context: Context, key: str) -> None:
+    """Wait until an upstream has begun a request."""
+    wait_until(lambda: states(context, key), f'a run of {key}')
+
+
+def states(context: Context, key: str) -> list[str]:
+    """Return the state of each run of a request."""
+    return [
+        each['state']
+        for each in context.fleet.executed_work()
+        if each['key'] == key
+    ]
+
+
+@when('{vm} gets {names} at once')
+def send_signals(context: Context, vm: str, names: str) -> None:
+    """Send signals without a pause, and note the time of the first."""
+    process = context.fleet.nodes[vm].process
+    context.signalled_at = time.monotonic()
+    for name in names.split(', '):
+        process.send_signal(signal.Signals[name])
+
+
+@when('{after:d} ms have passed since the signal')
+def await_moment(context: Context, after: int) -> None:
+    """Wait until some time after the first signal."""
+    until = context.signalled_at + after / _MS_PER_S
+    gevent.sleep(max(0, until - time.monotonic()))
+
+
+@when('{vm} continues')
+def resume(context: Context, vm: str) -> None:
+    """Let a suspended process run again."""
+    context.fleet.nodes[vm].process.send_signal(signal.SIGCONT)
+
+
+@when('the settings of {vm} are changed')
+def change_settings(context: Context, vm: str) -> None:
+    """Add a file to the settings, with other times of a stop."""
+    folder = context.fleet.folder / f'{vm}-settings'
+    text = json.dumps({'drain_ms': 1, 'service': 'registry-desk'})
+    (folder / '20-changed.yaml').write_text(text)
+
+
+@when('no upstream is listed any more')
+def remove_upstreams(context: Context) -> None:
+    """Publish a VM list without upstreams, and wait until the home knows."""
+    context.kept_upstreams = dict(context.fleet.upstreams)
+    context.fleet.upstreams.clear()
+    context.fleet.publish_vms()
+    context.fleet.upstreams.update(context.kept_upstreams)
+    node = next(iter(context.fleet.nodes.values()))
+    wait_until(
+        lambda: not read_json(node.admin_port, '/status')['upstreams'],
+        'a home without upstreams',
+    )
+
+
+@when('the upstreams lose the answers of "{key}"')
+def lose_answers(context: Context, key: str) -> None:
+    """Lose the answer to the first run of a request, not to the next."""
+    for upstream in context.fleet.upstreams:
+        context.fleet.set_behaviour(upstream, lose_share=1)
+    wait_until(lambda: len(states(context, key)) > 1, 'a second run')
+    for upstream in context.fleet.upstreams:
+        context.fleet.set_behaviour(upstream, lose_share=0)
+
+
+@when('{vm} does not run for {pause:d} ms')
+def pause(context: Context, vm: str, pause: int) -> None:
+    """Suspend a process."""
+    context.fleet.pause_node(vm, pause / _MS_PER_S)
+
+
+@when('the operators publish the site with "{old}" changed to "{new}"')
+def publish_changed(context: Context, old: str, new: str) -> None:
+    """Publish the site's files with one text replaced in all of them."""
+    files = config_files(HELVETIA.folder)
+    changed = {name: text.replace(old, new) for name, text in files.items()}
+    assert changed != files
+    reply = context.fleet.publish('config', changed)
+    context.version = json.loads(reply.body)['version']
+
+
+@when('the new configuration is in force everywhere')
+def await_configuration(context: Context) -> None:
+    """Wait until all nodes follow the latest configuration."""
+    wait_until(
+        lambda: all(
+            read_json(node.admin_port, '/status')['config_version']
+            == context.version
+            for node in context.fleet.nodes.values()
+        ),
+        f'configuration {context.version}',
+    )
+
+
+@then('"{key}" still runs')
+def check_running_still(context: Context, key: str) -> None:
+    """Check that the steps before overlapped with a run."""
+    assert states(context, key) == ['running'], states(context, key)
+
+
+@then('"{key}" has the whole answer to its own request')
+def check_whole(context: Context, key: str) -> None:
+    """Wait for the answer."""
+    sent = context.sent[key]
+    sent.receiving.join()
+    reply = sent.kept.reply
+    assert reply is not None, states(context, key)
+    assert reply.status == 200, reply
+    assert json.loads(reply.body)['key'] == key, reply
+
+
+@then('"{key}" gets the whole download')
+def check_download(context: Context, key: str) -> None:
+    """Wait for all bytes of the answer."""
+    sent = context.sent[key]
+    sent.receiving.join()
+    reply = sent.kept.reply
+    assert reply is not None, states(context, key)
+    assert reply.status == 200, reply.status
+    assert len(reply.body) == int(reply.headers['content-length'])
+
+
+@then('"{key}" gets no complete answer')
+def check_incomplete(context: Context, key: str) -> None:
+    """Check that the connection ends in the middle of the answer."""
+    sent = context.sent[key]
+    sent.receiving.join()
+    assert sent.kept.is_closed, sent
+    assert sent.kept.reply is None, sent
+
+
+@then('"{key}" gets status {status:d} with the outcome "{outcome}"')
+def check_refusal(
+    context: Context, key: str, status: int, outcome: str
+) -> None:
+    """Wait for the answer of this node."""
+    sent = context.sent[key]
+    sent.receiving.join()
+    reply = sent.kept.reply
+    assert reply is not None, states(context, key)
+    assert reply.status == status, reply
+    assert reply.headers['x-outcome'] == outcome, reply
+
+
+@then('"{key}" was run {count:d} times')
+def check_run_count(context: Context, key: str, count: int) -> None:
+    """Count the runs of a request."""
+    found = states(context, key)
+    assert len(found) == count, found
+
+
+@then('{vm} ends with exit code {code:d} within {limit:d} ms of the signal')
+def check_end(context: Context, vm: str, code: int, limit: int) -> None:
+    """Wait for the end of a process."""
+    process = context.fleet.nodes[vm].process
+    wait_until(lambda: process.poll() is not None, f'end of {vm}')
+    took_ms = _MS_PER_S * (time.monotonic() - context.signalled_at)
+    assert process.returncode == code, process.returncode
+    assert took_ms < limit, took_ms
+
+
+@given('connections {keys} to {vm}')
+def open_connections(context: Context, keys: str, vm: str) -> None:
+    """Open several connections."""
+    for key in keys_of(keys):
+        open_connection(context, key, vm)
+
+
+@when('{method} "{query}" is sent on connections {keys}')
+def send_on_all(context: Context, method: str, query: str, keys: str) -> None:
+    """Send one request on each connection, and wait until all of them run."""
+    for key in keys_of(keys):
+        _send(context, method, query, key)
+        await_run(context, key)
+
+
+@when('the node beside the upstream that runs "{key}" gets SIGTERM')
+def stop_home_of(context: Context, key: str) -> None:
+    """Stop the node whose home runs a request."""
+    upstream = next(
+        each['upstream']
+        for each in context.fleet.executed_work()
+        if each['key'] == key
+    )
+    context.stopping_vm = upstream.partition('/')[0]
+    send_signals(context, context.stopping_vm, 'SIGTERM')
+
+
+@when('a call of "{query}" is sent as "{key}" through the stopping node')
+def send_call(context: Context, query: str, key: str) -> None:
+    """Send a request as an upstream does while it runs another one."""
+    port = context.fleet.nodes[context.stopping_vm].caller_port
+    kept = KeptConnection(
+        socket.create_connection((_IP, port), _TIMEOUT_S), key
+    )
+    context.stack.callback(kept.sock.close)
+    context.sent[key] = _Sent(kept)
+    _send(context, 'POST', query, key)
+
+
+@then('{keys} have the whole answers to their own requests')
+def check_all_whole(context: Context, keys: str) -> None:
+    """Wait for the answers."""
+    for key in keys_of(keys):
+        check_whole(context, key)
+
+
+def keys_of(text: str) -> list[str]:
+    """Return the keys of a quoted list."""
+    return [each.strip('"') for each in text.split(', ')]
