Soak of stops: work with a long tail, series of stops, signals during them

Now a tenth of the requests takes 1.5 to 4.5 s, the others 60 ms; deadlines end before or after the stop or are absent; lookups may be downloads whose answer has begun.

Stops come in series or together, of at most half of the nodes, with SIGHUP before or during them, a second SIGTERM, pauses of 0.1 to 0.5 s, new versions of the configuration and upstreams that leave. A process that is there 6 s after SIGTERM counts as hung, as the platform kills it then. Stand-ins record when a run ended.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,7 @@
 from jackdawhead.config.settings import Address
 
 from .evidence import OK, SentRequest
+from .work import RequestedWork, draw_long_tailed
 
 if TYPE_CHECKING:
     from jackdawhead.bench.client import HttpResponse
@@ -25,7 +26,6 @@
 _TIMEOUT_S: Final = 15.0
 # Share of requests that must not run twice, about as in the data sheets.
 _NON_IDEMPOTENT_SHARE: Final = 0.6
-_DEADLINE_MS: Final = 2000
 # Share of requests that callers with spare connections send to stopping nodes.
 _STOPPING_SHARE: Final = 0.5
 _MAX_BODY_BYTES: Final = 20_000
@@ -39,7 +39,7 @@
     :param number: of this caller, part of its keys and its random seed.
     :param rate_per_s: requests per second.
     :param spare: connections to each node that are kept open beside the one
-        in use, also while the node stops.
+        in use, also while the node stops; its work then has a long tail.
     """
 
     def __init__(
@@ -66,14 +66,22 @@
         while self._testbed.now_s < until_s:
             count += 1
             vm = self._choose_node()
+            is_non_idempotent = self._rng.random() < _NON_IDEMPOTENT_SHARE
+            work = RequestedWork()
+            if self._spare:
+                work = draw_long_tailed(
+                    self._rng, is_non_idempotent=is_non_idempotent
+                )
             request = SentRequest(
                 f'{self._number}-{count}',
                 vm,
-                self._rng.random() < _NON_IDEMPOTENT_SHARE,
+                is_non_idempotent,
                 self._testbed.now_s,
+                deadline_ms=work.deadline_ms,
+                is_streamed=work.streamed_bytes > 0,
                 is_from_holder=self._spare > 0,
             )
-            self._send(request)
+            self._send(request, work)
             request.ended_s = self._testbed.now_s
             self._testbed.evidence.requests.append(request)
             gevent.sleep(self._rng.expovariate(self._rate_per_s))
@@ -87,15 +95,18 @@
             return self._rng.choice(stopping)
         return self._rng.choice(self._testbed.vms)
 
-    def _send(self, request: SentRequest) -> None:
+    def _send(self, request: SentRequest, work: RequestedWork) -> None:
         body = b''
         if request.is_non_idempotent:
             body = self._rng.randbytes(self._rng.randint(1, _MAX_BODY_BYTES))
+        headers = {'X-Work-Key': request.key}
+        if work.deadline_ms:
+            headers['X-Deadline-Ms'] = str(work.deadline_ms)
         http_request = HttpRequest(
             'POST' if request.is_non_idempotent else 'GET',
-            f'/cultivars/{request.key}',
+            f'/cultivars/{request.key}{work.query}',
             body,
-            {'X-Work-Key': request.key, 'X-Deadline-Ms': str(_DEADLINE_MS)},
+            headers,
         )
         try:
             reply = self._client_of(request.node).send(http_request)
@@ -108,7 +119,7 @@
             return
         request.status = reply.status
         request.outcome = reply.headers.get('x-outcome', '')
-        request.is_answer_valid = _is_answer_valid(request, body, reply)
+        request.is_answer_valid = _is_answer_valid(request, work, body, reply)
         if reply.headers.get('connection') != 'close':
             with suppress(OSError):
                 self._client_of(request.node).keep_open(self._spare)
@@ -121,10 +132,15 @@
 
 
 def _is_answer_valid(
-    request: SentRequest, body: bytes, reply: HttpResponse
+    request: SentRequest,
+    work: RequestedWork,
+    body: bytes,
+    reply: HttpResponse,
 ) -> bool:
     if reply.status != OK:
         return True
+    if work.streamed_bytes:
+        return len(reply.body) == work.streamed_bytes
     try:
         answer = json.loads(reply.body)
     except ValueError:
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -8,6 +8,8 @@
 NOT_RUN = 'not-run'
 OK = 200
 BAD_GATEWAY = 502
+# Deadline of the operations, for callers that send none.
+NO_CALLER_DEADLINE_MS = 10_000
 
 
 @dataclass(slots=True)
@@ -24,6 +26,8 @@
         request.
     :param error: connection error, empty if there was an answer.
     :param is_connected: whether the connection was established.
+    :param deadline_ms: the caller's deadline, 0 if it sent none.
+    :param is_streamed: whether the answer begins while the work runs.
     :param is_from_holder: whether its caller keeps spare connections open, so
         that a request may cross the close of one.
     """
@@ -38,6 +42,8 @@
     is_answer_valid: bool = True
     error: str = ''
     is_connected: bool = True
+    deadline_ms: int = 0
+    is_streamed: bool = False
     is_from_holder: bool = False
 
     @property
@@ -48,11 +54,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """An execution of a request that an upstream started."""
+    """An execution of a request that an upstream started.
+
+    :param is_cancelled: whether its node broke it off.
+    :param ended_s: end of the work, none while it runs.
+    """
 
     key: str
     upstream: str
     started_s: float
+    is_cancelled: bool = False
+    ended_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +126,7 @@
 __all__ = (
     'BAD_GATEWAY',
     'NOT_RUN',
+    'NO_CALLER_DEADLINE_MS',
     'OK',
     'RAN',
     'Evidence',
--- a/soak/faults/base.py
+++ b/soak/faults/base.py
@@ -16,13 +16,17 @@
 
 
 class Fault(ABC):
-    """A fault that lasts for some time.
+    """A fault, or a planned change, that lasts for some time.
 
     :param testbed: the testbed to apply it to.
     :param target: name of the VM or upstream, empty for the store.
     """
 
     target_kind: ClassVar[str] = VM
+    # Planned work excuses no failed request.
+    is_planned: ClassVar[bool] = False
+    # Has an effect only while the target stops.
+    accompanies_stop: ClassVar[bool] = False
 
     def __init__(self, testbed: Testbed, target: str) -> None:
         self._testbed = testbed
--- a/soak/faults/store.py
+++ b/soak/faults/store.py
@@ -36,6 +36,7 @@
     """A newer configuration is published."""
 
     target_kind = STORE
+    is_planned = True
 
     def begin(self) -> None:
         self._testbed.change_config()
--- a/soak/faults/upstream.py
+++ b/soak/faults/upstream.py
@@ -73,6 +73,7 @@
     """An upstream is listed as leaving, then as staying again."""
 
     target_kind = UPSTREAM
+    is_planned = True
 
     def begin(self) -> None:
         self._from_s = self._testbed.now_s
--- a/soak/faults/vm.py
+++ b/soak/faults/vm.py
@@ -28,6 +28,8 @@
 class NodeStopped(Fault):
     """A node is stopped with SIGTERM, and later restarted."""
 
+    is_planned = True
+
     def begin(self) -> None:
         self._stop = gevent.spawn(self._testbed.stop_node, self._target)
 
@@ -47,6 +49,45 @@
         self._testbed.send_signal(self._target, signal.SIGCONT)
 
 
+class _StopEvent(Fault):
+    """Something that happens around a planned stop of a node."""
+
+    is_planned = True
+    accompanies_stop = True
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._target in self._testbed.stopping:
+            self._testbed.send_signal(self._target, number)
+
+
+@FAULTS.register('node-reloaded')
+class NodeReloaded(_StopEvent):
+    """A node gets SIGHUP before or during its stop."""
+
+    def begin(self) -> None:
+        if self._testbed.has_started(self._target):
+            self._testbed.send_signal(self._target, signal.SIGHUP)
+
+
+@FAULTS.register('node-signalled-again')
+class NodeSignalledAgain(_StopEvent):
+    """A stopping node gets SIGTERM once more."""
+
+    def begin(self) -> None:
+        self._signal(signal.SIGTERM)
+
+
+@FAULTS.register('stop-paused')
+class StopPaused(_StopEvent):
+    """A stopping node is suspended for a moment."""
+
+    def begin(self) -> None:
+        self._signal(signal.SIGSTOP)
+
+    def end(self) -> None:
+        self._testbed.send_signal(self._target, signal.SIGCONT)
+
+
 @FAULTS.register('path-cut-to')
 class PathCutTo(Fault):
     """Other nodes' streams to a node lose the direction to it."""
@@ -92,9 +133,12 @@
     'NODE_STOPPED',
     'NodeKilled',
     'NodePaused',
+    'NodeReloaded',
+    'NodeSignalledAgain',
     'NodeStopped',
     'PathCutFrom',
     'PathCutTo',
     'PathReset',
     'PathSlow',
+    'StopPaused',
 )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -50,20 +50,29 @@
     Faults overlap, but not two of the same VM, upstream or store.
 
     :param length_s: time by which all faults have ended.
-    :param kinds: kinds of faults to draw from, all by default.
+    :param kinds: kinds of faults to draw from; by default all but those that
+        need a stop of the same node.
     """
     rng = Random(seed)
-    kinds = kinds or tuple(FAULTS.names())
+    kinds = kinds or _independent_kinds()
     plan: list[PlannedFault] = []
     for _ in range(int(length_s * _FAULTS_PER_S)):
         for _ in range(_DRAW_ATTEMPTS):
             drawn = _draw(rng, rng.choice(kinds), length_s, vms, upstreams)
-            if not any(_conflict(drawn, each) for each in plan):
+            if not any(conflicts(drawn, each) for each in plan):
                 plan.append(drawn)
                 break
     return tuple(sorted(plan, key=lambda each: each.from_s))
 
 
+def _independent_kinds() -> tuple[str, ...]:
+    return tuple(
+        name
+        for name in FAULTS.names()
+        if not FAULTS.find(name).unwrap().accompanies_stop
+    )
+
+
 def _draw(
     rng: Random,
     kind: str,
@@ -88,7 +97,8 @@
     )
 
 
-def _conflict(one: PlannedFault, other: PlannedFault) -> bool:
+def conflicts(one: PlannedFault, other: PlannedFault) -> bool:
+    """Return whether two faults of one target are too close together."""
     if one.target != other.target:
         return False
     is_before = one.to_s + _MIN_GAP_S < other.from_s
@@ -96,4 +106,4 @@
     return not is_before and not is_after
 
 
-__all__ = ('PlannedFault', 'draw_faults')
+__all__ = ('PlannedFault', 'conflicts', 'draw_faults')
--- a/soak/seed_runner.py
+++ b/soak/seed_runner.py
@@ -10,8 +10,8 @@
 from .callers import Caller
 from .checks import find_violations
 from .faults import FAULTS
-from .faults.vm import NODE_STOPPED
 from .plan import draw_faults
+from .stop_plan import draw_stops
 from .world import start_testbed
 
 if TYPE_CHECKING:
@@ -28,6 +28,9 @@
 _SPARE_CONNECTIONS: Final = 10
 # Long enough for about fifteen faults, two or three of them at a time.
 DEFAULT_LENGTH_S: Final = 14.0
+_CALLERS: Final = 10
+# Two thirds of the slots are in use while all nodes run.
+_CALLERS_PER_NODE: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,17 +39,22 @@
 
     :param length_s: period during which faults are injected.
     :param rate_per_s: requests per second of each caller.
-    :param stops_only: whether planned stops are the only faults; the
-        callers then keep spare connections open.
+    :param stops_only: whether planned stops, and what happens during them,
+        are the only faults; the callers then keep spare connections open and
+        ask for work with a long tail.
     """
 
     seed: int
     length_s: float = DEFAULT_LENGTH_S
     nodes: int = 4
-    callers: int = 10
     rate_per_s: float = 6.0
     stops_only: bool = False
 
+    @property
+    def callers(self) -> int:
+        """Number of callers, each with one request at a time."""
+        return self.nodes * _CALLERS_PER_NODE if self.stops_only else _CALLERS
+
 
 @dataclass(frozen=True, slots=True)
 class SoakResult:
@@ -74,13 +82,8 @@
 
 def _run_in(testbed: Testbed, plan: SoakPlan) -> Evidence:
     evidence = testbed.evidence
-    faults = draw_faults(
-        plan.seed,
-        plan.length_s,
-        testbed.vms,
-        testbed.upstreams,
-        (NODE_STOPPED,) if plan.stops_only else (),
-    )
+    draw = draw_stops if plan.stops_only else draw_faults
+    faults = draw(plan.seed, plan.length_s, testbed.vms, testbed.upstreams)
     evidence.faults = [
         (each.from_s, each.to_s, f'{each.kind} {each.target}'.strip())
         for each in faults
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from contextlib import ExitStack
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 import gevent
@@ -23,12 +24,14 @@
 _POLL_INTERVAL_S: Final = 0.02
 # A node that has not ended by then counts as hung.
 _STOP_TIMEOUT_S: Final = 40.0
+_SHORT_STOP_TIMEOUT_S: Final = 6.0
 _SHORT_STOPS: Final = {
     'drain_ms': 5100,
     'accept_while_leaving_ms': 2600,
     'drain_idle_ms': 0,
 }
-_LONGER_RUNS_MS: Final = {'/cultivars': 600}
+_TAIL_CONFIG: Final = Path(__file__).resolve().parent / 'registry-desk.yaml'
+_TAIL_CONFIG_NAME: Final = '20-registry-desk.yaml'
 _CHANGE_FILE: Final = '99-soak.yaml'
 
 
@@ -37,7 +40,7 @@
 
     :param node_count: number of VMs, each with a node and an upstream.
     :param has_short_stops: whether nodes have as little time to stop as on a
-        platform that kills them after 6 s; work then takes longer.
+        platform that kills them after 6 s; work may then take some seconds.
     """
 
     def __init__(
@@ -45,10 +48,6 @@
     ) -> None:
         self.evidence = Evidence()
         self.fleet = Fleet()
-        self._behaviour: dict[str, Any] = {}
-        if has_short_stops:
-            self.fleet.node_settings = _SHORT_STOPS
-            self._behaviour = {'run_ms': _LONGER_RUNS_MS}
         self.stack = ExitStack()
         self.stack.callback(self.fleet.close)
         self.relays: dict[str, Relay] = {}
@@ -56,6 +55,11 @@
         self._service = HELVETIA.services[0]
         self._placements = HELVETIA.placements(self._service)[:node_count]
         self._files = config_files(HELVETIA.folder)
+        self._stop_timeout_s = _STOP_TIMEOUT_S
+        if has_short_stops:
+            self.fleet.node_settings = _SHORT_STOPS
+            self._stop_timeout_s = _SHORT_STOP_TIMEOUT_S
+            self._files[_TAIL_CONFIG_NAME] = _TAIL_CONFIG.read_text()
         self._version = 0
         self._store_faults: list[tuple[float, float]] = []
         self._store_fault_start_s: float | None = None
@@ -85,9 +89,7 @@
         """Start all processes and wait until the nodes are ready."""
         self.fleet.listed_port_for = self._add_relay
         self.fleet.start_platform()
-        self.fleet.start_service(
-            self._service, self._placements, **self._behaviour
-        )
+        self.fleet.start_service(self._service, self._placements)
         self.fleet.publish_vms()
         self.change_config()
         self.fleet.await_ready()
@@ -111,14 +113,14 @@
         A node that has just been restarted handles SIGTERM once it has loaded
         its libraries; until then the signal ends it, as it has no work.
         """
-        wait_until(lambda: self._has_started(vm), f'start of {vm}')
+        wait_until(lambda: self.has_started(vm), f'start of {vm}')
         process = self.node(vm).process
         requested_s = self.now_s
         process.send_signal(signal.SIGTERM)
         self.stopping.append(vm)
         while (
             process.poll() is None
-            and self.now_s < requested_s + _STOP_TIMEOUT_S
+            and self.now_s < requested_s + self._stop_timeout_s
         ):
             gevent.sleep(_POLL_INTERVAL_S)
         code = process.poll()
@@ -127,6 +129,14 @@
             NodeStop(vm, requested_s, self.now_s, -1 if code is None else code)
         )
 
+    def has_started(self, vm: str) -> bool:
+        """Return whether a node handles signals and answers questions."""
+        try:
+            read_json(self.node(vm).admin_port, '/readyz')
+        except OSError:
+            return False
+        return True
+
     def restart_node(self, vm: str) -> None:
         """Restart a node, killing it if it still runs."""
         self.fleet.kill_node(vm)
@@ -189,10 +199,15 @@
                 each['key'],
                 each['upstream'],
                 each['started_at'] - self._start_unix_s,
+                each['state'] == 'cancelled',
+                self._run_time_s(each['ended_at']),
             )
             for each in self.fleet.executed_work()
         ]
 
+    def _run_time_s(self, unix_s: float) -> float | None:
+        return unix_s - self._start_unix_s if unix_s else None
+
     def _add_relay(self, vm: str, port: int) -> int:
         relay = Relay(port)
         relay.start()
@@ -200,13 +215,6 @@
         self.relays[vm] = relay
         return relay.port
 
-    def _has_started(self, vm: str) -> bool:
-        try:
-            read_json(self.node(vm).admin_port, '/readyz')
-        except OSError:
-            return False
-        return True
-
     def _sample(self, vm: str) -> None:
         while True:
             gevent.sleep(_SAMPLE_INTERVAL_S)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -45,6 +45,7 @@
     :param started_at: Unix time in seconds.
     :param state: ``running``, ``done``, ``failed``, ``cancelled`` or
         ``lost`` in a crash.
+    :param ended_at: Unix time in seconds, 0 while it runs.
     """
 
     upstream: str
@@ -53,6 +54,12 @@
     path: str
     started_at: float
     state: str = 'running'
+    ended_at: float = 0
+
+    def end(self, state: str) -> None:
+        """Record how the work ended."""
+        self.state = state
+        self.ended_at = time.time()
 
 
 class StandInUpstream:
@@ -173,15 +180,15 @@
             min(run_ms, deadline_ms),
         )
         if self._incarnation != incarnation:
-            record.state = 'lost'
+            record.end('lost')
             return []
         if not is_connected or run_ms > deadline_ms:
-            record.state = 'cancelled'
+            record.end('cancelled')
             return send_json(start, '504 Deadline', {})
         if self.behaviour.should_fail(record.path, self._rng):
-            record.state = 'failed'
+            record.end('failed')
             return send_json(start, '500 Failed', {'upstream': self.name})
-        record.state = 'done'
+        record.end('done')
         if self.behaviour.endless:
             send_endlessly(environ[SOCKET_KEY], self.behaviour.endless)
             return []
@@ -228,9 +235,9 @@
         try:
             yield from _stalled(environ[SOCKET_KEY], size, query['stall'][0])
         except (GeneratorExit, ConnectionResetError):
-            record.state = 'cancelled'
+            record.end('cancelled')
             return
-        record.state = 'done'
+        record.end('done')
 
     def _answer_early(self, environ: dict[str, Any]) -> Iterable[bytes]:
         """Answer at once; leave the body unread and the connection open."""
@@ -248,7 +255,7 @@
         self._silenced_sockets.clear()
         for record in self.executed:
             if record.state == 'running':
-                record.state = 'lost'
+                record.end('lost')
         gevent.spawn_later(self.behaviour.restart_ms / _MS_PER_S, self.start)
         raise ConnectionResetError(104, 'crashed')
 
