--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -107,9 +107,9 @@
 @then('each line of the seeds file has a seed and a cause')
 def check_regression_seeds(context: Context) -> None:
     """Read the regression seeds."""
-    causes = regression_seeds()
-    assert causes
-    assert all(causes.values()), causes
+    seeds = regression_seeds()
+    assert {each.stops_only for each in seeds} == {True, False}
+    assert all(each.cause for each in seeds), seeds
 
 
 @when('the soak test runs seed {seed:d} with {length:d} s of faults')
