A stopping entry takes late requests only if their deadline ends in time

Cause: a request on a kept connection was compared with the time left of the stop by the smaller of its deadline and an estimate, mean plus four deviations. A rare slow request of a quick operation passed, and was given up at the end of the process while its upstream ran it.

What callers saw: 502 or a cut answer, outcome unknown, of requests that another node would have served.

Change: what had been read when the listener closes is decided by the estimate as before. What is read later is passed on only if the time after which it is given up in any case, its deadline and the grace of 50 ms for the home's refusal, ends before the entry refuses all. The same holds for its hedges and second attempts; as the moment of the deadline doesn't move, what was taken once may be sent again. Whether a home may queue a request counts the grace, too.

--- a/features/policy/stopping.feature
+++ b/features/policy/stopping.feature
@@ -15,9 +15,28 @@
       | 0    | 9000  | does not |
       | 6000 | 0     | does not |
 
+  Scenario Outline: A request of <estimate> ms, at most <bound> ms, read after <read> ms, <verdict> after <since> ms
+    Given a planned stop that ends 5100 ms after its signal
+    Then a request read <read> ms after the signal, estimated at <estimate> ms and bounded by <bound> ms <verdict> <since> ms after the signal
+
+    Examples: the listener closes after 2600 ms
+      | read | estimate | bound | verdict             | since |
+      | 0    | 60       | 9000  | is passed on        | 0     |
+      | 2600 | 60       | 9000  | is passed on        | 2600  |
+      | 2600 | 60       | 9000  | is passed on        | 4500  |
+      | 2600 | 60       | 9000  | is not              | 4550  |
+      | 2600 | 9000     | 60    | is passed on        | 4500  |
+      | 2600 | 9000     | 9000  | is not              | 2600  |
+      | 2601 | 60       | 2000  | is not              | 2601  |
+      | 2601 | 60       | 1900  | is passed on        | 2601  |
+      | 3060 | 60       | 2415  | is not              | 3060  |
+      | 3060 | 9000     | 900   | is passed on        | 3060  |
+      | 4600 | 60       | 1     | is not              | 4600  |
+
   Scenario: A node that does not stop takes any work
     Given no planned stop
     Then work of 60000 ms that is offered 9000 ms after the signal fits
+    And a request read 9000 ms after the signal, estimated at 60000 ms and bounded by 60000 ms is passed on 9000 ms after the signal
 
   Scenario: Once a stop has ended early no work fits
     Given a planned stop that ends 5100 ms after its signal
--- a/features/steps/stopping_policy_steps.py
+++ b/features/steps/stopping_policy_steps.py
@@ -9,7 +9,12 @@
 
 from jackdawhead.config.model import Operation, WorkClass
 from jackdawhead.policy.completion_times import CompletionTimes
-from jackdawhead.policy.stopping import StopPlan, fits_before_stop
+from jackdawhead.policy.stopping import (
+    Offer,
+    StopPlan,
+    fits_before_stop,
+    may_pass_on,
+)
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -51,6 +56,25 @@
     assert is_accepted is (verdict == 'fits')
 
 
+@then(
+    'a request read {read:d} ms after the signal, estimated at'
+    ' {estimate:d} ms and bounded by {bound:d} ms {verdict} {since:d} ms after'
+    ' the signal'
+)
+def check_offer(
+    context: Context,
+    read: int,
+    estimate: int,
+    bound: int,
+    verdict: str,
+    since: int,
+) -> None:
+    """Check whether an entry passes a request on."""
+    offer = Offer(_SIGNAL_MS + read, estimate, bound)
+    is_passed_on = may_pass_on(context.plan, offer, _SIGNAL_MS + since)
+    assert is_passed_on is (verdict == 'is passed on')
+
+
 @given('an operation with an expected run time of {expected:d} ms')
 def configure_operation(context: Context, expected: int) -> None:
     """Create an operation of which no answer has been seen."""
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -453,14 +453,31 @@
     assert context.kept[0].key not in run_times(context)
 
 
-@then('new connections to node {position:d} are served {after:d} ms later')
-def check_new_connections(context: Context, position: int, after: int) -> None:
+@then(
+    'new connections to node {position:d} are served {after:d} ms later with a'
+    ' deadline of {deadline:d} ms'
+)
+def check_new_connections(
+    context: Context, position: int, after: int, deadline: int
+) -> None:
     """Send a request on a new connection to a stopping node."""
-    node = context.fleet.nodes[node_at(context, position)]
+    context.called = context.fleet.nodes[node_at(context, position)].caller_port
     until = context.stopped_at + after / _MS_PER_S
     gevent.sleep(max(0, until - time.monotonic()))
-    try:
-        status = call(node.caller_port, 'GET', '/cultivars/new').status
-    except ConnectionRefusedError:
-        status = 0
-    assert status == 200, status
+    assert _call_with(context, deadline).status == 200
+
+
+@then(
+    'those with a deadline of {deadline:d} ms, which the stop may cut, are'
+    ' refused as not run'
+)
+def check_cut_calls(context: Context, deadline: int) -> None:
+    """Send a request that may outlast the stop, though it is a quick one."""
+    reply = _call_with(context, deadline)
+    assert reply.status == 503, reply
+    assert reply.headers['x-outcome'] == 'not-run', reply
+
+
+def _call_with(context: Context, deadline: int) -> HttpResponse:
+    headers = {'X-Deadline-Ms': str(deadline)}
+    return call(context.called, 'GET', '/cultivars/new', b'', headers)
--- a/src/jackdawhead/node/entry/call_state.py
+++ b/src/jackdawhead/node/entry/call_state.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ...clock import monotonic_ms
 from ...outcome import Outcome
 from ...policy.resend import combined_outcome
 
+# The home enforces the same deadline; its refusal needs time to arrive.
+DEADLINE_GRACE_MS: Final = 50
+
 if TYPE_CHECKING:
     from ...config.model import Operation
     from ...policy.service_router import ServiceRouter
@@ -50,6 +53,10 @@
         """Return the time until the deadline, in milliseconds."""
         return self.deadline_at_ms - monotonic_ms()
 
+    def bound_ms(self) -> float:
+        """Return the time after which an attempt is given up."""
+        return self.left_ms() + DEADLINE_GRACE_MS
+
     def note_outcome(self, outcome: Outcome) -> None:
         """Record the outcome of an attempt or of one of its copies.
 
@@ -58,4 +65,4 @@
         self.outcome = combined_outcome(self.outcome, outcome)
 
 
-__all__ = ('Call',)
+__all__ = ('DEADLINE_GRACE_MS', 'Call')
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -29,8 +29,6 @@
     from .call_state import Call
     from .stop_limits import StopLimits
 
-# The home enforces the same deadline; its refusal needs time to arrive.
-_DEADLINE_GRACE_MS: Final = 50
 # Refusals that this node makes itself: the home must be told to cancel.
 _LOCAL_REASONS: Final = frozenset((Reason.PEER_SILENT, Reason.BODY_CUT))
 _UNREACHABLE_RETRY_AFTER_MS: Final = 500
@@ -123,9 +121,7 @@
     ) -> Reply:
         attempt = copy.attempt
         if not call.operation.idempotent or not call.request.last:
-            return Reply(
-                copy, attempt.next_message(call.left_ms() + _DEADLINE_GRACE_MS)
-            )
+            return Reply(copy, attempt.next_message(call.bound_ms()))
         hedge_ms = hedge_after_ms(call.operation, copy.load, monotonic_ms())
         if hedge_ms is not None:
             limit_ms = min(hedge_ms, call.left_ms())
--- a/src/jackdawhead/node/entry/path_checker.py
+++ b/src/jackdawhead/node/entry/path_checker.py
@@ -10,6 +10,7 @@
 from ...outcome import Outcome
 from ...reasons import Reason
 from ...wire.messages import Head, Refusal
+from .call_state import DEADLINE_GRACE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +23,6 @@
 _PONG_POLL_INTERVAL_MS: Final = 5
 # Requests sent within this time on a path that breaks after the ping are lost.
 _VERIFIED_FOR_MS: Final = 300
-# The home enforces the same deadline; its refusal needs time to arrive.
-_DEADLINE_GRACE_MS: Final = 50
 
 
 class PathChecker:
@@ -95,7 +94,7 @@
         if monotonic_ms() < ends_ms and not self.is_responsive(attempt.channel):
             return silent_path_refusal(attempt)
         return attempt.next_message(
-            ends_ms - monotonic_ms() + _DEADLINE_GRACE_MS
+            ends_ms - monotonic_ms() + DEADLINE_GRACE_MS
         )
 
     def _check(self, channel: Channel) -> None:
--- a/src/jackdawhead/node/entry/race.py
+++ b/src/jackdawhead/node/entry/race.py
@@ -8,6 +8,7 @@
 from ...clock import monotonic_ms
 from ...outcome import Outcome
 from ...wire.messages import Head, Refusal
+from .call_state import DEADLINE_GRACE_MS
 from .path_checker import overdue_after_ms, silent_path_refusal
 
 if TYPE_CHECKING:
@@ -15,8 +16,6 @@
     from .attempts import Attempt, PendingAttempts
     from .path_checker import PathChecker
 
-# The home enforces the same deadline; its refusal needs time to arrive.
-_DEADLINE_GRACE_MS: Final = 50
 _MIN_SERVER_ERROR_STATUS: Final = 500
 
 
@@ -118,7 +117,7 @@
         return self._copies[0].attempt.next_message_of_either(timeout_ms)
 
     def _left_ms(self) -> float:
-        return self._ends_ms - monotonic_ms() + _DEADLINE_GRACE_MS
+        return self._ends_ms - monotonic_ms() + DEADLINE_GRACE_MS
 
 
 def _outcome_of(message: Head | Refusal) -> Outcome:
--- a/src/jackdawhead/node/entry/stop_limits.py
+++ b/src/jackdawhead/node/entry/stop_limits.py
@@ -7,7 +7,7 @@
 
 from ...clock import monotonic_ms
 from ...outcome import Outcome
-from ...policy.stopping import fits_before_stop
+from ...policy.stopping import Offer, fits_before_stop, may_pass_on
 from ...reasons import Reason
 from ..stop_log import log_stop_decision
 from .requests import Refused
@@ -54,9 +54,11 @@
 
         :param call: the request and its state.
         """
-        if self._board.stop.read() is None:
+        plan = self._board.stop.read()
+        if plan is None:
             return True
-        return self._fits(min(call.left_ms(), _estimate_ms(call)))
+        offer = Offer(call.arrived_at_ms, _estimate_ms(call), call.bound_ms())
+        return may_pass_on(plan, offer, monotonic_ms())
 
     def may_wait(self, call: Call) -> bool:
         """Return whether a home may queue the request.
@@ -65,7 +67,8 @@
 
         :param call: the request and its state.
         """
-        return self._fits(call.left_ms())
+        plan = self._board.stop.read()
+        return fits_before_stop(plan, call.bound_ms(), monotonic_ms())
 
     def with_retry_time(self, answer: Answer) -> Answer:
         """Return a refusal with a time to retry, at another node.
@@ -80,10 +83,6 @@
             return answer
         return replace(answer, retry_after_ms=_RETRY_AFTER_MS)
 
-    def _fits(self, work_ms: float) -> bool:
-        plan = self._board.stop.read()
-        return fits_before_stop(plan, work_ms, monotonic_ms())
-
 
 def _estimate_ms(call: Call) -> float:
     return call.router.completion_times.high_ms(call.operation)
--- a/src/jackdawhead/node/stop_log.py
+++ b/src/jackdawhead/node/stop_log.py
@@ -32,7 +32,7 @@
         arrived_ms=int(plan.elapsed_ms(call.arrived_at_ms)),
         since_signal_ms=int(plan.elapsed_ms(now_ms)),
         estimate_ms=int(estimate_ms),
-        left_ms=int(call.deadline_at_ms - now_ms),
+        bound_ms=int(call.bound_ms()),
         stop_left_ms=int(plan.remaining_ms(now_ms)),
     )
 
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -62,6 +62,41 @@
         return replace(self, ends_at_ms=min(self.ends_at_ms, now_ms))
 
 
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """What is known of the time that a caller's request takes.
+
+    :param arrived_at_ms: monotonic time at which it had been read.
+    :param estimate_ms: high estimate of the time until its answer is complete;
+        a request may exceed it.
+    :param bound_ms: time after which it is given up in any case.
+    """
+
+    arrived_at_ms: float
+    estimate_ms: float
+    bound_ms: float
+
+
+def may_pass_on(plan: StopPlan | None, offer: Offer, now_ms: float) -> bool:
+    """Return whether an entry may send a request to a home.
+
+    Callers that used an open connection before the listener was closed could
+    not know that the node stops; for them the estimate suffices. Later ones
+    are better off at another node than with a request that may be cut off, so
+    that only what ends in time in any case is sent.
+
+    :param plan: schedule of the planned stop, none while the node runs.
+    :param offer: times of the request.
+    :param now_ms: monotonic time.
+    """
+    if plan is None:
+        return True
+    needed_ms = offer.bound_ms
+    if offer.arrived_at_ms <= plan.closes_at_ms:
+        needed_ms = min(needed_ms, offer.estimate_ms)
+    return plan.has_time_for(needed_ms, now_ms)
+
+
 def fits_before_stop(
     plan: StopPlan | None, work_ms: float, now_ms: float
 ) -> bool:
@@ -75,4 +110,4 @@
     return plan is None or plan.has_time_for(work_ms, now_ms)
 
 
-__all__ = ('StopPlan', 'fits_before_stop')
+__all__ = ('Offer', 'StopPlan', 'fits_before_stop', 'may_pass_on')
