Test: requests that outlast a stop have an answer

Sent 1 s after SIGTERM on kept connections, to run 9 s with a deadline that is farther still. At an entry without an upstream all 12 are told peer-lost, though no peer was lost. At the node of a home, 3 of 12 and 3 of 40 get a closed connection and no answer: those that run at the home beside the entry.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -36,6 +36,20 @@
       | GET    | ms=60                 | ms=2500                 |
       | GET    | bytes=200000&stall=60 | bytes=200000&stall=2500 |
 
+  Scenario Outline: Requests that outlast a stop are answered before it closes their connections: <count>, <entry>
+    Given the callers use <entry>
+    And <count> kept connections to the entry, which has answered POST with "ms=60"
+    When each sends "ms=9000" instead 1000 ms after the entry got SIGTERM
+    Then each has an answer, and then its connection is closed
+    And each that was begun is told "unknown" and "node-leaving"
+    And the entry has ended 5600 ms after its signal
+
+    Examples: a remote home, and one beside the entry
+      | count | entry               |
+      | 12    | a node of its own   |
+      | 12    | the node of a home  |
+      | 40    | the node of a home  |
+
   Scenario: Requests near the end of a stop do not wait in queues that outlast it
     Given 40 kept connections to the entry, which has answered POST with "ms=900"
     When each sends one such request 2500 ms after the entry got SIGTERM
--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from typing import TYPE_CHECKING, Final
 
@@ -9,6 +10,7 @@
 from behave import given, then, when
 from gevent.pool import Pool
 
+from features.steps.fleet_steps import node_at
 from features.steps.stopping_steps import (
     KeptConnection,
     entry_of,
@@ -26,6 +28,7 @@
 _KEEPER_KEY: Final = 'keeper'
 _LONG_DEADLINE_MS: Final = 3000
 _SHORT_DEADLINE_MS: Final = 700
+_FAR_MS: Final = 60_000
 # Between them the entry stops to take what its deadline bounds.
 _SURELY_TAKEN_BEFORE_S: Final = 3.6
 _SLOW_EVERY: Final = 3
@@ -33,6 +36,18 @@
 _NEAR_DEADLINE_EVERY: Final = 2
 
 
+@given('the callers use a node of its own')
+def use_entry(context: Context) -> None:
+    """Use the node without an upstream."""
+    context.entry_vm = 'entry-0'
+
+
+@given('the callers use the node of a home')
+def use_home(context: Context) -> None:
+    """Use a node with an upstream, to which some of the requests go."""
+    context.entry_vm = node_at(context, 1)
+
+
 @given('the entry has answered it {count:d} times more')
 def warm_up(context: Context, count: int) -> None:
     """Let the entry see that nearly all requests are quick."""
@@ -80,15 +95,41 @@
     gevent.joinall(senders, raise_error=True)
 
 
+@when('each sends "{query}" instead {after:d} ms after the entry got SIGTERM')
+def send_outlasting(context: Context, query: str, after: int) -> None:
+    """Send one request on each connection, all at the same time."""
+    signal_entry(context)
+    senders = [
+        gevent.spawn(
+            _send_query, context, kept, after / _MS_PER_S, query, _FAR_MS
+        )
+        for kept in context.kept
+    ]
+    process = context.stopping.process
+    wait_until(lambda: process.poll() is not None, 'end of the entry')
+    context.ended_s = time.monotonic() - context.stopped_at
+    gevent.joinall(senders, raise_error=True)
+
+
 def _send(context: Context, number: int, moment_s: float, slow: str) -> None:
     kept: KeptConnection = context.kept[number]
     query = context.query if number % _SLOW_EVERY else slow
+    _send_query(context, kept, moment_s, query, _deadline_ms(number))
+
+
+def _send_query(
+    context: Context,
+    kept: KeptConnection,
+    moment_s: float,
+    query: str,
+    deadline_ms: int,
+) -> None:
     gevent.sleep(max(0, context.stopped_at + moment_s - time.monotonic()))
     kept.sent_s = time.monotonic() - context.stopped_at
     kept.send(
         f'{context.method} /cultivars/{kept.key}?{query} HTTP/1.1\r\n'
         f'Host: x\r\nContent-Length: 0\r\nX-Work-Key: {kept.key}\r\n'
-        f'X-Request-Id: {kept.key}\r\nX-Deadline-Ms: {_deadline_ms(number)}'
+        f'X-Request-Id: {kept.key}\r\nX-Deadline-Ms: {deadline_ms}'
     )
     if not kept.is_closed:
         kept.receive()
@@ -118,3 +159,32 @@
     """Check the request that the stop waited for."""
     context.keeper.join()
     assert context.keeper.value.status == 200, context.keeper.value
+
+
+@then('each has an answer, and then its connection is closed')
+def check_answered(context: Context) -> None:
+    """Check that the end of the process cuts no answer."""
+    missing = [
+        each
+        for each in context.kept
+        if each.reply is None or not each.is_closed
+    ]
+    assert not missing, (context.ended_s, len(missing), missing)
+
+
+@then('each that was begun is told "{outcome}" and "{reason}"')
+def check_outcome(context: Context, outcome: str, reason: str) -> None:
+    """Check the outcome of what was cut off; the rest was truly refused."""
+    runs = run_times(context)
+    assert any(each.key in runs for each in context.kept)
+    for each in context.kept:
+        told = json.loads(each.reply.body)
+        if each.key in runs or told['outcome'] != 'not-run':
+            assert each.reply.status == 502, each
+            assert (told['outcome'], told['reason']) == (outcome, reason), each
+
+
+@then('the entry has ended {length:d} ms after its signal')
+def check_length(context: Context, length: int) -> None:
+    """Check that the last answers take a bounded time."""
+    assert context.ended_s < length / _MS_PER_S, context.ended_s
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -94,11 +94,12 @@
     )
     start_fleet(fleet, service, _NODES, entries=1)
     context.kept = []
+    context.entry_vm = 'entry-0'
 
 
 def entry_of(context: Context) -> NodeProcess:
-    """Return the node without an upstream."""
-    return context.fleet.nodes['entry-0']
+    """Return the node that the callers use."""
+    return context.fleet.nodes[context.entry_vm]
 
 
 def run_times(context: Context) -> dict[str, str]:
