A stop answers what it cuts before the process ends

Cause: at the end of the stop nothing told the requests in progress. The links were closed by the way out, which fails the attempts on them as peer-lost; attempts at the home beside the entry are on no link, and their callers' greenlets ended with the process.

Change: at the end all attempts fail as unknown, node-leaving (502; a body that is being sent is cut), and the process waits until no request is in progress, for at most a twentieth of the stop: 255 ms after 5,100 ms, so that all is over at 5.36 of 6 s; with any grace above 0.84 s it ends before the kill. What is read in that time is refused as not run, as before.

--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -181,14 +181,18 @@
         """
         for attempt in tuple(self._waiting.values()):
             if attempt.channel is channel:
-                attempt.deliver(
-                    Refusal(
-                        attempt.request_id,
-                        Outcome.UNKNOWN.value,
-                        Reason.PEER_LOST.value,
-                        0,
-                    ),
-                )
+                _fail(attempt, Reason.PEER_LOST)
+
+    def fail_all(self) -> None:
+        """Fail all attempts with an unknown outcome, as this node stops."""
+        for attempt in tuple(self._waiting.values()):
+            _fail(attempt, Reason.NODE_LEAVING)
+
+
+def _fail(attempt: Attempt, reason: Reason) -> None:
+    attempt.deliver(
+        Refusal(attempt.request_id, Outcome.UNKNOWN.value, reason.value, 0)
+    )
 
 
 __all__ = ('Attempt', 'Channel', 'PendingAttempts')
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -87,6 +87,7 @@
                 # A request that is read from now on would be cut off.
                 self._parts.board.stop.write(plan.ending_at(monotonic_ms()))
                 self._log_end(plan)
+                self._answer_unfinished(plan)
                 return
             if phase is not StopPhase.SERVING:
                 home.finish_running()
@@ -95,6 +96,15 @@
                 self._closed_ms = monotonic_ms()
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
+    def _answer_unfinished(self, plan: StopPlan) -> None:
+        """End what is in progress, and wait until its callers know.
+
+        :param plan: schedule of the stop.
+        """
+        self._parts.attempts.fail_all()
+        while self._callers.active and monotonic_ms() < plan.answered_by_ms:
+            gevent.sleep(seconds(_DRAIN_POLL_MS))
+
     def _log_end(self, plan: StopPlan) -> None:
         requests = self._callers.in_progress
         log_stop_end(plan, len(requests), len(self._parts.attempts))
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -8,6 +8,8 @@
 # Share of a stop, at its end, that is left for work that takes longer than
 # estimated, and for sending the last answers.
 _RESERVED_SHARE: Final = 0.1
+# Share of a stop that is added to it for the last answers.
+_ANSWERING_SHARE: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,12 @@
         length_ms = self.ends_at_ms - self.began_at_ms
         return self.ends_at_ms - _RESERVED_SHARE * length_ms
 
+    @property
+    def answered_by_ms(self) -> float:
+        """Time by which what was in progress at the end has an answer."""
+        length_ms = self.ends_at_ms - self.began_at_ms
+        return self.ends_at_ms + _ANSWERING_SHARE * length_ms
+
     def has_time_for(self, work_ms: float, now_ms: float) -> bool:
         """Return whether work that begins now ends before the process does.
 
