--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -50,6 +50,11 @@
       | 12    | the node of a home  |
       | 40    | the node of a home  |
 
+  Scenario: A download whose home goes silent is given up at its deadline
+    Given 1 kept connections to the entry, which has answered GET with "bytes=200000&stall=60"
+    When one sends "bytes=200000&stall=300" with a deadline of 600 ms, and all homes are paused when half of it has come
+    Then its connection ends within 900 ms, its answer incomplete
+
   Scenario: Requests near the end of a stop do not wait in queues that outlast it
     Given 40 kept connections to the entry, which has answered POST with "ms=900"
     When each sends one such request 2500 ms after the entry got SIGTERM
--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import time
 from typing import TYPE_CHECKING, Final
 
@@ -29,6 +30,8 @@
 _LONG_DEADLINE_MS: Final = 3000
 _SHORT_DEADLINE_MS: Final = 700
 _FAR_MS: Final = 60_000
+_TIMEOUT_S: Final = 10.0
+_HALF_BYTES: Final = 100_000
 # Between them the entry stops to take what its deadline bounds.
 _SURELY_TAKEN_BEFORE_S: Final = 3.6
 _SLOW_EVERY: Final = 3
@@ -36,6 +39,37 @@
 _NEAR_DEADLINE_EVERY: Final = 2
 
 
+@when(
+    'one sends "{query}" with a deadline of {deadline:d} ms, and all homes are'
+    ' paused when half of it has come'
+)
+def pause_homes(context: Context, query: str, deadline: int) -> None:
+    """Stop the homes' processes in the middle of an answer."""
+    kept: KeptConnection = context.kept[0]
+    kept.sent_s = time.monotonic()
+    kept.send(
+        f'GET /cultivars/{kept.key}?{query} HTTP/1.1\r\nHost: x\r\n'
+        f'X-Deadline-Ms: {deadline}'
+    )
+    kept.sock.settimeout(_TIMEOUT_S)
+    context.received = kept.sock.recv(_HALF_BYTES)
+    for vm, node in context.fleet.nodes.items():
+        if vm != context.entry_vm:
+            node.process.send_signal(signal.SIGSTOP)
+
+
+@then('its connection ends within {most:d} ms, its answer incomplete')
+def check_given_up(context: Context, most: int) -> None:
+    """Read to the end of the connection."""
+    kept: KeptConnection = context.kept[0]
+    received = len(context.received)
+    while chunk := kept.sock.recv(_HALF_BYTES):
+        received += len(chunk)
+    took_ms = (time.monotonic() - kept.sent_s) * _MS_PER_S
+    assert took_ms < most, took_ms
+    assert _HALF_BYTES <= received < 2 * _HALF_BYTES, received
+
+
 @given('the callers use a node of its own')
 def use_entry(context: Context) -> None:
     """Use the node without an upstream."""
