The deadline bounds a streamed answer as a whole

Cause: once the head of an answer had come, the entry waited for each further chunk for the whole deadline of the operation, whatever the caller's deadline was. The home ends an answer at the deadline, so only the entry's own wait for a home that is gone or silent had no bound of its request.

What callers saw: a download with a deadline of 600 ms whose home went silent was given up after 2,007 ms; while the node stops, such a wait could outlast what the request was accepted by.

Change: the wait for the rest of a body ends at the deadline, with the same grace as the wait for its head. What has arrived by then is still sent.

--- a/src/jackdawhead/node/entry/answer_body.py
+++ b/src/jackdawhead/node/entry/answer_body.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ...clock import monotonic_ms
 from ...wire.messages import Body, Credit, Head
 
 if TYPE_CHECKING:
@@ -22,7 +23,8 @@
     :param attempts: attempts in flight, among them this one.
     :param attempt: attempt that received the answer.
     :param head: head of the answer, with the first chunk.
-    :param chunk_timeout_ms: longest wait for each further chunk.
+    :param timeout_ms: longest time until the last chunk arrives; a chunk that
+        has arrived by then is still yielded.
     :param on_complete: called when the last chunk has arrived.
     """
 
@@ -31,14 +33,14 @@
         attempts: PendingAttempts,
         attempt: Attempt,
         head: Head,
-        chunk_timeout_ms: float,
+        timeout_ms: float,
         on_complete: Callable[[], None] | None = None,
     ) -> None:
         self._attempts = attempts
         self._attempt = attempt
         self._chunk = head.chunk
         self._last = head.last
-        self._chunk_timeout_ms = chunk_timeout_ms
+        self._ends_at_ms = monotonic_ms() + timeout_ms
         self._on_complete = on_complete
         if head.last:
             self._complete()
@@ -73,7 +75,8 @@
         consumed_bytes = max(1, len(self._chunk))
         request_id = self._attempt.request_id
         self._attempt.channel.send(Credit(request_id, consumed_bytes))
-        message = self._attempt.next_message(self._chunk_timeout_ms)
+        left_ms = max(0, self._ends_at_ms - monotonic_ms())
+        message = self._attempt.next_message(left_ms)
         if not isinstance(message, Body):
             self.close()
             raise CutAnswerError(str(message))
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -247,7 +247,7 @@
             self._attempts,
             attempt,
             head,
-            call.operation.deadline_ms,
+            call.bound_ms(),
             partial(_note_completion, call) if is_success(head) else None,
         )
         try:
