--- a/soak/cli.py
+++ b/soak/cli.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Final
 
-from .report import format_timeline, format_verdict
+from .report import format_requests, format_timeline, format_verdict
 from .seed_runner import DEFAULT_LENGTH_S, SoakPlan, run_seed
 
 _DEFAULT_FOLDER: Final = Path('soak-results')
@@ -40,6 +40,7 @@
         result = run_seed(plan, folder)
         print(format_verdict(result), flush=True)
         (folder / 'timeline.txt').write_text(format_timeline(result))
+        (folder / 'requests.jsonl').write_text(format_requests(result))
         has_violations = has_violations or bool(result.violations)
     return int(has_violations)
 
--- a/soak/report.py
+++ b/soak/report.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -60,6 +62,17 @@
     return '\n'.join((*lines, ''))
 
 
+def format_requests(result: SoakResult) -> str:
+    """Return requests and runs, one JSON object a line.
+
+    :param result: of the run.
+    """
+    evidence = result.evidence
+    lines = [json.dumps(asdict(each)) for each in evidence.requests]
+    lines.extend(json.dumps(asdict(each)) for each in evidence.runs)
+    return '\n'.join((*lines, ''))
+
+
 def _category(request: SentRequest) -> str:
     if request.is_served:
         return 'served'
@@ -68,4 +81,4 @@
     return 'refused' if request.outcome == 'not-run' else 'failed'
 
 
-__all__ = ('format_timeline', 'format_verdict')
+__all__ = ('format_requests', 'format_timeline', 'format_verdict')
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from contextlib import ExitStack
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
@@ -52,8 +53,8 @@
         self.stack.callback(self.fleet.close)
         self.relays: dict[str, Relay] = {}
         self.stopping: list[str] = []
-        self._service = HELVETIA.services[0]
-        self._placements = HELVETIA.placements(self._service)[:node_count]
+        self._service = replace(HELVETIA.services[0], upstreams=node_count)
+        self._placements = HELVETIA.placements(self._service)
         self._files = config_files(HELVETIA.folder)
         self._stop_timeout_s = _STOP_TIMEOUT_S
         if has_short_stops:
