Calls of work that runs beside a stopping node are taken by their estimate

Cause: the entry's bound refuses each late request whose deadline ends after the stop, calls of the upstream on the same VM among them. The work that makes the call had been accepted; with its call refused it fails, though it would have ended in time.

Change: on a connection that was opened after the time at which callers may connect, a request whose deadline isn't later than that of work that runs at the upstream beside this node may be such a call, and the estimate decides. Other callers have been told by then to connect elsewhere, and a call that is cut at the end ends with the work that makes it.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -81,8 +81,7 @@
   Scenario: An upstream that runs a request can call through its node
     When upstream 1 runs a request of 4500 ms for another entry
     And node 1 gets SIGTERM
-    Then new connections to node 1 are served 3000 ms later with a deadline of 1000 ms
-    And those with a deadline of 2000 ms, which the stop may cut, are refused as not run
+    Then new connections to node 1 are served 3000 ms later
 
   Scenario: Runs at an upstream that is no longer listed are finished
     When upstream 1 runs a request of 4500 ms for another entry
--- a/features/fleet/stopping_elsewhere.feature
+++ b/features/fleet/stopping_elsewhere.feature
@@ -127,7 +127,7 @@
   Scenario: Work that waits for an upstream that leaves the list is not run and called so
     Given 1 nodes and an entry whose stops take 2000 ms, 600 ms of them with an open listener
     And connections "a", "b", "c", "d" to entry-0
-    When POST "ms=1500" is sent on connections "a", "b", "c"
+    When POST "ms=4000" is sent on connections "a", "b", "c"
     And POST "ms=60" is sent on connection "d"
     And no upstream is listed any more
     Then "a", "b", "c" have the whole answers to their own requests
--- a/features/steps/elsewhere_steps.py
+++ b/features/steps/elsewhere_steps.py
@@ -23,6 +23,8 @@
 _IP: Final = '127.0.0.1'
 _TIMEOUT_S: Final = 30.0
 _MS_PER_S: Final = 1000
+# A call expires with the work that makes it, which has 10 s in all.
+_CALL_DEADLINE_MS: Final = 7000
 
 
 @dataclass
@@ -298,7 +300,8 @@
     )
     context.stack.callback(kept.sock.close)
     context.sent[key] = _Sent(kept)
-    _send(context, 'POST', query, key)
+    deadline = f'\r\nX-Deadline-Ms: {_CALL_DEADLINE_MS}'
+    _send(context, 'POST', query, key, deadline)
 
 
 @then('{keys} have the whole answers to their own requests')
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -48,7 +48,9 @@
         self._board = parts.board
         self._routing = parts.routing
         self._pauses = parts.pauses
-        self._limits = StopLimits(parts.board)
+        self._limits = StopLimits(
+            parts.board, lambda: parts.home.latest_deadline_ms
+        )
         self._exchanges = Exchanges(parts, channels, self._limits)
         self._windows = ServiceWindows(parts.routing)
 
--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -10,7 +10,7 @@
 from ...clock import seconds
 from ...wire.header_numbers import deadline_ms
 from ..home.request_head import HOP_BY_HOP
-from ..http_server import HEADERS_KEY
+from ..http_server import CONNECTED_KEY, HEADERS_KEY
 from .requests import CallerRequest
 
 if TYPE_CHECKING:
@@ -90,6 +90,7 @@
         read_body=read_body,
         host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
         request_id=header_of(environ, names.request_id),
+        connected_at_ms=environ[CONNECTED_KEY],
     )
 
 
--- a/src/jackdawhead/node/entry/requests.py
+++ b/src/jackdawhead/node/entry/requests.py
@@ -30,6 +30,8 @@
     :param read_body: reads up to a number of further bytes, empty at the end.
     :param host: host that the caller named, without the port.
     :param request_id: identity that the caller gave the request, for the log.
+    :param connected_at_ms: monotonic time at which its connection was accepted,
+        0 if another node has forwarded it.
     """
 
     method: str
@@ -44,6 +46,7 @@
     read_body: ReadBody
     host: str = ''
     request_id: str = ''
+    connected_at_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/node/entry/stop_limits.py
+++ b/src/jackdawhead/node/entry/stop_limits.py
@@ -10,10 +10,14 @@
 from ...policy.stopping import Offer, fits_before_stop, may_pass_on
 from ...reasons import Reason
 from ..stop_log import log_stop_decision
+from .call_state import DEADLINE_GRACE_MS
 from .requests import Refused
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ...blackboard import Blackboard
+    from ...policy.stopping import StopPlan
     from .call_state import Call
     from .requests import Answer
 
@@ -32,10 +36,15 @@
     """Compares the time that a request needs with the time until the stop.
 
     :param board: source of the plan of the stop.
+    :param runs_end_ms: returns the monotonic time of the last deadline of the
+        work that runs at the upstream beside this node.
     """
 
-    def __init__(self, board: Blackboard) -> None:
+    def __init__(
+        self, board: Blackboard, runs_end_ms: Callable[[], float]
+    ) -> None:
         self._board = board
+        self._runs_end_ms = runs_end_ms
 
     def admits(self, call: Call) -> bool:
         """Return whether one more attempt is made now, and log it.
@@ -57,7 +66,12 @@
         plan = self._board.stop.read()
         if plan is None:
             return True
-        offer = Offer(call.arrived_at_ms, _estimate_ms(call), call.bound_ms())
+        offer = Offer(
+            call.arrived_at_ms,
+            _estimate_ms(call),
+            call.bound_ms(),
+            may_be_call=self._may_be_call(call, plan),
+        )
         return may_pass_on(plan, offer, monotonic_ms())
 
     def may_wait(self, call: Call) -> bool:
@@ -83,6 +97,16 @@
             return answer
         return replace(answer, retry_after_ms=_RETRY_AFTER_MS)
 
+    def _may_be_call(self, call: Call, plan: StopPlan) -> bool:
+        """Return whether work at the upstream beside this node may need it.
+
+        A call expires with the work that makes it. Other callers have been told
+        to connect elsewhere by the time at which the listener would be closed.
+        """
+        is_new = call.request.connected_at_ms > plan.closes_at_ms
+        ends_ms = self._runs_end_ms() + DEADLINE_GRACE_MS
+        return is_new and call.deadline_at_ms <= ends_ms
+
 
 def _estimate_ms(call: Call) -> float:
     return call.router.completion_times.high_ms(call.operation)
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -93,6 +93,11 @@
             for upstream in (*self.all(), *self._removed)
         )
 
+    @property
+    def latest_deadline_ms(self) -> float:
+        """Monotonic time of the last deadline of all runs, 0 if none."""
+        return self._runs.latest_deadline_ms
+
     def run(self) -> None:
         """Refuse queued requests that can't be finished in time, forever."""
         while True:
--- a/src/jackdawhead/node/home/started_runs.py
+++ b/src/jackdawhead/node/home/started_runs.py
@@ -1,4 +1,4 @@
-"""Runs in progress at a home, to log those that the end of the node cuts."""
+"""Runs in progress at a home."""
 
 from __future__ import annotations
 
@@ -32,6 +32,12 @@
         finally:
             self._upstreams.pop(job)
 
+    @property
+    def latest_deadline_ms(self) -> float:
+        """Monotonic time of the last deadline, 0 if nothing runs."""
+        deadlines = (job.work.deadline_at_ms for job in self._upstreams)
+        return max(deadlines, default=0)
+
     def log_cut(self) -> None:
         """Log all runs in progress as cut off."""
         for job, upstream in self._upstreams.items():
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -29,6 +29,8 @@
 
 SOCKET_KEY: Final = 'jackdawhead.socket'
 HEADERS_KEY: Final = 'jackdawhead.headers'
+# Monotonic time in milliseconds at which the connection was accepted.
+CONNECTED_KEY: Final = 'jackdawhead.connected'
 # Set by the application once it has read the request: the request's id.
 READ_KEY: Final = 'jackdawhead.read'
 _REASON_PHRASES: Final = {400: 'Bad Request', 501: 'Not Implemented'}
@@ -66,6 +68,7 @@
 
     def __init__(self, sock: Socket, *args: Any, **kwargs: Any) -> None:
         set_no_delay(sock)
+        self._connected_at_ms = monotonic_ms()
         super().__init__(sock, *args, **kwargs)
 
     def handle(self) -> None:
@@ -121,6 +124,7 @@
         if self.wsgi_input.chunked_input:
             self.wsgi_input.rfile = ChunkGuard(self.rfile)
         environ[SOCKET_KEY] = self.socket
+        environ[CONNECTED_KEY] = self._connected_at_ms
         environ[HEADERS_KEY] = self.headers.pairs
         environ['RAW_URI'] = self.path
         return environ
@@ -207,6 +211,7 @@
 
 
 __all__ = (
+    'CONNECTED_KEY',
     'HEADERS_KEY',
     'READ_KEY',
     'SOCKET_KEY',
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -78,11 +78,14 @@
     :param estimate_ms: high estimate of the time until its answer is complete;
         a request may exceed it.
     :param bound_ms: time after which it is given up in any case.
+    :param may_be_call: whether it may come from work that runs at the upstream
+        beside this node.
     """
 
     arrived_at_ms: float
     estimate_ms: float
     bound_ms: float
+    may_be_call: bool = False
 
 
 def may_pass_on(plan: StopPlan | None, offer: Offer, now_ms: float) -> bool:
@@ -91,7 +94,9 @@
     Callers that used an open connection before the listener was closed could
     not know that the node stops; for them the estimate suffices. Later ones
     are better off at another node than with a request that may be cut off, so
-    that only what ends in time in any case is sent.
+    that only what ends in time in any case is sent. Work that runs at the
+    upstream beside this node fails if its calls are refused, and ends with the
+    node if it does not end before, so that the estimate suffices for them, too.
 
     :param plan: schedule of the planned stop, none while the node runs.
     :param offer: times of the request.
@@ -100,7 +105,7 @@
     if plan is None:
         return True
     needed_ms = offer.bound_ms
-    if offer.arrived_at_ms <= plan.closes_at_ms:
+    if offer.may_be_call or offer.arrived_at_ms <= plan.closes_at_ms:
         needed_ms = min(needed_ms, offer.estimate_ms)
     return plan.has_time_for(needed_ms, now_ms)
 
