Test: a body that is complete late is decided by its request's deadline

Half of a body 2.4 s after SIGTERM, before the listener closes, the rest at 3.6 s, and then a run of 2,500 ms where 60 ms is usual: refused as not run, since the time of the request is that at which it could be passed on. With the time of its head it would go on the estimate and be cut.

--- a/features/fleet/stopping.feature
+++ b/features/fleet/stopping.feature
@@ -61,6 +61,13 @@
     Then each refused request was not run and its connection was closed
     And every request has an answer, and each that an upstream began its whole one
 
+  Scenario: A body that is complete after the listener was closed is decided by its deadline
+    Given 1 kept connections to the entry, which has answered POST with "ms=60"
+    And a request of 4500 ms that keeps the entry running
+    When one sends half of the body of "ms=2500" 2400 ms after SIGTERM and the rest 3600 ms after it
+    Then it gets status 503 with the outcome "not-run"
+    And it was not run
+
   Scenario: A body that is still arriving when the time is over is refused as not run
     Given 1 kept connections to the entry, which has answered POST with "ms=900"
     When one sends half of its body before the entry gets SIGTERM
--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -32,6 +32,7 @@
 _FAR_MS: Final = 60_000
 _TIMEOUT_S: Final = 10.0
 _HALF_BYTES: Final = 100_000
+_HALF_BODY_BYTES: Final = 20_000
 # Between them the entry stops to take what its deadline bounds.
 _SURELY_TAKEN_BEFORE_S: Final = 3.6
 _SLOW_EVERY: Final = 3
@@ -70,6 +71,32 @@
     assert _HALF_BYTES <= received < 2 * _HALF_BYTES, received
 
 
+@when(
+    'one sends half of the body of "{query}" {first:d} ms after SIGTERM and the'
+    ' rest {second:d} ms after it'
+)
+def send_slow_body(
+    context: Context, query: str, first: int, second: int
+) -> None:
+    """Send a request whose body takes a while."""
+    kept: KeptConnection = context.kept[0]
+    signal_entry(context)
+    _sleep_until(context, first)
+    kept.send(
+        f'POST /cultivars/{kept.key}?{query} HTTP/1.1\r\nHost: x\r\n'
+        f'Content-Length: {2 * _HALF_BODY_BYTES}\r\nX-Work-Key: {kept.key}',
+        bytes(_HALF_BODY_BYTES),
+    )
+    _sleep_until(context, second)
+    kept.sock.sendall(bytes(_HALF_BODY_BYTES))
+    context.receiving = gevent.spawn(kept.receive)
+
+
+def _sleep_until(context: Context, after_ms: float) -> None:
+    until = context.stopped_at + after_ms / _MS_PER_S
+    gevent.sleep(max(0, until - time.monotonic()))
+
+
 @given('the callers use a node of its own')
 def use_entry(context: Context) -> None:
     """Use the node without an upstream."""
@@ -158,7 +185,7 @@
     query: str,
     deadline_ms: int,
 ) -> None:
-    gevent.sleep(max(0, context.stopped_at + moment_s - time.monotonic()))
+    _sleep_until(context, moment_s * _MS_PER_S)
     kept.sent_s = time.monotonic() - context.stopped_at
     kept.send(
         f'{context.method} /cultivars/{kept.key}?{query} HTTP/1.1\r\n'
