A home tells entries that it takes no more work before its node ends

Cause: from a tenth of the stop before its end on, a home refuses everything, but told entries so only if its own entry had ended before. And what it told them held until the very end: with a shortage, entries sent to it again just as its links closed. Such work ends as peer-lost, unknown, though it has not run.

The node is finishing from its last acceptance on, so the home reports itself as refusing, for as long as the links take to close.

In features/policy/leaving_home a node with older requests was serving at 4,900 of 5,000 ms, when its home refused all work already. That is checked at 4,400 ms now, and finishing at 4,900 ms.

--- a/features/policy/leaving_home.feature
+++ b/features/policy/leaving_home.feature
@@ -55,11 +55,21 @@
 
   Scenario: A stop ends in time though work is in progress
     Given the home of a node that began to stop, to end after 5000 ms
-    When the entry has older requests after 4900 ms
+    When the entry has older requests after 4400 ms
     Then the node is serving
+    When the entry has older requests after 4900 ms
+    Then the node is finishing
     When the entry has older requests after 5000 ms
     Then the node is ended
 
+  # Work on its way to a home whose node ends has an unknown outcome.
+  Scenario: A home is avoided from its last acceptance until its links have closed
+    Given the home of a node that began to stop, to end after 5000 ms
+    Then the home asks for no avoidance after 4400 ms
+    When the entry has older requests after 4510 ms
+    Then the home refuses work of 1 ms after 4510 ms
+    And the home asks to be avoided until after 5000 ms
+
   Scenario: An entry uses a leaving home while the others are full
     Given an entry whose upstreams 1 and 2 have 0 and 3 free slots of 3
     When the node of home 2 says that it stops
--- a/features/steps/leaving_home_steps.py
+++ b/features/steps/leaving_home_steps.py
@@ -35,6 +35,8 @@
 _FORMER: Final = 1
 _NEW: Final = 2
 _HIGH_RISK: Final = 0.95
+# Longest time in which entries notice a closed link.
+_NOTICE_MS: Final = 300
 
 
 @given('the home of a node that began to stop, to end after {after:d} ms')
@@ -158,6 +160,20 @@
         context.stop.finish()
 
 
+@then('the home asks for no avoidance after {after:d} ms')
+def check_not_avoided(context: Context, after: int) -> None:
+    """Check that entries are not told to send no work."""
+    assert not context.stop.refusing_ms(_START_MS + after)
+
+
+@then('the home asks to be avoided until after {end:d} ms')
+def check_avoided(context: Context, end: int) -> None:
+    """Check that the avoidance outlasts the node, however late it is asked."""
+    for now_ms in (_START_MS + end - 400, _START_MS + end - 1):
+        avoided_until_ms = now_ms + context.stop.refusing_ms(now_ms)
+        assert avoided_until_ms >= _START_MS + end + _NOTICE_MS
+
+
 @then('the node is {phase}')
 def check_phase(context: Context, phase: str) -> None:
     """Compare the phase of the stop."""
--- a/src/jackdawhead/policy/home_stop.py
+++ b/src/jackdawhead/policy/home_stop.py
@@ -22,15 +22,18 @@
 # Time for requests on connections that were accepted just before the listener
 # was closed.
 _CLOSED_MS: Final = 100
+# Time after the end of the node in which entries notice the closed links.
+_LINK_END_MS: Final = 500
 
 
 class StopPhase(Enum):
     """Phase of a stop after the time in which callers may connect.
 
     While ``SERVING``, the entry has requests in progress, and the home accepts
-    work as well. While ``FINISHING``, the home only finishes what it runs; the
-    listener is open, since the upstream may call through this node. While
-    ``CLOSED``, the entry finishes what has come meanwhile.
+    work as well. While ``FINISHING``, the home only finishes what it runs, and
+    tells entries so before the links close; the listener is open, since the
+    upstream may call through this node. While ``CLOSED``, the entry finishes
+    what has come meanwhile.
     """
 
     SERVING = auto()
@@ -75,7 +78,8 @@
         self._is_serving = self._is_serving and older_active
         if self._is_serving:
             self._active_at_ms = now_ms
-            return StopPhase.SERVING
+            is_accepting = now_ms < self._plan.refuses_from_ms
+            return StopPhase.SERVING if is_accepting else StopPhase.FINISHING
         if entry_active:
             self._active_at_ms = now_ms
         if home_active:
@@ -163,7 +167,7 @@
         """
         if self._plan is None or not self._is_finishing:
             return 0
-        return self._plan.remaining_ms(now_ms)
+        return self._plan.remaining_ms(now_ms) + _LINK_END_MS
 
     def _fits(
         self,
