--- a/features/steps/home_cut_steps.py
+++ b/features/steps/home_cut_steps.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from standins.fleet import NodeProcess
+
 _KEEPER: Final = 'keeper'
 _KEEPER_MS: Final = 4700
 _SEEN: Final = 60
@@ -27,6 +29,11 @@
 _LAST_S: Final = 4.5
 _LONG_AT_MS: Final = (2800, 3400, 4000)
 _EXIT_TIMEOUT_S: Final = 30.0
+_FILLERS: Final = 3
+_FILL_AT_S: Final = 3.7
+_FILL_MS: Final = 1200
+_LOOKUPS_AT_S: Final = (4.3, 4.4)
+_OK: Final = 200
 
 
 @given('{percent:d} % of the runs take 10 times as long')
@@ -68,15 +75,7 @@
     port = context.fleet.nodes[node_at(context, entry)].caller_port
     for number in range(_SEEN):
         register(port, Registration(f'seen-{number}'), f'?ms={_QUICK_MS}')
-    keeper = gevent.spawn(
-        call,
-        node.caller_port,
-        'POST',
-        f'/cultivars/{_KEEPER}?ms={_KEEPER_MS}',
-        b'',
-        {'X-Work-Key': _KEEPER},
-    )
-    wait_until(lambda: _is_running(context, _KEEPER), 'a long run')
+    keeper = _keep_running(context, node)
     node.process.terminate()
     senders = _send_over_stop(context, port, run_ms)
     gevent.joinall([keeper, *senders], raise_error=True)
@@ -107,10 +106,87 @@
     return senders
 
 
-def _is_running(context: Context, key: str) -> bool:
+@when(
+    'node {position:d} stops, and lookups of {run_ms:d} ms come late in its'
+    ' stop while node {other:d} is full for a time'
+)
+def stop_among_lookups(
+    context: Context, position: int, run_ms: int, other: int
+) -> None:
+    """Send lookups to a third node that only the stopping home has slots for.
+
+    The other home has free slots again when the stop ends.
+    """
+    node = context.fleet.nodes[node_at(context, position)]
+    entry_port = context.fleet.nodes['entry-0'].caller_port
+    for number in range(_SEEN):
+        call(entry_port, 'GET', f'/cultivars/{number}?ms={_QUICK_MS}')
+    keeper = _keep_running(context, node)
+    node.process.terminate()
+    fillers = _fill(context, other)
+    lookups = [
+        gevent.spawn_later(
+            at_s, call, entry_port, 'GET', f'/cultivars/late?ms={run_ms}'
+        )
+        for at_s in _LOOKUPS_AT_S
+    ]
+    gevent.joinall([keeper, *fillers, *lookups], raise_error=True)
+    context.statuses = [each.value.status for each in lookups]
+    wait_until(lambda: node.process.poll() is not None, 'exit', _EXIT_TIMEOUT_S)
+
+
+def _fill(context: Context, position: int) -> list[gevent.Greenlet]:
+    """Use all slots of an upstream from some time on."""
+    port = context.fleet.nodes[node_at(context, position)].caller_port
+    target = f'/cultivars/fill?ms={_FILL_MS}'
+    return [
+        gevent.spawn_later(_FILL_AT_S, call, port, 'POST', target)
+        for _ in range(_FILLERS)
+    ]
+
+
+def _keep_running(context: Context, node: NodeProcess) -> gevent.Greenlet:
+    keeper = gevent.spawn(
+        call,
+        node.caller_port,
+        'POST',
+        f'/cultivars/{_KEEPER}?ms={_KEEPER_MS}',
+        b'',
+        {'X-Work-Key': _KEEPER},
+    )
+    wait_until(lambda: _has_begun(context, _KEEPER), 'a long run')
+    return keeper
+
+
+def _has_begun(context: Context, key: str) -> bool:
     return any(each['key'] == key for each in context.fleet.executed_work())
 
 
+@then(
+    'upstream {position:d} was still running some of them when node'
+    ' {node:d} ended'
+)
+def check_cut(context: Context, position: int, node: int) -> None:
+    """Check the log of the node, and that its upstream stopped the work."""
+    upstream = list(context.fleet.upstreams)[position - 1]
+    stopped = [
+        each
+        for each in context.fleet.executed_work()
+        if each['upstream'] == upstream
+        and each['path'].endswith('late')
+        and each['state'] == 'cancelled'
+    ]
+    log = context.fleet.nodes[node_at(context, node)].log.read_text()
+    assert stopped
+    assert log.count('event=run-cut') == len(stopped), stopped
+
+
+@then('every lookup was answered')
+def check_answered(context: Context) -> None:
+    """Check the answers to the late lookups."""
+    assert set(context.statuses) == {_OK}, context.statuses
+
+
 @then('at least {count:d} registrations were run')
 def check_run(context: Context, count: int) -> None:
     """Count the registrations with an answer of the upstream."""
