--- a/features/fleet/changes_in_progress.feature
+++ b/features/fleet/changes_in_progress.feature
@@ -7,8 +7,8 @@
     And open connections "download" to entry-0
     When the operators publish the site with "deadline_ms: 2000" changed to "deadline_ms: 9000"
     And the new configuration is in force everywhere
-    And request POST "ms=3500" is sent on connections "remote", "local"
-    And request GET "bytes=2000000&stall=3500" is sent on connections "download"
+    And request POST "ms=5000" is sent on connections "remote", "local"
+    And request GET "bytes=2000000&stall=5000" is sent on connections "download"
     And the operators publish the site with "path_prefix: /cultivars" changed to "path_prefix: /others"
     And the new configuration is in force everywhere
     And the operators publish the site with "register" changed to "enroll"
--- a/features/fleet/stopping_elsewhere.feature
+++ b/features/fleet/stopping_elsewhere.feature
@@ -99,6 +99,17 @@
     Then request "call" has the whole answer to its own request
     And request "parent" has the whole answer to its own request
 
+  Scenario: A ticket that is forwarded to a silent node is answered at its route's timeout
+    Given 1 nodes and an entry whose stops take 2000 ms, 600 ms of them with an open listener
+    And a connection "waiting" to entry-0
+    And a ticket of registry-0
+    When the operators publish the site with "deadline_ms: 10000" changed to "deadline_ms: 1000"
+    And the new configuration is in force everywhere
+    And process registry-0 gets SIGSTOP
+    And request POST "ms=60" is sent with the ticket on connection "waiting"
+    Then request "waiting" gets status 504 with the outcome "unknown"
+    And 2000 ms have not passed since the signal
+
   Scenario Outline: A ticket sent to <vm> whose run may outlast the stop of its node is refused as not run
     Given 1 nodes and an entry whose stops take 2000 ms, 600 ms of them with an open listener
     And 60 quick registrations of "ms=20" were answered by entry-0
--- a/features/steps/elsewhere_steps.py
+++ b/features/steps/elsewhere_steps.py
@@ -167,6 +167,13 @@
     wait_until(lambda: 'event=' in log.read_text(), f'a log of {vm}')
 
 
+@then('{limit:d} ms have not passed since the signal')
+def check_time(context: Context, limit: int) -> None:
+    """Check how long the steps before took."""
+    took_ms = _MS_PER_S * (time.monotonic() - context.signalled_at)
+    assert took_ms < limit, took_ms
+
+
 @when('process {vm} is paused for {pause:d} ms')
 def pause(context: Context, vm: str, pause: int) -> None:
     """Suspend a process."""
