A forwarded ticket is answered at its route's timeout

Cause: the wait for the node that issued the ticket was bounded by the caller's deadline, or by 60 s without one. The issuing node applies the route's timeout, but a silent one answers nothing. Callers saw: with a timeout of 1,000 ms and the issuing node suspended, 502 peer-lost after 3.2 s, when the link was given up. Change: the node that forwards applies its route's timeout as well, and leaves 50 ms at each node for the outcome of a run that ends at the same deadline. A stopping node also compares this time, not 60 s, with the time that it has left.

--- a/src/jackdawhead/node/tickets/dispatch.py
+++ b/src/jackdawhead/node/tickets/dispatch.py
@@ -18,12 +18,15 @@
 from .token import Ticket, decode_ticket, encode_ticket
 
 if TYPE_CHECKING:
+    from ...config.model import Route, Service
     from ..channels import Channels
     from ..entry.dispatcher import Dispatcher
     from ..parts import NodeParts
     from .store import TicketStore
 
 _DEFAULT_DEADLINE_MS: Final = 60_000
+# The run ends at the same deadline; its outcome needs time to arrive.
+_DEADLINE_GRACE_MS: Final = 50
 _UNREACHABLE_RETRY_AFTER_MS: Final = 1000
 
 
@@ -76,7 +79,9 @@
         """
         deadline_ms = request.deadline_ms or _DEFAULT_DEADLINE_MS
         return self._store.run(
-            ticket, lambda: self._dispatcher.dispatch(request), deadline_ms
+            ticket,
+            lambda: self._dispatcher.dispatch(request),
+            deadline_ms + _DEADLINE_GRACE_MS,
         )
 
     def _dispatch(
@@ -87,7 +92,7 @@
     ) -> Answer:
         if ticket.vm == self._parts.identity.vm:
             return self.run_here(request, ticket)
-        deadline_ms = request.deadline_ms or _DEFAULT_DEADLINE_MS
+        deadline_ms = self._deadline_ms(request)
         plan = self._parts.board.stop.read()
         if not fits_before_stop(plan, deadline_ms, monotonic_ms()):
             return TICKET_STOP_REFUSAL
@@ -111,7 +116,7 @@
                 request.chunk,
             )
         )
-        match attempt.next_message(deadline_ms):
+        match attempt.next_message(deadline_ms + 2 * _DEADLINE_GRACE_MS):
             case Head() as head:
                 body = AnswerBody(
                     self._parts.attempts, attempt, head, deadline_ms
@@ -129,5 +134,29 @@
         self._parts.attempts.end(attempt)
         return Refused(Outcome.UNKNOWN, Reason.DEADLINE)
 
+    def _deadline_ms(self, request: CallerRequest) -> int:
+        """Return the time until the deadline of the caller or the route.
+
+        The node that issued the ticket applies its route, too, but may not
+        answer.
+        """
+        asked_ms = request.deadline_ms or _DEFAULT_DEADLINE_MS
+        table = self._parts.routing.table
+        loaded = self._parts.board.config.read().loaded
+        if table is None or loaded is None:
+            return asked_ms
+        route = table.match(request.method, request.path, request.host)
+        if route is None:
+            return asked_ms
+        services = loaded.config.services
+        allowed_ms = route.timeout_ms or max(
+            _deadline_at(services[name], route) for name in route.services
+        )
+        return min(asked_ms, allowed_ms)
+
+
+def _deadline_at(service: Service, route: Route) -> int:
+    return service.operations[route.operation].deadline_ms
+
 
 __all__ = ('TicketDispatcher',)
