--- a/features/fleet/stopping_elsewhere.feature
+++ b/features/fleet/stopping_elsewhere.feature
@@ -33,6 +33,25 @@
     And process registry-0 is paused for 1000 ms
     Then request "late" has the whole answer to its own request
 
+  Scenario Outline: A pause of <vm> in the middle of its stop cuts nothing
+    Given 1 nodes and an entry whose stops take 3500 ms, 600 ms of them with an open listener
+    And a connection "before" to entry-0
+    And a connection "beyond" to entry-0
+    When request POST "ms=1000" is sent on connection "before"
+    And request POST "ms=2200" is sent on connection "beyond"
+    And request "before" runs
+    And request "beyond" runs
+    And process <vm> gets SIGTERM
+    And 300 ms have passed since the signal
+    And process <vm> is paused for 1300 ms
+    Then request "before" has the whole answer to its own request
+    And request "beyond" has the whole answer to its own request
+
+    Examples:
+      | vm         |
+      | entry-0    |
+      | registry-0 |
+
   Scenario: A stop whose signal comes while the node is paused ends in time
     Given 1 nodes and an entry whose stops take 2000 ms, 600 ms of them with an open listener
     And a connection "long" to entry-0
