The time in which a buffered body arrives counts for the caller's deadline

With 3,000 ms and a body that came 1,500 ms after the head, the upstream was given 2,991 ms, and the bound of a stop was late by the same time.

Change: what the body took is taken from the caller's deadline. Failed before: features/fleet/slow_body (2,991 ms given); passes after.

--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 import gevent
 
-from ...clock import seconds
+from ...clock import monotonic_ms, seconds
 from ...wire.header_numbers import deadline_ms
 from ..home.request_head import HOP_BY_HOP
 from ..http_server import CONNECTED_KEY, HEADERS_KEY
@@ -45,8 +46,13 @@
     if allowed_ms == 0:
         raise TimeoutError('the caller sent a deadline of 0 ms')
     timeout_ms = allowed_ms or idle_ms
+    began_ms = monotonic_ms()
     with gevent.Timeout(seconds(timeout_ms), TimeoutError):
-        return _caller_request(environ, names, length)
+        request = _caller_request(environ, names, length)
+    if allowed_ms is None:
+        return request
+    left_ms = allowed_ms - int(monotonic_ms() - began_ms)
+    return replace(request, deadline_ms=max(1, left_ms))
 
 
 def header_of(environ: dict[str, Any], name: str) -> str:
