A stop that was paused reads its sockets before it ends

Cause: the end of a stop is noticed by the clock.

Change: a poll that comes late is followed by five more before the phase is decided; they are counted and not timed, as time passes in the next pause as well. Failed before: the two scenarios 'that arrives while' of stopping_elsewhere; pass after.

--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -19,6 +19,11 @@
     from .parts import NodeParts
 
 _DRAIN_POLL_MS: Final = 20
+# A poll that is later than this was delayed by a pause of the process.
+_MIN_PAUSE_MS: Final = 200
+# Polls after a pause in which the events that came meanwhile are handled. They
+# are counted, as time passes during the next pause, too.
+_CATCH_UP_POLLS: Final = 5
 
 
 class StopRequest:
@@ -74,7 +79,10 @@
         """Finish the requests in progress, then close the listener."""
         progress = StopProgress(plan)
         home = self._parts.home
+        due_ms = plan.closes_at_ms
         while True:
+            _catch_up(due_ms)
+            due_ms = monotonic_ms() + _DRAIN_POLL_MS
             phase = progress.step(
                 monotonic_ms(),
                 older_active=self._callers.has_request_from_before(
@@ -134,4 +142,17 @@
         )
 
 
+def _catch_up(due_ms: float) -> None:
+    """Let the event loop run before a pause of the process is acted on.
+
+    Timers fire before connections and answers that came during it are read.
+
+    :param due_ms: monotonic time at which this should have been called.
+    """
+    if monotonic_ms() - due_ms < _MIN_PAUSE_MS:
+        return
+    for _ in range(_CATCH_UP_POLLS):
+        gevent.sleep(seconds(_DRAIN_POLL_MS))
+
+
 __all__ = ('Shutdown', 'StopRequest')
