A stop counts from the earliest moment at which its signal can have been sent

Cause: a signal that is sent while the process is paused is handled after the pause, and the stop counted from then: SIGTERM at the beginning of a pause of 1,000 ms, a stop of 2,000 ms ended after 3,055 to 3,078 ms. With the platform's times that is beyond the kill, so that all that is left is cut without an answer.

Change: the event loop notes its last gap; a signal that is handled within 50 ms after one may have come at its beginning, and the stop counts from there.

--- a/src/jackdawhead/blackboard.py
+++ b/src/jackdawhead/blackboard.py
@@ -61,6 +61,18 @@
     digest: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Time in which this process did not run, in monotonic milliseconds.
+
+    :param began_at_ms: last time before it at which the process ran.
+    :param ended_at_ms: first time after it.
+    """
+
+    began_at_ms: float = -inf
+    ended_at_ms: float = -inf
+
+
 @dataclass(frozen=True, slots=True)
 class ActiveConfig:
     """The active configuration of this node.
@@ -172,6 +184,7 @@
     vm_list: Topic[VmList] = field(default_factory=lambda: Topic(VmList()))
     stop: Topic[StopPlan | None] = field(default_factory=lambda: Topic(None))
     handled_until_ms: Topic[float] = field(default_factory=lambda: Topic(inf))
+    last_pause: Topic[Pause] = field(default_factory=lambda: Topic(Pause()))
     own_service: Topic[str] = field(default_factory=lambda: Topic(''))
 
     @property
--- a/src/jackdawhead/node/loop_clock.py
+++ b/src/jackdawhead/node/loop_clock.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from math import inf
+from typing import TYPE_CHECKING, Final
 
 import gevent
 
+from ..blackboard import Pause
 from ..clock import monotonic_ms
 
 if TYPE_CHECKING:
@@ -13,6 +15,9 @@
 
     from ..blackboard import Blackboard
 
+# Timers wake the event loop more often than this.
+_MIN_PAUSE_MS: Final = 400
+
 
 def follow_event_loop(board: Blackboard, stack: ExitStack) -> None:
     """Write the time each time the event loop has no more events to handle.
@@ -24,9 +29,18 @@
     :param stack: stops it on exit.
     """
     watcher = gevent.get_hub().loop.prepare(ref=False)
-    watcher.start(lambda: board.handled_until_ms.write(monotonic_ms()))
+    watcher.start(_note_iteration, board)
     stack.callback(watcher.close)
     stack.callback(watcher.stop)
 
 
+def _note_iteration(board: Blackboard) -> None:
+    """Write the time, and the pause before it if there was one."""
+    now_ms = monotonic_ms()
+    before_ms = board.handled_until_ms.read()
+    if before_ms < inf and now_ms - before_ms > _MIN_PAUSE_MS:
+        board.last_pause.write(Pause(before_ms, now_ms))
+    board.handled_until_ms.write(now_ms)
+
+
 __all__ = ('follow_event_loop',)
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -56,7 +56,6 @@
         self._settings = settings
         self._watch = watch
         self._rng = Random(SystemRandom().random())
-        self._stopping = StopRequest()
         self._started = False
         self._loop_failure: BaseException | None = None
         self.parts = build_parts(
@@ -66,6 +65,7 @@
             self._broadcast_crash,
             self._broadcast_status,
         )
+        self._stopping = StopRequest(self.parts.board)
         self._channels = Channels(self.parts)
         self.parts.config.announce = self._channels.gossip.announce
         self.parts.membership.announce = self._channels.gossip.announce
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -14,11 +14,14 @@
 from .stop_log import log_stop_end, log_unfinished
 
 if TYPE_CHECKING:
+    from ..blackboard import Blackboard
     from .channels import Channels
     from .http_server import HttpServer
     from .parts import NodeParts
 
 _DRAIN_POLL_MS: Final = 20
+# Time after a pause in which a signal that came during it is handled.
+_SIGNAL_DELAY_MS: Final = 50
 # A poll that is later than this was delayed by a pause of the process.
 _MIN_PAUSE_MS: Final = 200
 # Polls after a pause in which the events that came meanwhile are handled. They
@@ -27,22 +30,36 @@
 
 
 class StopRequest:
-    """The first request to stop, and when it came."""
+    """The first request to stop, and when it came.
 
-    def __init__(self) -> None:
+    :param board: source of the last pause of this process.
+    """
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
         self.noted_at_ms: float = 0
         self._event = Event()
 
     def note(self) -> None:
         """Record a request; only the first one counts."""
         if not self._event.is_set():
-            self.noted_at_ms = monotonic_ms()
+            self.noted_at_ms = self._earliest_arrival_ms(monotonic_ms())
             self._event.set()
 
     def wait(self) -> None:
         """Wait for a request."""
         self._event.wait()
 
+    def _earliest_arrival_ms(self, now_ms: float) -> float:
+        """Return when the signal came, or a bound if that is unknown.
+
+        A signal that is sent while the process is paused arrives after it, but
+        the time until the process is killed counts from the sending.
+        """
+        pause = self._board.last_pause.read()
+        is_recent = now_ms - pause.ended_at_ms < _SIGNAL_DELAY_MS
+        return pause.began_at_ms if is_recent else now_ms
+
 
 class Shutdown:
     """Stops accepting requests and finishes those in progress.
