Known red: a caller that connects while a stopping node is paused

The listener stays open for some time after the stop signal. If the process does not run at its end, the listener is closed before what came during the pause is accepted: the caller's connection ends without an answer, its request is not run.

--- a/features/fleet/stopping_elsewhere.feature
+++ b/features/fleet/stopping_elsewhere.feature
@@ -95,6 +95,13 @@
     Then request "stalling" gets the whole download
     And request "endless" gets no complete answer
 
+  Scenario: A stop waits for a caller that reads its download slowly
+    Given 1 nodes and an entry whose stops take 3500 ms, 600 ms of them with an open listener
+    And a connection "reader" to entry-0
+    When a download of 12000000 bytes is sent on connection "reader" and read 1300 ms later
+    And process entry-0 gets SIGTERM
+    Then request "reader" gets the whole download
+
   Scenario: A second copy and a second attempt are finished in a stop
     Given 2 nodes and an entry whose stops take 3000 ms, 600 ms of them with an open listener
     And a connection "hedged" to entry-0
@@ -154,3 +161,11 @@
     And the home of entry-0 has started
     And process entry-0 gets SIGTERM, SIGHUP, SIGTERM
     Then process entry-0 ends with exit code 0 within 3500 ms of the signal
+
+  Scenario: A caller that connects while a stopping node is paused is served
+    Given 1 nodes and an entry whose stops take 3000 ms, 1000 ms of them with an open listener
+    And a connection "new" to entry-0
+    When process entry-0 gets SIGTERM
+    And 700 ms have passed since the signal
+    And process entry-0 is paused while POST "ms=60" is sent on a new connection "new", until 1300 ms after the signal
+    Then request "new" has the whole answer to its own request
--- a/features/steps/elsewhere_steps.py
+++ b/features/steps/elsewhere_steps.py
@@ -54,15 +54,11 @@
 @given('a connection "{key}" to {vm}')
 def open_connection(context: Context, key: str, vm: str) -> None:
     """Open a connection and send one request on it that no route matches."""
-    port = context.fleet.nodes[vm].caller_port
-    kept = KeptConnection(
-        socket.create_connection((_IP, port), _TIMEOUT_S), key
-    )
-    context.stack.callback(kept.sock.close)
+    open_new(context, vm, key)
+    kept = context.sent[key].kept
     kept.send('GET /no/such/route HTTP/1.1\r\nHost: x')
     kept.receive()
     kept.reply = None
-    context.sent[key] = _Sent(kept)
 
 
 @given('a ticket of {vm}')
@@ -76,7 +72,7 @@
 @when('request {method} "{query}" is sent on connection "{key}"')
 def send_on(context: Context, method: str, query: str, key: str) -> None:
     """Send a request and read its answer in the background."""
-    _send(context, method, query, key)
+    send(context, method, query, key)
 
 
 @when(
@@ -84,12 +80,13 @@
 )
 def send_ticket_on(context: Context, method: str, query: str, key: str) -> None:
     """Send a request with the ticket."""
-    _send(context, method, query, key, f'\r\nX-Ticket: {context.ticket}')
+    send(context, method, query, key, f'\r\nX-Ticket: {context.ticket}')
 
 
-def _send(
+def send(
     context: Context, method: str, query: str, key: str, header: str = ''
 ) -> None:
+    """Send a request and read its answer in the background."""
     sent = context.sent[key]
     sent.kept.send(
         f'{method} /cultivars/{key}?{query} HTTP/1.1\r\nHost: x\r\n'
@@ -261,10 +258,20 @@
 def send_on_all(context: Context, method: str, query: str, keys: str) -> None:
     """Send one request on each connection, and wait until all of them run."""
     for key in keys_of(keys):
-        _send(context, method, query, key)
+        send(context, method, query, key)
         await_run(context, key)
 
 
+def open_new(context: Context, vm: str, key: str) -> None:
+    """Open a connection that has carried nothing."""
+    port = context.fleet.nodes[vm].caller_port
+    kept = KeptConnection(
+        socket.create_connection((_IP, port), _TIMEOUT_S), key
+    )
+    context.stack.callback(kept.sock.close)
+    context.sent[key] = _Sent(kept)
+
+
 @when('the node beside the upstream that runs "{key}" gets SIGTERM')
 def stop_home_of(context: Context, key: str) -> None:
     """Stop the node whose home runs a request."""
@@ -276,13 +283,8 @@
 @when('a call of "{query}" is sent as "{key}" through the stopping node')
 def send_call(context: Context, query: str, key: str) -> None:
     """Send a request as an upstream does while it runs another one."""
-    port = context.fleet.nodes[context.stopping_vm].caller_port
-    kept = KeptConnection(
-        socket.create_connection((_IP, port), _TIMEOUT_S), key
-    )
-    context.stack.callback(kept.sock.close)
-    context.sent[key] = _Sent(kept)
-    _send(context, 'POST', query, key)
+    open_new(context, context.stopping_vm, key)
+    send(context, 'POST', query, key)
 
 
 @then('requests {keys} have the whole answers to their own requests')
