A stopping home takes work whose body still arrives only within its bound

Cause: the run takes as long as the caller takes to send the body, which no estimate of run times covers. A registration that came 1 s after the only home's SIGTERM, with a second half of its body 4.5 s later, was accepted, begun and cut: 502 as peer-lost, unknown. Its entry holds 64 KiB of a body at most, so it can't send such work again.

It must reach its deadline before the node ends; else it is refused at once as node-leaving, not run. That holds for idempotent work as well. The price: larger uploads that meet a stopping home first are refused in its stop, unless their deadline is near, though most of them would have ended in time.

--- a/features/fleet/stopping_home.feature
+++ b/features/fleet/stopping_home.feature
@@ -20,3 +20,9 @@
     When node 1 stops, and lookups of 900 ms come late in its stop while node 2 is full for a time
     Then upstream 1 was still running some of them when node 1 ended
     And every lookup was answered
+
+  # Its entry has sent on the first half already, so it can't try another home.
+  Scenario: A body that arrives slowly is not cut by the end of its home
+    Given a fleet with platform stop times of 1 nodes and 1 entry in front of "registry-desk"
+    When node 1 stops, and 1000 ms later a registration comes to node 2 whose body takes 4500 ms
+    Then every registration was run once or truly refused
--- a/features/policy/leaving_home.feature
+++ b/features/policy/leaving_home.feature
@@ -22,6 +22,20 @@
       | again     | 8000 | 2700  | accepts |
       | again     | 8000 | 4600  | refuses |
 
+  # The caller decides when the run ends, and its entry can't send it again.
+  Scenario Outline: A home that stops <verdict> "<operation>" whose body is still arriving, with <left> ms to its deadline after <after> ms
+    Given the home of a node that began to stop, to end after 5000 ms
+    When 60 runs of "once" have taken 60 ms
+    And 60 runs of "again" have taken 60 ms
+    Then the home <verdict> "<operation>" whose body is still arriving, with <left> ms to its deadline after <after> ms
+
+    Examples: the deadline bounds the run
+      | operation | left | after | verdict |
+      | once      | 8000 | 1000  | refuses |
+      | once      | 3000 | 1000  | accepts |
+      | again     | 8000 | 1000  | refuses |
+      | again     | 3000 | 1000  | accepts |
+
   Scenario Outline: In the queue of a home that stops "<operation>" <verdict> after 2700 ms
     Given the home of a node that began to stop, to end after 5000 ms
     When "<operation>" of 60 ms is in its queue
--- a/features/steps/home_cut_steps.py
+++ b/features/steps/home_cut_steps.py
@@ -8,9 +8,11 @@
 
 import gevent
 from behave import given, then, when
+from gevent import socket
 
 from features.steps.failure_steps import Registration, register
 from features.steps.fleet_steps import node_at
+from features.steps.stopping_steps import KeptConnection
 from jackdawhead.reasons import Reason
 from standins.fleet import call, wait_until
 
@@ -34,6 +36,9 @@
 _FILL_MS: Final = 1200
 _LOOKUPS_AT_S: Final = (4.3, 4.4)
 _OK: Final = 200
+_IP: Final = '127.0.0.1'
+# More than an entry holds in memory.
+_HALF_BODY_BYTES: Final = 100_000
 
 
 @given('{percent:d} % of the runs take 10 times as long')
@@ -135,6 +140,34 @@
     wait_until(lambda: node.process.poll() is not None, 'exit', _EXIT_TIMEOUT_S)
 
 
+@when(
+    'node {position:d} stops, and {after:d} ms later a registration comes to'
+    ' node {entry:d} whose body takes {body_ms:d} ms'
+)
+def stop_during_upload(
+    context: Context, position: int, after: int, entry: int, body_ms: int
+) -> None:
+    """Send the second half of a body long after the first one."""
+    node = context.fleet.nodes[node_at(context, position)]
+    port = context.fleet.nodes[node_at(context, entry)].caller_port
+    keeper = _keep_running(context, node)
+    node.process.terminate()
+    gevent.sleep(after / _MS_PER_S)
+    slow = KeptConnection(socket.create_connection((_IP, port)), 'slow')
+    context.stack.callback(slow.sock.close)
+    slow.send(
+        'POST /cultivars/slow HTTP/1.1\r\nHost: x\r\nX-Work-Key: slow\r\n'
+        f'Content-Length: {2 * _HALF_BODY_BYTES}',
+        bytes(_HALF_BODY_BYTES),
+    )
+    receiver = gevent.spawn(slow.receive)
+    receiver.join(body_ms / _MS_PER_S)
+    if slow.reply is None:
+        slow.sock.sendall(bytes(_HALF_BODY_BYTES))
+    gevent.joinall([receiver, keeper], raise_error=True)
+    context.registrations = [Registration('slow', reply=slow.reply)]
+
+
 def _fill(context: Context, position: int) -> list[gevent.Greenlet]:
     """Use all slots of an upstream from some time on."""
     port = context.fleet.nodes[node_at(context, position)].caller_port
--- a/features/steps/leaving_home_steps.py
+++ b/features/steps/leaving_home_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import count
 from random import Random
 from typing import TYPE_CHECKING, Final
@@ -100,6 +101,19 @@
     assert accepted == (verdict == 'accepts'), accepted
 
 
+@then(
+    'the home {verdict} "{operation}" whose body is still arriving, with'
+    ' {left:d} ms to its deadline after {after:d} ms'
+)
+def check_upload(
+    context: Context, verdict: str, operation: str, left: int, after: int
+) -> None:
+    """Check whether new work without its whole body is accepted."""
+    work = replace(_work(context, operation, after, left), is_whole=False)
+    accepted = context.stop.accepts(context.rule, work, _START_MS + after)
+    assert accepted == (verdict == 'accepts'), accepted
+
+
 @then('the home accepts work of {run_ms:d} ms after {after:d} ms')
 def check_accepted(context: Context, run_ms: int, after: int) -> None:
     """Check that new work is accepted."""
--- a/src/jackdawhead/node/home/session.py
+++ b/src/jackdawhead/node/home/session.py
@@ -101,6 +101,7 @@
             now_ms,
             now_ms + submit.deadline_ms,
             submit.may_wait,
+            submit.last,
         )
         job = Job(submit, operation, work, self._deliver)
         self._submitted[submit.request_id] = _SubmittedJob(job, upstream)
--- a/src/jackdawhead/policy/work.py
+++ b/src/jackdawhead/policy/work.py
@@ -21,6 +21,8 @@
     :param deadline_at_ms: monotonic time at which the work is given up.
     :param may_wait: whether the work may be queued. If not, it is refused as
         busy when no slot is free, so that its entry can try another upstream.
+    :param is_whole: whether its entry has the whole body. If not, the run takes
+        as long as the caller, and it can't be sent to another upstream.
     """
 
     work_id: int
@@ -30,6 +32,7 @@
     arrived_at_ms: float
     deadline_at_ms: float
     may_wait: bool = True
+    is_whole: bool = True
 
 
 class Verdict(StrEnum):
