--- a/features/fleet/changes_in_progress.feature
+++ b/features/fleet/changes_in_progress.feature
@@ -1,6 +1,6 @@
 Feature: Changes of what a fleet follows cut no request in progress
 
-  Scenario: Configurations that take away routes, operations, zones and services cut no request in progress
+  Scenario: Configurations that take away routes, operations, zones, headers, slots and services cut no request in progress
     Given 1 nodes and an entry whose stops take 2000 ms, 600 ms of them with an open listener
     And open connections "remote" to entry-0
     And open connections "local" to registry-0
@@ -17,6 +17,10 @@
     And the new configuration is in force everywhere
     And the operators publish the site with "deadline_ms: 10000" changed to "deadline_ms: 200"
     And the new configuration is in force everywhere
+    And the operators publish the site with "# Owned by the platform team in Basel." changed to "headers: {outcome: X-Result, deadline_ms: X-Left-Ms}"
+    And the new configuration is in force everywhere
+    And the operators publish the site with "slots_per_upstream: 3" changed to "slots_per_upstream: 1"
+    And the new configuration is in force everywhere
     And the operators publish the site with "registry-desk" changed to "another-desk"
     And the new configuration is in force everywhere
     Then request "remote" still runs
