A request counts as a call only if it expires with work that runs beside the node

Cause: on a connection opened late in a stop, any request that expired before the last run beside the node counted as a possible call and was taken by its estimate.

Change: a call carries the time that is left to the work that makes it, so the time at which it says to expire must be that of a run, within 10 ms before and 60 ms after. The stand-in of upstreams records the deadlines that it is given, so that the steps send what an upstream would.

"A caller that connects while a stopping node is paused is served" gets a deadline within the stop: without one it is rightly refused as not run.

--- a/features/fleet/stopping_paused.feature
+++ b/features/fleet/stopping_paused.feature
@@ -54,5 +54,5 @@
     And a connection "new" to entry-0
     When process entry-0 gets SIGTERM
     And 700 ms have passed since the signal
-    And process entry-0 is paused while POST "ms=60" is sent on a new connection "new", until 1300 ms after the signal
+    And process entry-0 is paused while POST "ms=60" with a deadline in the stop is sent on a new connection "new", until 1300 ms after the signal
     Then request "new" has the whole answer to its own request
--- a/features/steps/elsewhere_steps.py
+++ b/features/steps/elsewhere_steps.py
@@ -13,7 +13,7 @@
 from gevent import socket
 
 from features.steps.fleet_steps import new_fleet, start_fleet
-from features.steps.stopping_steps import KeptConnection
+from features.steps.stopping_steps import KeptConnection, left_for_call
 from standins.fleet import call, wait_until
 
 if TYPE_CHECKING:
@@ -22,8 +22,6 @@
 _IP: Final = '127.0.0.1'
 _TIMEOUT_S: Final = 30.0
 _MS_PER_S: Final = 1000
-# A call expires with the work that makes it, which has 10 s in all.
-_CALL_DEADLINE_MS: Final = 7000
 
 
 @dataclass
@@ -286,8 +284,9 @@
 def send_call(context: Context, query: str, key: str) -> None:
     """Send a request as an upstream does while it runs another one."""
     open_new(context, context.stopping_vm, key)
-    deadline = f'\r\nX-Deadline-Ms: {_CALL_DEADLINE_MS}'
-    send(context, 'POST', query, key, deadline)
+    upstream = f'{context.stopping_vm}/registry-desk'
+    left_ms = left_for_call(context, upstream)
+    send(context, 'POST', query, key, f'\r\nX-Deadline-Ms: {left_ms}')
 
 
 @then('requests {keys} have the whole answers to their own requests')
--- a/features/steps/slow_body_steps.py
+++ b/features/steps/slow_body_steps.py
@@ -58,8 +58,9 @@
 
 
 @when(
-    'process {vm} is paused while {method} "{query}" is sent on a new'
-    ' connection "{key}", until {end:d} ms after the signal'
+    'process {vm} is paused while {method} "{query}" with a deadline in'
+    ' the stop is sent on a new connection "{key}", until {end:d} ms after the'
+    ' signal'
 )
 def connect_in_pause(
     context: Context, vm: str, method: str, query: str, key: str, end: int
@@ -68,7 +69,7 @@
     process = context.fleet.nodes[vm].process
     process.send_signal(signal.SIGSTOP)
     open_new(context, vm, key)
-    send(context, method, query, key)
+    send(context, method, query, key, '\r\nX-Deadline-Ms: 1200')
     await_moment(context, end)
     process.send_signal(signal.SIGCONT)
 
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -48,9 +48,7 @@
         self._board = parts.board
         self._routing = parts.routing
         self._pauses = parts.pauses
-        self._limits = StopLimits(
-            parts.board, lambda: parts.home.latest_deadline_ms
-        )
+        self._limits = StopLimits(parts.board, parts.home.may_have_called)
         self._exchanges = Exchanges(parts, channels, self._limits)
         self._windows = ServiceWindows(parts.routing)
 
--- a/src/jackdawhead/node/entry/stop_limits.py
+++ b/src/jackdawhead/node/entry/stop_limits.py
@@ -10,7 +10,6 @@
 from ...policy.stopping import Offer, fits_before_stop, may_pass_on
 from ...reasons import Reason
 from ..stop_log import log_stop_decision
-from .call_state import DEADLINE_GRACE_MS
 from .requests import Refused
 
 if TYPE_CHECKING:
@@ -36,15 +35,15 @@
     """Compares the time that a request needs with the time until the stop.
 
     :param board: source of the plan of the stop.
-    :param runs_end_ms: returns the monotonic time of the last deadline of the
-        work that runs at the upstream beside this node.
+    :param is_call: returns whether a request that expires at a monotonic time
+        may be a call of work at the upstream beside this node.
     """
 
     def __init__(
-        self, board: Blackboard, runs_end_ms: Callable[[], float]
+        self, board: Blackboard, is_call: Callable[[float], bool]
     ) -> None:
         self._board = board
-        self._runs_end_ms = runs_end_ms
+        self._is_call = is_call
 
     def admits(self, call: Call) -> bool:
         """Return whether one more attempt is made now, and log it.
@@ -100,12 +99,12 @@
     def _may_be_call(self, call: Call, plan: StopPlan) -> bool:
         """Return whether work at the upstream beside this node may need it.
 
-        A call expires with the work that makes it. Other callers have been told
-        to connect elsewhere by the time at which the listener would be closed.
+        Other callers have been told to connect elsewhere by the time at which
+        the listener would be closed.
         """
         is_new = call.request.connected_at_ms > plan.closes_at_ms
-        ends_ms = self._runs_end_ms() + DEADLINE_GRACE_MS
-        return is_new and call.deadline_at_ms <= ends_ms
+        expires_at_ms = call.arrived_at_ms + call.request.deadline_ms
+        return is_new and self._is_call(expires_at_ms)
 
 
 def _estimate_ms(call: Call) -> float:
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -93,10 +93,12 @@
             for upstream in (*self.all(), *self._removed)
         )
 
-    @property
-    def latest_deadline_ms(self) -> float:
-        """Monotonic time of the last deadline of all runs, 0 if none."""
-        return self._runs.latest_deadline_ms
+    def may_have_called(self, deadline_at_ms: float) -> bool:
+        """Return whether a request may be a call of work that runs here.
+
+        :param deadline_at_ms: monotonic time at which the request expires.
+        """
+        return self._runs.may_have_called(deadline_at_ms)
 
     def run(self) -> None:
         """Refuse queued requests that can't be finished in time, forever."""
--- a/src/jackdawhead/node/home/started_runs.py
+++ b/src/jackdawhead/node/home/started_runs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ..decision_log import log_cut
 
@@ -12,6 +12,11 @@
 
     from .job import Job
 
+# A deadline is sent in whole milliseconds, and counts anew from its arrival at
+# the upstream, and again from that of the call.
+_EARLY_MS: Final = 10
+_TRANSIT_MS: Final = 60
+
 
 class StartedRuns:
     """Runs in progress at all upstreams of a home."""
@@ -32,11 +37,18 @@
         finally:
             self._upstreams.pop(job)
 
-    @property
-    def latest_deadline_ms(self) -> float:
-        """Monotonic time of the last deadline, 0 if nothing runs."""
-        deadlines = (job.work.deadline_at_ms for job in self._upstreams)
-        return max(deadlines, default=0)
+    def may_have_called(self, deadline_at_ms: float) -> bool:
+        """Return whether a request may be a call of one of the runs.
+
+        :param deadline_at_ms: monotonic time at which the request expires; a
+            call expires with the run that makes it.
+        """
+        return any(
+            -_EARLY_MS
+            <= deadline_at_ms - job.work.deadline_at_ms
+            <= _TRANSIT_MS
+            for job in self._upstreams
+        )
 
     def log_cut(self) -> None:
         """Log all runs in progress as cut off."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -46,6 +46,7 @@
     :param state: ``running``, ``done``, ``failed``, ``cancelled`` or
         ``lost`` in a crash.
     :param ended_at: Unix time in seconds, 0 while it runs.
+    :param deadline_ms: time that it was given from its start, 0 if unlimited.
     """
 
     upstream: str
@@ -55,6 +56,7 @@
     started_at: float
     state: str = 'running'
     ended_at: float = 0
+    deadline_ms: int = 0
 
     def end(self, state: str) -> None:
         """Record how the work ended."""
@@ -134,6 +136,7 @@
             environ['REQUEST_METHOD'],
             path,
             time.time(),
+            deadline_ms=int(environ.get('HTTP_X_DEADLINE_MS', 0)),
         )
         if self.behaviour.early and record.method == 'POST':
             self._active -= 1
