Mends after review: tickets' bodies, sends after the end, polls after a pause

- Between the decision to take a request and its sending lie a dial and a ping; a pause there over the end of the stop sent what was cut at once.

--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -20,6 +20,7 @@
 from .path_checker import PathChecker
 from .race import Copy, Race, Reply, is_success
 from .requests import Answer, Refused, UpstreamAnswer
+from .stop_limits import STOP_REFUSAL
 
 if TYPE_CHECKING:
     from ...policy.service_router import ServiceRouter
@@ -86,6 +87,9 @@
                 Reason.PEER_UNREACHABLE,
                 _UNREACHABLE_RETRY_AFTER_MS,
             )
+        if not self._limits.has_time_for(call):
+            # The dial and the ping took the time that was left.
+            return STOP_REFUSAL
         attempt = self._attempts.begin(channel)
         started_ms = monotonic_ms()
         self._submit(
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -27,8 +26,7 @@
     from .job import Job
     from .upstream_spec import HomeEvents, UpstreamSpec
 
-# When this node stops, another home may run the work.
-_RETRY_AFTER_MS: Final = MappingProxyType({Reason.NODE_LEAVING: 200})
+_LEAVING_RETRY_AFTER_MS: Final = 200  # another home may run the work
 
 
 class HomeUpstream:
@@ -93,13 +91,13 @@
         :param job: the request.
         """
         job.caller_id = job.header(self.spec.headers.request_id) or ''
-        now_ms = monotonic_ms()
-        reason = _refusal_reason(job, self._state, self._stop, now_ms)
+        reason = _refusal_reason(job, self._state, self._stop)
         if reason is not None:
             log_admission(job, self._state, reason.value, self._stop)
-            job.refuse(reason, _RETRY_AFTER_MS.get(reason, 0))
+            is_leaving = reason is Reason.NODE_LEAVING
+            job.refuse(reason, is_leaving * _LEAVING_RETRY_AFTER_MS)
             return
-        admission = self._state.offer(job.work, now_ms)
+        admission = self._state.offer(job.work, monotonic_ms())
         log_admission(job, self._state, admission.verdict.value, self._stop)
         if admission.verdict is Verdict.START:
             self._start(job)
@@ -285,9 +283,10 @@
 
 
 def _refusal_reason(
-    job: Job, state: UpstreamState, stop: HomeStop, now_ms: float
+    job: Job, state: UpstreamState, stop: HomeStop
 ) -> Reason | None:
     """Return why a new request may neither run nor be queued, if so."""
+    now_ms = monotonic_ms()
     if state.is_draining(now_ms):
         return Reason.DRAINING
     if not stop.accepts(state.admission, job.work, now_ms):
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import count
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -128,7 +129,11 @@
         :param plan: schedule of the stop.
         """
         self._parts.attempts.fail_all()
-        while self._callers.active and monotonic_ms() < plan.answered_by_ms:
+        polls = count()
+        while self._callers.active and (
+            next(polls) < _CATCH_UP_POLLS
+            or monotonic_ms() < plan.answered_by_ms
+        ):
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
     def _log_end(self, plan: StopPlan) -> None:
--- a/src/jackdawhead/node/tickets/dispatch.py
+++ b/src/jackdawhead/node/tickets/dispatch.py
@@ -93,6 +93,7 @@
         if ticket.vm == self._parts.identity.vm:
             return self.run_here(request, ticket)
         deadline_ms = self._deadline_ms(request)
+        ends_ms = monotonic_ms() + deadline_ms + 2 * _DEADLINE_GRACE_MS
         plan = self._parts.board.stop.read()
         if not fits_before_stop(plan, deadline_ms, monotonic_ms()):
             return TICKET_STOP_REFUSAL
@@ -116,11 +117,10 @@
                 request.chunk,
             )
         )
-        match attempt.next_message(deadline_ms + 2 * _DEADLINE_GRACE_MS):
+        match attempt.next_message(ends_ms - monotonic_ms()):
             case Head() as head:
-                body = AnswerBody(
-                    self._parts.attempts, attempt, head, deadline_ms
-                )
+                left_ms = ends_ms - monotonic_ms()
+                body = AnswerBody(self._parts.attempts, attempt, head, left_ms)
                 return UpstreamAnswer(
                     head.status, head.headers, head.body_bytes, body
                 )
