--- a/features/steps/late_request_steps.py
+++ b/features/steps/late_request_steps.py
@@ -53,7 +53,11 @@
         f'X-Deadline-Ms: {deadline}'
     )
     kept.sock.settimeout(_TIMEOUT_S)
-    context.received = kept.sock.recv(_HALF_BYTES)
+    context.received = b''
+    while len(context.received) < _HALF_BYTES:
+        chunk = kept.sock.recv(_HALF_BYTES)
+        assert chunk, len(context.received)
+        context.received += chunk
     for vm, node in context.fleet.nodes.items():
         if vm != context.entry_vm:
             node.process.send_signal(signal.SIGSTOP)
