Read-through: one constant, one rule and one set-up where the change had two

- The grace after a deadline and the time that a route allows were written again for tickets; they call DEADLINE_GRACE_MS and Route.allowed_ms, which the dispatcher uses, too.
- Runs in progress are a set: a job names its upstream already.
- A guard against infinity that the comparison made needless; a delay of a poll is no longer named as the pause of the event loop; no arithmetic with a truth value.
- Steps: one set-up of a fleet with short stops, one wait for a successful answer; the assertions are the same.

--- a/features/steps/elsewhere_steps.py
+++ b/features/steps/elsewhere_steps.py
@@ -12,13 +12,18 @@
 from behave import given, then, when
 from gevent import socket
 
-from features.steps.fleet_steps import new_fleet, start_fleet
-from features.steps.stopping_steps import KeptConnection, left_for_call
+from features.steps.stopping_steps import (
+    KeptConnection,
+    left_for_call,
+    start_stopping_fleet,
+)
 from standins.fleet import call, wait_until
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from jackdawhead.bench.client import HttpResponse
+
 _IP: Final = '127.0.0.1'
 _TIMEOUT_S: Final = 30.0
 _MS_PER_S: Final = 1000
@@ -41,13 +46,7 @@
 )
 def start_small(context: Context, count: int, drain: int, accept: int) -> None:
     """Start homes of a registry, and one entry without an upstream."""
-    fleet = new_fleet(
-        context,
-        drain_ms=drain,
-        accept_while_leaving_ms=accept,
-        drain_idle_ms=0,
-    )
-    start_fleet(fleet, 'registry-desk', count, entries=1)
+    start_stopping_fleet(context, 'registry-desk', count, drain, accept)
     context.sent = {}
 
 
@@ -186,23 +185,24 @@
 @then('request "{key}" has the whole answer to its own request')
 def check_whole(context: Context, key: str) -> None:
     """Wait for the answer."""
-    sent = context.sent[key]
-    sent.receiving.join()
-    reply = sent.kept.reply
-    assert reply is not None, states(context, key)
-    assert reply.status == 200, reply
+    reply = _await_success(context, key)
     assert json.loads(reply.body)['key'] == key, reply
 
 
 @then('request "{key}" gets the whole download')
 def check_download(context: Context, key: str) -> None:
     """Wait for all bytes."""
+    reply = _await_success(context, key)
+    assert len(reply.body) == int(reply.headers['content-length'])
+
+
+def _await_success(context: Context, key: str) -> HttpResponse:
     sent = context.sent[key]
     sent.receiving.join()
-    reply = sent.kept.reply
+    reply: HttpResponse | None = sent.kept.reply
     assert reply is not None, states(context, key)
     assert reply.status == 200, reply.status
-    assert len(reply.body) == int(reply.headers['content-length'])
+    return reply
 
 
 @then('request "{key}" gets no complete answer')
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -86,14 +86,21 @@
 )
 def start(context: Context, service: str, drain: int, accept: int) -> None:
     """Start homes, and one entry without an upstream."""
+    start_stopping_fleet(context, service, _NODES, drain, accept)
+    context.kept = []
+
+
+def start_stopping_fleet(
+    context: Context, service: str, nodes: int, drain_ms: int, accept_ms: int
+) -> None:
+    """Start homes, and one entry without an upstream, with short stops."""
     fleet = new_fleet(
         context,
-        drain_ms=drain,
-        accept_while_leaving_ms=accept,
+        drain_ms=drain_ms,
+        accept_while_leaving_ms=accept_ms,
         drain_idle_ms=0,
     )
-    start_fleet(fleet, service, _NODES, entries=1)
-    context.kept = []
+    start_fleet(fleet, service, nodes, entries=1)
     context.entry_vm = 'entry-0'
 
 
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -189,6 +189,13 @@
         """Names of all services to which this route may send requests."""
         return tuple(self.split) or (self.service,)
 
+    def allowed_ms(self, service: Service) -> int:
+        """Return the longest time until a response; a caller may ask for less.
+
+        :param service: one of the services of this route.
+        """
+        return self.timeout_ms or service.operations[self.operation].deadline_ms
+
 
 @dataclass(frozen=True, slots=True)
 class CallerPolicy:
--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -153,17 +153,16 @@
     )
 
 
-def log_cut(job: Job, upstream: str) -> None:
+def log_cut(job: Job) -> None:
     """Log a run that is still in progress when its node ends.
 
     :param job: the request.
-    :param upstream: identity of the upstream.
     """
     now_ms = monotonic_ms()
     log_event(
         'run-cut',
         id=job.caller_id,
-        upstream=upstream,
+        upstream=job.submit.upstream,
         operation=job.operation.name,
         idempotent=job.operation.idempotent,
         ran_ms=int(now_ms - job.started_ms),
--- a/src/jackdawhead/node/entry/call_state.py
+++ b/src/jackdawhead/node/entry/call_state.py
@@ -9,15 +9,16 @@
 from ...outcome import Outcome
 from ...policy.resend import combined_outcome
 
-# The home enforces the same deadline; its refusal needs time to arrive.
-DEADLINE_GRACE_MS: Final = 50
-
 if TYPE_CHECKING:
     from ...config.model import Operation
     from ...policy.service_router import ServiceRouter
     from ...policy.tried_upstreams import TriedUpstreams
     from .requests import CallerRequest
 
+# The node that runs it enforces the same deadline; its refusal needs time to
+# arrive.
+DEADLINE_GRACE_MS: Final = 50
+
 
 @dataclass(slots=True)
 class Call:
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -84,7 +84,7 @@
         router = self._routing.router(service)
         operation = router.service.operations[route.operation]
         deadline_ms = min(
-            route.timeout_ms or operation.deadline_ms,
+            route.allowed_ms(router.service),
             request.deadline_ms or _NO_CALLER_DEADLINE_MS,
         )
         fingerprint = fingerprint_of(
--- a/src/jackdawhead/node/home/started_runs.py
+++ b/src/jackdawhead/node/home/started_runs.py
@@ -22,20 +22,19 @@
     """Runs in progress at all upstreams of a home."""
 
     def __init__(self) -> None:
-        self._upstreams: dict[Job, str] = {}
+        self._jobs: set[Job] = set()
 
     @contextmanager
-    def track(self, job: Job, upstream: str) -> Iterator[None]:
+    def track(self, job: Job) -> Iterator[None]:
         """Count a run as in progress until the context ends.
 
         :param job: the request.
-        :param upstream: identity of the upstream.
         """
-        self._upstreams[job] = upstream
+        self._jobs.add(job)
         try:
             yield
         finally:
-            self._upstreams.pop(job)
+            self._jobs.remove(job)
 
     def may_have_called(self, deadline_at_ms: float) -> bool:
         """Return whether a request may be a call of one of the runs.
@@ -47,13 +46,13 @@
             -_EARLY_MS
             <= deadline_at_ms - job.work.deadline_at_ms
             <= _TRANSIT_MS
-            for job in self._upstreams
+            for job in self._jobs
         )
 
     def log_cut(self) -> None:
         """Log all runs in progress as cut off."""
-        for job, upstream in self._upstreams.items():
-            log_cut(job, upstream)
+        for job in self._jobs:
+            log_cut(job)
 
 
 __all__ = ('StartedRuns',)
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -95,7 +95,7 @@
         if reason is not None:
             log_admission(job, self._state, reason.value, self._stop)
             is_leaving = reason is Reason.NODE_LEAVING
-            job.refuse(reason, is_leaving * _LEAVING_RETRY_AFTER_MS)
+            job.refuse(reason, _LEAVING_RETRY_AFTER_MS if is_leaving else 0)
             return
         admission = self._state.offer(job.work, monotonic_ms())
         log_admission(job, self._state, admission.verdict.value, self._stop)
@@ -191,7 +191,7 @@
         self._resends.note_run()
         job.started_ms = monotonic_ms()
         result: ExecutionResult | None = None
-        with self._events.runs.track(job, self.spec.name):
+        with self._events.runs.track(job):
             try:
                 result = Execution(job, self._target(job)).run()
             finally:
--- a/src/jackdawhead/node/loop_clock.py
+++ b/src/jackdawhead/node/loop_clock.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import inf
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -38,7 +37,7 @@
     """Write the time, and the pause before it if there was one."""
     now_ms = monotonic_ms()
     before_ms = board.handled_until_ms.read()
-    if before_ms < inf and now_ms - before_ms > _MIN_PAUSE_MS:
+    if now_ms - before_ms > _MIN_PAUSE_MS:
         board.last_pause.write(Pause(before_ms, now_ms))
     board.handled_until_ms.write(now_ms)
 
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -24,7 +24,7 @@
 # Time after a pause in which a signal that came during it is handled.
 _SIGNAL_DELAY_MS: Final = 50
 # A poll that is later than this was delayed by a pause of the process.
-_MIN_PAUSE_MS: Final = 200
+_MAX_POLL_DELAY_MS: Final = 200
 # Polls after a pause in which the events that came meanwhile are handled. They
 # are counted, as time passes during the next pause, too.
 _CATCH_UP_POLLS: Final = 5
@@ -172,7 +172,7 @@
 
     :param due_ms: monotonic time at which this should have been called.
     """
-    if monotonic_ms() - due_ms < _MIN_PAUSE_MS:
+    if monotonic_ms() - due_ms < _MAX_POLL_DELAY_MS:
         return
     for _ in range(_CATCH_UP_POLLS):
         gevent.sleep(seconds(_DRAIN_POLL_MS))
--- a/src/jackdawhead/node/tickets/dispatch.py
+++ b/src/jackdawhead/node/tickets/dispatch.py
@@ -13,20 +13,18 @@
 from ...reasons import Reason
 from ...wire.messages import Head, Refusal, TicketSubmit
 from ..entry.answer_body import AnswerBody
+from ..entry.call_state import DEADLINE_GRACE_MS
 from ..entry.requests import Answer, CallerRequest, Refused, UpstreamAnswer
 from ..entry.stop_limits import TICKET_STOP_REFUSAL
 from .token import Ticket, decode_ticket, encode_ticket
 
 if TYPE_CHECKING:
-    from ...config.model import Route, Service
     from ..channels import Channels
     from ..entry.dispatcher import Dispatcher
     from ..parts import NodeParts
     from .store import TicketStore
 
 _DEFAULT_DEADLINE_MS: Final = 60_000
-# The run ends at the same deadline; its outcome needs time to arrive.
-_DEADLINE_GRACE_MS: Final = 50
 _UNREACHABLE_RETRY_AFTER_MS: Final = 1000
 
 
@@ -81,7 +79,7 @@
         return self._store.run(
             ticket,
             lambda: self._dispatcher.dispatch(request),
-            deadline_ms + _DEADLINE_GRACE_MS,
+            deadline_ms + DEADLINE_GRACE_MS,
         )
 
     def _dispatch(
@@ -93,7 +91,7 @@
         if ticket.vm == self._parts.identity.vm:
             return self.run_here(request, ticket)
         deadline_ms = self._deadline_ms(request)
-        ends_ms = monotonic_ms() + deadline_ms + 2 * _DEADLINE_GRACE_MS
+        ends_ms = monotonic_ms() + deadline_ms + 2 * DEADLINE_GRACE_MS
         plan = self._parts.board.stop.read()
         if not fits_before_stop(plan, deadline_ms, monotonic_ms()):
             return TICKET_STOP_REFUSAL
@@ -149,14 +147,10 @@
         if route is None:
             return asked_ms
         services = loaded.config.services
-        allowed_ms = route.timeout_ms or max(
-            _deadline_at(services[name], route) for name in route.services
+        allowed_ms = max(
+            route.allowed_ms(services[name]) for name in route.services
         )
         return min(asked_ms, allowed_ms)
 
 
-def _deadline_at(service: Service, route: Route) -> int:
-    return service.operations[route.operation].deadline_ms
-
-
 __all__ = ('TicketDispatcher',)
