Review cases 2 to 4: one parent only, and time for the machines to be in touch

Cause: a second request could have run as a parent of case 2, and cases 3 and 4 acted 1 s and 2 s after the start, before each node had begun to watch the store.

Change: a second parent is refused; both cases wait for 4 s and 6 s.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -89,11 +89,6 @@
         if name == 'archive':
             fleet.backends[ip].handle = fee(fleet.backends[ip])
 
-    async def parent_at_stopped(run, reader, writer) -> bool:
-        if run.target != '/reg/parent':
-            return False
-        return await run_parent(run, reader, writer)
-
     async def refuse_parent(run, reader, writer) -> bool:
         if run.target != '/reg/parent':
             return False
@@ -103,6 +98,11 @@
         )
         return True
 
+    async def parent_at_stopped(run, reader, writer) -> bool:
+        if run.target != '/reg/parent' or parent_runs.is_set():
+            return await refuse_parent(run, reader, writer)
+        return await run_parent(run, reader, writer)
+
     fleet.backends[STOPPED].handle = parent_at_stopped
     fleet.backends[OTHER].handle = refuse_parent
     await asyncio.sleep(3)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,7 @@
 async def case(fleet) -> bool:
     resources = [route('r-reg', '/reg/', 'desk'), service('desk')]
     await fleet.start(MACHINES, resources)
-    await asyncio.sleep(1)
+    await asyncio.sleep(4)
     node = next(iter(fleet.nodes))
     outer_id, inner_id = new_id(), new_id()
     inner = request_bytes('GET', '/reg/inner', b'', inner_id)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -35,7 +35,7 @@
 async def case(fleet) -> bool:
     services = [service('desk'), service('archive')]
     await fleet.start(MACHINES, [route('r-reg', '/reg/', 'desk'), *services])
-    await asyncio.sleep(2)
+    await asyncio.sleep(6)
     moved = [route('r-reg', '/reg/', 'archive'), *services]
     if trouble():
         moved += grown()
