After a body that cannot be read nothing is taken for a request

Cause: a failed read of a body was known only where it became a 400. gevent's handler read on from wherever the connection was and took what followed for a request.

CallerBody is now the one reader of a body. Its position counts as lost from the begin of each read until it returns, whatever ends it; then the answer says Connection: close, nothing more is read as a request, and what the caller still sends is dropped for 2 s at most. The same for an unasked body after Expect: 100-continue and for a long rest.

--- a/features/path/uploads.feature
+++ b/features/path/uploads.feature
@@ -9,6 +9,14 @@
     And a caller uploads 200000 bytes through node 1
     Then the upload arrived whole
 
+  # The rest was read by two greenlets, and the connection ended in an error.
+  Scenario: An upstream answers while its caller pauses in the body
+    Given a fleet of 1 nodes in front of "registry-desk"
+    When upstream 1 changes to "early" of "true"
+    And a caller announces 900000 bytes to node 1, sends 300000 and waits for the answer
+    Then the answer has status 413 and the connection is closed
+    And no node reports an internal error
+
   Scenario: Many uploads at once stay within the memory of a node
     Given a fleet of 2 nodes and 1 entry in front of "registry-desk"
     When 200 callers upload 400000 bytes each through node 3 at once
--- a/features/steps/upload_steps.py
+++ b/features/steps/upload_steps.py
@@ -13,6 +13,7 @@
 from gevent.pool import Pool
 from geventhttpclient.response import HTTPParseError
 
+from features.steps.ambiguous_steps import connect, read_all
 from features.steps.fleet_steps import node_at
 from standins.fleet import call
 
@@ -77,6 +78,37 @@
     gevent.sleep(_SETTLE_S)
 
 
+@when(
+    'a caller announces {size:d} bytes to node {position:d}, sends {sent:d} and'
+    ' waits for the answer'
+)
+def await_early_answer(
+    context: Context, size: int, position: int, sent: int
+) -> None:
+    """Send the start of a body, and read until the node closes."""
+    head = f'POST /cultivars/up HTTP/1.1\r\nHost: x\r\nContent-Length: {size}'
+    with connect(context, position) as sock:
+        sock.sendall(f'{head}\r\n\r\n'.encode())
+        sock.sendall(bytes(sent))
+        context.received = read_all(sock)
+
+
+@then('the answer has status {status:d} and the connection is closed')
+def check_early_answer(context: Context, status: int) -> None:
+    """Check that the caller knows that nothing can follow the body."""
+    head = context.received.partition(b'\r\n\r\n')[0]
+    assert f' {status} '.encode() in head, context.received
+    assert b'connection: close' in head.lower(), context.received
+
+
+@then('no node reports an internal error')
+def check_errors(context: Context) -> None:
+    """Check the error output of all nodes."""
+    for node in context.fleet.nodes.values():
+        log = node.log.read_text()
+        assert 'event=task-failed' not in log, log
+
+
 @then('no upstream completed the upload')
 def check_cut(context: Context) -> None:
     """Check that no record of the upload is done."""
--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 import gevent
@@ -15,10 +14,9 @@
 from .requests import CallerRequest
 
 if TYPE_CHECKING:
-    from gevent.pywsgi import Input
-
     from ...config.model import HeaderNames
     from ...wire.messages import HeaderPairs
+    from ..caller_body import CallerBody
 
 _MAX_BUFFERED_BODY_BYTES: Final = 65_536
 _MAX_ORGANISATION_CHARS: Final = 64
@@ -69,13 +67,12 @@
     names: HeaderNames,
     length: int | None,
 ) -> CallerRequest:
-    body: Input = environ['wsgi.input']
+    body: CallerBody = environ['wsgi.input']
     chunked = environ.get('HTTP_TRANSFER_ENCODING', '').lower() == 'chunked'
     chunk = b''
     last = True
-    read_body = partial(_read_body, body)
     if length or chunked:
-        chunk = read_body(_MAX_BUFFERED_BODY_BYTES)
+        chunk = body.read(_MAX_BUFFERED_BODY_BYTES)
         last = length == len(chunk) or len(chunk) < _MAX_BUFFERED_BODY_BYTES
     if last and length and len(chunk) < length:
         raise OSError(f'request body truncated: {len(chunk)} of {length} bytes')
@@ -93,25 +90,13 @@
         body_bytes=body_bytes,
         chunk=chunk,
         last=last,
-        read_body=read_body,
+        read_body=body.read,
         host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
         request_id=header_of(environ, names.request_id),
         connected_at_ms=environ[CONNECTED_KEY],
     )
 
 
-def _read_body(body: Input, most: int) -> bytes:
-    """Return the next bytes of a body, none at its end.
-
-    :raises OSError: if it is truncated or malformed.
-    """
-    try:
-        return bytes(body.read(most))
-    except ValueError as error:
-        # gevent raises it for a chunk without a size.
-        raise OSError(f'malformed request body: {error}') from error
-
-
 def _end_to_end_headers(
     environ: dict[str, Any], names: HeaderNames
 ) -> HeaderPairs:
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -12,8 +12,9 @@
 
 from ..clock import monotonic_ms
 from ..logs import log_event
+from ..sockets import await_close
 from ..wire.stream import set_no_delay
-from .chunk_guard import ChunkGuard
+from .caller_body import CallerBody
 from .entry.answer_body import CutAnswerError
 from .entry.caller_watch import CallerGoneError
 from .request_framing import framing_problem, split_target
@@ -34,6 +35,9 @@
 # Set by the application once it has read the request: the request's id.
 READ_KEY: Final = 'jackdawhead.read'
 _REASON_PHRASES: Final = {400: 'Bad Request', 501: 'Not Implemented'}
+_CONTINUE: Final = '100-continue'
+# Time in which a caller may still send a body that nobody reads.
+_LINGER_MS: Final = 2000
 _EXPECTED_ERRORS: Final = (CutAnswerError, CallerGoneError, TimeoutError)
 
 
@@ -61,10 +65,12 @@
 
 
 class HttpHandler(WSGIHandler):
-    """Sends without delay; closes the connection after a cut-off answer."""
+    """Sends without delay; closes the connection after a cut answer or body."""
 
     MessageClass = RequestHeaders  # noqa: WPS115
     path: str
+    wsgi_input: CallerBody
+    close_connection: bool
 
     def __init__(self, sock: Socket, *args: Any, **kwargs: Any) -> None:
         set_no_delay(sock)
@@ -87,8 +93,11 @@
         self.server.begun_ms[self] = monotonic_ms()
         try:
             super().handle_one_response()
+            self._end_body()
         finally:
             self.server.begun_ms.pop(self)
+        if self.close_connection and not self.wsgi_input.may_be_followed:
+            await_close(self.socket, _LINGER_MS)
 
     @property
     def in_progress(self) -> RequestInProgress:
@@ -121,14 +130,32 @@
     def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
         """Return the WSGI environment with socket and raw headers added."""
         environ: dict[str, Any] = super().get_environ()
-        if self.wsgi_input.chunked_input:
-            self.wsgi_input.rfile = ChunkGuard(self.rfile)
+        is_waiting = environ.get('HTTP_EXPECT', '').lower() == _CONTINUE
+        self.wsgi_input = CallerBody(
+            self.rfile,
+            self.content_length,
+            self.socket if is_waiting else None,
+            is_chunked=self.wsgi_input.chunked_input,
+        )
+        # Without this a request to upgrade would be read without its bounds.
+        environ['wsgi.input'] = self.wsgi_input
         environ[SOCKET_KEY] = self.socket
         environ[CONNECTED_KEY] = self._connected_at_ms
         environ[HEADERS_KEY] = self.headers.pairs
         environ['RAW_URI'] = self.path
         return environ
 
+    def finalize_headers(self) -> None:
+        """Complete the headers of the answer.
+
+        Tell the caller that the connection closes if nothing can follow the
+        body of its request.
+        """
+        if not self.close_connection and not self.wsgi_input.may_be_followed:
+            self.close_connection = True
+            self.response_headers.append((b'Connection', b'close'))
+        super().finalize_headers()
+
     def log_request(self) -> None:
         """Disable the access log; metrics count the requests instead."""
 
@@ -148,6 +175,16 @@
             return
         self.close_connection = True
 
+    def _end_body(self) -> None:
+        """Read to the end of the body, or close the connection."""
+        body = self.wsgi_input
+        try:
+            body.discard_rest()
+        except OSError as error:
+            log_event('request-body-unreadable', cause=str(error))
+        if not body.may_be_followed:
+            self.close_connection = True
+
     def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
         """Refuse a malformed request and close the connection."""
         status = 400
--- a/src/jackdawhead/sockets.py
+++ b/src/jackdawhead/sockets.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from select import POLLERR, POLLHUP, POLLRDHUP, poll
 from typing import TYPE_CHECKING, Final
 
-from gevent import socket
+from gevent import Timeout, socket
 from gevent.select import select
 
 from .clock import seconds
@@ -15,7 +16,7 @@
 
     from gevent.socket import socket as Socket
 
-
+_DROPPED_BYTES: Final = 65_536
 _CLOSED_EVENTS: Final = POLLRDHUP | POLLHUP | POLLERR
 
 
@@ -75,6 +76,22 @@
     return not readable
 
 
+def await_close(sock: Socket, timeout_ms: float) -> None:
+    """Send the end of the stream and drop what arrives until the peer closes.
+
+    Closing a connection with unread bytes would reset it, and the peer might
+    lose the last answer.
+
+    :param sock: connected socket.
+    :param timeout_ms: longest wait for the peer in milliseconds.
+    """
+    with suppress(OSError), Timeout(seconds(timeout_ms), TimeoutError):
+        sock.shutdown(socket.SHUT_WR)
+        is_open = True
+        while is_open:
+            is_open = bool(sock.recv(_DROPPED_BYTES))
+
+
 def _peek(sock: Socket) -> bytes | None:
     """Read the next byte without removing it from the socket buffer.
 
@@ -94,6 +111,7 @@
 
 
 __all__ = (
+    'await_close',
     'has_hung_up',
     'is_at_eof',
     'is_idle',
