The platform's document is passed on and loaded entry by entry

Cause: each service of the translated text repeated the operations of all routes, so that it grew with services times operations, past the limit of 1,000,000 bytes, and was then parsed as YAML and passed on. Ruled out: a larger limit (72 MB, 2.0 s of the event loop for 700).

Nodes now pass on the document itself and decode only resources that changed, into types; services share one set of operations; loading yields every 5 ms, by a sleep above 0, as gevent repeats sleeps of 0 up to 50 times before it looks at sockets (195 ms seen).

Before: 'A configuration with <count> more services is in force in time' failed for 100, 1,500 and 2,700.

Checks changed: 'A configuration becomes files of the project's own format' is now 'becomes one of the project's own', loaded by the platform's loader, with the same checks and no rejected entry; a service in its last accepted form has the operations of new routes, too, as services share them, and must have all earlier ones.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -89,7 +89,7 @@
     When the bytes "{\"service\":" are decoded as the entry of "i-1"
     Then it is refused
 
-  Scenario: A configuration becomes files of the project's own format
+  Scenario: A configuration becomes one of the project's own
     When a configuration with a split route is decoded
     Then its version is 7
     And the project's own configuration checks accept it
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -77,6 +77,7 @@
     store_port = store.start()
     context.stack.callback(store.stop)
     store.put('op/config', config_document())
+    context.store = store
     address = f'{_IP}:{server.server_port}'
     store.put('servers/i-0', upstream_entry(1, address=address))
     path = fleet.folder / 'local.conf'
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,10 +11,12 @@
 from returns.result import Failure, Success
 
 from jackdawhead.clock import monotonic_ms
-from jackdawhead.config.load import load_sources
 from jackdawhead.config.settings import Address
 from jackdawhead.config.sources import SourceFile
-from jackdawhead.platform.config_translation import decode_document
+from jackdawhead.platform.document_loader import (
+    DocumentLoader,
+    decode_document,
+)
 from jackdawhead.platform.formats import parse_duration_ms, parse_version
 from jackdawhead.node.vm_list_codec import parse_vm_list
 from jackdawhead.platform.settings_file import read_settings
@@ -211,7 +213,7 @@
 def decode_split(context: Context) -> None:
     """Decode a valid configuration."""
     body = json.dumps(config_document()).encode()
-    context.decoded = decode_document(body, _ZONES)
+    context.decoded = decode_document(body)
 
 
 @when('a configuration that is {fault} is decoded')
@@ -223,7 +225,7 @@
         'without version': json.dumps({'resources': plain['resources']}),
         'of another type': json.dumps([plain]),
     }
-    context.decoded = decode_document(bodies[fault].encode(), _ZONES)
+    context.decoded = decode_document(bodies[fault].encode())
 
 
 @then('its version is {number:d}')
@@ -234,12 +236,14 @@
 
 @then("the project's own configuration checks accept it")
 def check_files(context: Context) -> None:
-    """Load the files as a node loads its configuration."""
+    """Load the document as a node loads its configuration."""
     files = context.decoded.unwrap().content
-    loaded = load_sources(
-        tuple(SourceFile(name, text) for name, text in files.items())
+    loaded = DocumentLoader(_ZONES).load_valid_entries(
+        tuple(SourceFile(name, text) for name, text in files.items()),
+        lambda: None,
     )
     assert isinstance(loaded, Success), loaded
+    assert not loaded.unwrap().rejected_entries, loaded
     context.loaded_config = loaded.unwrap().config
 
 
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -69,7 +69,7 @@
             for name, zone in plain['zones'].items()
         },
         services={
-            name: _build_service(name, service)
+            name: build_service(name, service)
             for name, service in plain['services'].items()
         },
         routes={
@@ -92,7 +92,12 @@
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
-def _build_service(name: str, plain: Fields) -> Service:
+def build_service(name: str, plain: Fields) -> Service:
+    """Build a service, filling in the defaults.
+
+    :param name: name of the service.
+    :param plain: fields of the service that passed validation.
+    """
     return Service(
         name=name,
         zones=tuple(plain['zones']),
@@ -128,4 +133,4 @@
     )
 
 
-__all__ = ('build_config', 'content_digest')
+__all__ = ('build_config', 'build_service', 'content_digest')
--- a/src/jackdawhead/config/load.py
+++ b/src/jackdawhead/config/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -43,7 +44,28 @@
     rejected_entries: tuple[Problem, ...] = ()
 
 
-class ConfigLoader:
+class SourceLoader(ABC):
+    """Loads successive versions of a configuration."""
+
+    @abstractmethod
+    def load_valid_entries(
+        self,
+        sources: tuple[SourceFile, ...],
+        on_step: Callable[[], None],
+    ) -> Result[LoadedConfig, tuple[Problem, ...]]:
+        """Load the valid entries of a configuration.
+
+        A faulty entry keeps its last accepted form, or is left out if it has
+        none.
+
+        :param sources: all configuration files.
+        :param on_step: called at short intervals; may let other work run.
+        :returns: the configuration, or every problem if a problem cannot be
+            attributed to a single entry.
+        """
+
+
+class ConfigLoader(SourceLoader):
     """Loads successive versions of a configuration incrementally.
 
     Files, services and routes that are unchanged since the last version are
@@ -71,16 +93,8 @@
     def load_valid_entries(
         self,
         sources: tuple[SourceFile, ...],
+        on_step: Callable[[], None],
     ) -> Result[LoadedConfig, tuple[Problem, ...]]:
-        """Load the valid entries of a configuration.
-
-        A faulty entry keeps its last accepted form, or is left out if it has
-        none.
-
-        :param sources: all configuration files.
-        :returns: the configuration, or every problem if a problem cannot be
-            attributed to a single entry.
-        """
         return self._load(sources, self._check_tolerantly)
 
     def _load(
@@ -163,4 +177,10 @@
     return read_folder(folder).bind(load_sources)
 
 
-__all__ = ('ConfigLoader', 'LoadedConfig', 'load_folder', 'load_sources')
+__all__ = (
+    'ConfigLoader',
+    'LoadedConfig',
+    'SourceLoader',
+    'load_folder',
+    'load_sources',
+)
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -7,7 +7,7 @@
 _DAY_MS: Final = 86_400_000
 NAME_PATTERN: Final = r'^[a-z0-9][a-z0-9_-]{0,62}\Z'
 _HEADER_PATTERN: Final = '^([A-Za-z0-9][A-Za-z0-9-]{0,62})?$'
-_HOST_PATTERN: Final = '^[a-z0-9.-]{1,253}$'
+HOST_PATTERN: Final = '^[a-z0-9.-]{1,253}$'
 _IP_PORT_PATTERN: Final = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
 
 Schema = dict[str, Any]
@@ -122,7 +122,7 @@
         'operation': _NAME,
         'method': {'enum': ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']},
         'path_prefix': {'type': 'string', 'pattern': '^/'},
-        'host': {'type': 'string', 'pattern': _HOST_PATTERN},
+        'host': {'type': 'string', 'pattern': HOST_PATTERN},
         'timeout_ms': _DURATION_MS,
         'max_attempts': _integer(1, 100),
         'split': {**_mapping_of(_integer(0, 1_000_000)), 'minProperties': 1},
@@ -210,4 +210,10 @@
     'stream_keys',
 )
 
-__all__ = ('CONFIG_SCHEMA', 'NAME_PATTERN', 'SETTINGS_SCHEMA', 'Schema')
+__all__ = (
+    'CONFIG_SCHEMA',
+    'HOST_PATTERN',
+    'NAME_PATTERN',
+    'SETTINGS_SCHEMA',
+    'Schema',
+)
--- a/src/jackdawhead/node/chunk_guard.py
+++ b/src/jackdawhead/node/chunk_guard.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-import gevent
+from .time_slice import TimeSlice
 
 if TYPE_CHECKING:
     from typing import BinaryIO, Protocol
@@ -21,7 +21,7 @@
 # Framing that each chunk may need, besides twice the bytes that it carries.
 _ALLOWED_PER_CHUNK: Final = 16
 _ALLOWED_PER_BYTE: Final = 2
-_READS_PER_YIELD: Final = 16_384
+_READS_PER_CHECK: Final = 256
 
 
 class ChunkGuard:
@@ -40,6 +40,7 @@
         self._chunk = chunk
         self._excess_bytes = 0
         self._reads = 0
+        self._yield_if_due = TimeSlice()
 
     def read(self, size: int) -> bytes:
         """Return the next bytes of the body or of its framing.
@@ -49,9 +50,9 @@
         """
         is_data = self._chunk.position < self._chunk.chunk_length
         self._count_read(size, is_data=is_data)
-        if not self._reads % _READS_PER_YIELD:
-            # Yield so that a fast sender does not block other requests.
-            gevent.sleep(0)
+        if not self._reads % _READS_PER_CHECK:
+            # A fast sender must not block other requests.
+            self._yield_if_due()
         return self._rfile.read(size)
 
     def readline(self, size: int = -1) -> bytes:
--- a/src/jackdawhead/node/config_controller.py
+++ b/src/jackdawhead/node/config_controller.py
@@ -4,13 +4,16 @@
 
 from typing import TYPE_CHECKING, Final
 
+import gevent
+from gevent.lock import Semaphore
 from returns.result import Failure, Success
 
 from ..audit import AuditKind
 from ..blackboard import ActiveConfig, ConfigId
-from ..config.load import ConfigLoader, LoadedConfig
+from ..config.load import ConfigLoader, LoadedConfig, SourceLoader
 from ..config.sources import SourceFile
 from ..wire.messages import ConfigUpdate
+from .time_slice import TimeSlice
 
 _MAX_AUDITED_ENTRIES: Final = 10
 
@@ -29,12 +32,16 @@
 
     :param board: shared state that holds the active configuration.
     :param audit: audit trail.
+
+    The attribute ``loader`` loads the files that the platform publishes.
     """
 
     def __init__(self, board: Blackboard, audit: AuditTrail) -> None:
         self._board = board
         self._audit = audit
-        self._loader = ConfigLoader()
+        self.loader: SourceLoader = ConfigLoader()
+        # Loading yields to other greenlets, which may offer versions, too.
+        self._loading = Semaphore()
         self._last_refusal: tuple[int, str] | None = None
         self._last_stale_version = 0
         self.entries_refused = 0
@@ -59,27 +66,29 @@
         :param source: link that delivered it, if any.
         :returns: whether the configuration was activated.
         """
-        current = self._board.config.read()
-        if version < current.version:
-            self._audit_stale(version, current.version, origin)
-            return False
-        if version == current.version and sources == current.sources:
-            return False
-        match self._loader.load_valid_entries(sources):
-            case Success(loaded):
-                return self._accept(version, sources, loaded, origin, source)
-            case Failure(problems):
-                self._refuse(version, problems, origin)
+        with self._loading:
+            if not self._is_news(version, sources, origin):
+                return False
+            match self.loader.load_valid_entries(sources, TimeSlice()):
+                case Success(loaded):
+                    return self._accept(
+                        version, sources, loaded, origin, source
+                    )
+                case Failure(problems):
+                    self._refuse(version, problems, origin)
         return False
 
     def receive_update(self, update: ConfigUpdate, link: Link) -> None:
-        """Handle a configuration from another node.
+        """Load a configuration from another node in the background.
+
+        Other messages of the link are handled meanwhile.
 
         :param update: version and files.
         :param link: link that delivered it.
         """
         sources = tuple(SourceFile(name, text) for name, text in update.files)
-        self.offer(update.version, sources, f'node {link.vm}', link)
+        origin = f'node {link.vm}'
+        gevent.spawn(self.offer, update.version, sources, origin, link)
 
     def answer(self, request: ConfigRequest, link: Link) -> None:
         """Send the active configuration to a node that has an older one.
@@ -91,6 +100,15 @@
         if ConfigId(request.version, request.digest) < current.config_id:
             link.send(_update_message(current))
 
+    def _is_news(
+        self, version: int, sources: tuple[SourceFile, ...], origin: str
+    ) -> bool:
+        current = self._board.config.read()
+        if version < current.version:
+            self._audit_stale(version, current.version, origin)
+            return False
+        return version != current.version or sources != current.sources
+
     def _accept(
         self,
         version: int,
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from ..clock import seconds
+from ..config.load import ConfigLoader
 from ..config.sources import MAX_CONFIG_BYTES
 from ..json_parts import DECODE_ERRORS, decode_parts
 from .listed_types import Version
@@ -20,6 +21,7 @@
     from collections.abc import Callable
 
     from ..blackboard import VmList
+    from ..config.load import SourceLoader
     from ..config.settings import Address
 
 _OK: Final = 200
@@ -59,6 +61,10 @@
         :param list_in_force: returns that list.
         """
 
+    def config_loader(self) -> SourceLoader:
+        """Return a loader for the configurations that this source gives."""
+        return ConfigLoader()
+
     @abstractmethod
     def read(
         self,
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -72,6 +72,7 @@
         self.parts.pauses.close_all_links = self._channels.close_all_links
         self.parts.pauses.refresh = self._channels.catch_up
         self._platform = platform or PlatformClient(settings.platform_address)
+        self.parts.config.loader = self._platform.config_loader()
         self._platform.follow(self.parts.board.vm_list.read)
         self.parts.board.own_service.write(settings.service)
         self._dispatchers = build_dispatchers(self.parts, self._channels)
--- a/src/jackdawhead/platform/config_document.py
+++ b/src/jackdawhead/platform/config_document.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import Annotated, Any, Final, TypeVar
+from dataclasses import dataclass
+from typing import Annotated, Any, Final
 
 import msgspec
 from msgspec import Meta
@@ -12,8 +12,6 @@
 
 _DEFAULT_MAX_CONNECTIONS: Final = 100
 
-_SpecT = TypeVar('_SpecT')
-
 
 class WeightedService(msgspec.Struct, frozen=True):
     """A service's share of a route's traffic."""
@@ -72,7 +70,7 @@
     name: str = ''
 
 
-class _Resource(msgspec.Struct, frozen=True):
+class Resource(msgspec.Struct, frozen=True):
     """One resource; ``kind`` determines the type of ``spec``."""
 
     kind: str = msgspec.field(name='resourceType')
@@ -89,48 +87,16 @@
 class Document:
     """A configuration whose resources are decoded one by one.
 
-    :param errors: one message for each resource that could not be decoded.
+    :param version: version as the platform writes it.
+    :param resources: JSON text of each resource.
     """
 
     version: str
-    resources: tuple[_Resource, ...]
-    errors: list[str] = field(default_factory=list)
-
-    def specs(
-        self,
-        kind: str,
-        spec_type: type[_SpecT],
-    ) -> dict[str, _SpecT | None]:
-        """Return the specs of one kind by name.
-
-        A spec that cannot be decoded is ``None``, with a message in
-        ``errors``.
-
-        :param kind: ``routes``, ``services`` or ``limits``.
-        :param spec_type: structure to decode the specs into.
-        """
-        found: dict[str, _SpecT | None] = {}
-        for each in self.resources:
-            if each.kind == kind:
-                found[each.metadata.name] = self._read(each, spec_type)
-        return found
-
-    def _read(
-        self,
-        resource: _Resource,
-        spec_type: type[_SpecT],
-    ) -> _SpecT | None:
-        try:
-            return msgspec.json.decode(resource.spec, type=spec_type)
-        except DECODE_ERRORS as error:
-            self.errors.append(
-                f'{resource.kind} {resource.metadata.name!r}: {error}'
-            )
-        return None
-
-
-def read_document(body: bytes) -> Document:
-    """Parse a document, skipping resources without a kind or a name.
+    resources: tuple[bytes, ...]
+
+
+def read_document(body: bytes | str) -> Document:
+    """Parse a document.
 
     :param body: the value in the store.
     :raises ValueError: if it is not a document with a version.
@@ -139,19 +105,13 @@
         document = decode_parts(body, _Document)
     except DECODE_ERRORS as error:
         raise ValueError(str(error)) from error
-    resources = []
-    errors = []
-    for number, raw in enumerate(document.resources):
-        try:
-            resources.append(msgspec.json.decode(raw, type=_Resource))
-        except DECODE_ERRORS as error:
-            errors.append(f'resource {number}: {error}')
-    return Document(document.version, tuple(resources), errors)
+    return Document(document.version, tuple(map(bytes, document.resources)))
 
 
 __all__ = (
     'Document',
     'LimitsSpec',
+    'Resource',
     'RouteSpec',
     'ServiceSpec',
     'read_document',
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -18,7 +18,7 @@
     DEFAULT_REREGISTRATION_MS,
     RemovalGracePeriod,
 )
-from .config_translation import decode_document
+from .document_loader import DocumentLoader, decode_document
 from .names import CONFIG_ITEM_KEY, UPSTREAM_KEY_PREFIX
 from .store import StoreClient
 from .store_types import Snapshot, StoredItem, StoreFailure
@@ -29,6 +29,7 @@
 
     from ..blackboard import VmList
 
+    from ..config.load import SourceLoader
     from ..config.settings import Address
 
 _ALL_KEYS: Final = ''
@@ -78,6 +79,9 @@
     def follow(self, list_in_force: Callable[[], VmList]) -> None:
         self._upstreams.list_in_force = list_in_force
 
+    def config_loader(self) -> SourceLoader:
+        return DocumentLoader(self._zones)
+
     def read(
         self,
         key: str,
@@ -160,7 +164,7 @@
     def _apply_config(self, item: StoredItem) -> None:
         if item.is_deleted:
             return
-        match decode_document(item.value, self._zones):
+        match decode_document(item.value):
             case Success(published):
                 self._pending[CONFIG_KEY] = published
             case Failure(cause):
--- a/src/jackdawhead/policy/evidence_store.py
+++ b/src/jackdawhead/policy/evidence_store.py
@@ -26,7 +26,8 @@
     """
 
     def __init__(self, service: Service, *, is_new: bool) -> None:
-        self._rings = {name: EvidenceRing() for name in service.operations}
+        self._rings: dict[str, EvidenceRing] = {}
+        self._operations = service.operations
         self._policy = service.detection
         self._warm_up_left = _WARM_UP_SAMPLES if is_new else 0
         self._warm_at_ms: float = 0 if is_new else -1
@@ -37,10 +38,9 @@
         :param service: operations and detection policy.
         """
         self._policy = service.detection
-        self._rings = {
-            name: self._rings.get(name) or EvidenceRing()
-            for name in service.operations
-        }
+        self._operations = service.operations
+        for gone in self._rings.keys() - service.operations.keys():
+            self._rings.pop(gone)
 
     def add(self, operation: str, sample: Sample) -> None:
         """Add an outcome.
@@ -51,9 +51,8 @@
         """
         if self._is_warming(sample):
             sample = replace(sample, run_ms=0)
-        ring = self._rings.get(operation)
-        if ring is not None:
-            ring.add(sample)
+        if operation in self._operations:
+            self._rings.setdefault(operation, EvidenceRing()).add(sample)
 
     def restart(self) -> None:
         """Discard all outcomes and start a new warm-up, after a restart."""
--- a/src/jackdawhead/policy/pools.py
+++ b/src/jackdawhead/policy/pools.py
@@ -20,6 +20,9 @@
 class Pools:
     """Healthy upstreams and upstreams on trial, by operation.
 
+    Only operations that are in use have pools: services share the operations
+    of all routes.
+
     :param zone: zone of the entry.
     """
 
@@ -28,18 +31,15 @@
         self._zone = zone
         self._healthy: dict[str, Pool] = {}
         self._trials: dict[str, tuple[UpstreamLoad, ...]] = {}
+        self._members: list[UpstreamLoad] = []
+        self._detector: Detector | None = None
         self._idempotent_at_ms: float | None = None
 
     @property
     def operations(self) -> tuple[str, ...]:
-        """Names of operations that have a pool."""
+        """Names of operations that are in use."""
         return tuple(self._healthy)
 
-    def clear(self) -> None:
-        """Remove all pools."""
-        self._healthy = {}
-        self._trials = {}
-
     def rebuild(
         self,
         service: Service,
@@ -52,24 +52,22 @@
         :param members: upstreams that take new work.
         :param detector: source of their health.
         """
+        in_use = self._healthy.keys() & service.operations.keys()
+        self._healthy = {}
+        self._trials = {}
         self.has_ejections = False
-        for operation in service.operations:
-            by_health: dict[Health, list[UpstreamLoad]] = {
-                health: [] for health in Health
-            }
-            for load in members:
-                health = detector.health(load.upstream, operation)
-                by_health[health].append(load)
-            healthy = by_health[Health.HEALTHY]
-            self.has_ejections |= len(healthy) < len(members)
-            self._healthy[operation] = self._by_zone(healthy)
-            self._trials[operation] = tuple(by_health[Health.TRIAL])
+        self._members = members
+        self._detector = detector
+        for operation in in_use:
+            self._build(operation, detector)
 
     def healthy(self, operation: str) -> Pool:
         """Return the healthy upstreams, which the balancer chooses from.
 
         :param operation: name of the operation.
         """
+        if operation not in self._healthy and self._detector is not None:
+            self._build(operation, self._detector)
         return self._healthy.get(operation, _EMPTY)
 
     def due_trial(
@@ -91,6 +89,7 @@
         """
         if service.operations[operation].idempotent:
             self._idempotent_at_ms = query.now_ms
+        self.healthy(operation)
         trials = self._trials.get(operation)
         if not trials or self._waits_for_idempotent(operation, service, query):
             return None
@@ -100,6 +99,18 @@
                 return load
         return None
 
+    def _build(self, operation: str, detector: Detector) -> None:
+        by_health: dict[Health, list[UpstreamLoad]] = {
+            health: [] for health in Health
+        }
+        for load in self._members:
+            health = detector.health(load.upstream, operation)
+            by_health[health].append(load)
+        healthy = by_health[Health.HEALTHY]
+        self.has_ejections |= len(healthy) < len(self._members)
+        self._healthy[operation] = self._by_zone(healthy)
+        self._trials[operation] = tuple(by_health[Health.TRIAL])
+
     def _waits_for_idempotent(
         self, operation: str, service: Service, query: RoutingQuery
     ) -> bool:
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -95,7 +95,6 @@
             self._detector.replace_service(service)
         else:
             self._detector = _detector_of(service)
-        self._pools.clear()
         self._update_members(members)
         self._members_changed()
 
@@ -227,7 +226,7 @@
         :param health: counts upstreams with this state for any operation, but
             for ``HEALTHY`` only those that have it for all operations.
         """
-        operations = self._pools.operations
+        operations = self._pools.operations or tuple(self.service.operations)
         states = [
             {self._detector.health(load.upstream, each) for each in operations}
             for load in self._members.listed
--- a/src/jackdawhead/policy/target_admission.py
+++ b/src/jackdawhead/policy/target_admission.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from typing import TYPE_CHECKING, Final
 
 from .admission import ADMISSIONS, START, WAIT, AdmissionRule
@@ -41,6 +42,7 @@
 
     def __init__(self, service: Service, rng: Random) -> None:
         super().__init__(service, rng)
+        self._priorities = _priorities_of(service)
         self._queue: list[Work] = []
         self._dropped: list[Work] = []
 
@@ -48,6 +50,10 @@
     def waiting(self) -> int:
         return len(self._queue) + len(self._dropped)
 
+    def replace_service(self, service: Service) -> None:
+        super().replace_service(service)
+        self._priorities = _priorities_of(service)
+
     def offer(self, work: Work, now_ms: float) -> Admission:
         if not self._queue and self.free > 0:
             self._start(work, now_ms)
@@ -110,17 +116,8 @@
 
     def _priority_rank(self, work: Work) -> int:
         """Return how many distinct priorities of the service go first."""
-        operations = self._service.operations
-        own = operations.get(work.operation)
-        if own is None:
-            return 0
-        return len(
-            {
-                each.priority
-                for each in operations.values()
-                if each.priority < own.priority
-            }
-        )
+        own = self._service.operations.get(work.operation)
+        return 0 if own is None else bisect_left(self._priorities, own.priority)
 
     def _expected_wait_of(self, work: Work, now_ms: float) -> float:
         order_ms = self._order_ms(work)
@@ -168,4 +165,9 @@
         return int(base_ms * (1 + self._rng.random()))
 
 
+def _priorities_of(service: Service) -> list[int]:
+    """Return the distinct priorities of a service, the most urgent first."""
+    return sorted({each.priority for each in service.operations.values()})
+
+
 __all__ = ('TargetAdmission',)
