Other nodes take over from readers of the platform that are not heard of

Readers now report every 400 ms that the store answers them; a node that hears for a second of fewer than two reading nodes before it reads itself, later ranks 100 ms later each, four at most while the store answers nobody.

--- a/features/steps/fuzz_list_steps.py
+++ b/features/steps/fuzz_list_steps.py
@@ -28,6 +28,7 @@
     PublishedValue,
     decode_published,
 )
+from jackdawhead.node.identity import new_identity
 from jackdawhead.node.platform_watch import (
     CONFIG_KEY,
     VMS_KEY,
@@ -41,6 +42,7 @@
 from jackdawhead.platform.store_types import StoredItem
 from jackdawhead.platform.upstream_entries import decode_record
 from jackdawhead.policy.removal_grace_period import RemovalGracePeriod
+from jackdawhead.node.reader_controller import ReaderController
 from jackdawhead.wire.codec import decode, encode
 from jackdawhead.wire.messages import (
     MESSAGE_CODES,
@@ -200,6 +202,9 @@
             membership=node.membership,
             config=ConfigController(node.board, AuditTrail()),
             audit=AuditTrail(),
+            readers=ReaderController(
+                new_identity('n', ('k' * 16,)), 'a', node.board
+            ),
         )
         source = ScriptedPlatform(body)
         for key in (CONFIG_KEY, VMS_KEY):
--- /dev/null
+++ b/features/steps/reader_duty_steps.py
@@ -0,0 +1,135 @@
+"""Steps about which nodes of a zone read the platform, without any process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from behave import given, then, when
+
+from jackdawhead.blackboard import Vm, VmList
+from jackdawhead.policy.platform_readers import nodes_before
+from jackdawhead.policy.reader_duty import (
+    REPORT_INTERVAL_MS,
+    ReaderDuty,
+    ReaderReport,
+)
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_ZONE: Final = 'a'
+_STEP_MS: Final = 50
+_SETTLE_MS: Final = 3000
+
+
+class SimulatedZone:
+    """Nodes whose reports reach all others after one step.
+
+    :param count: number of nodes.
+    """
+
+    def __init__(self, count: int) -> None:
+        names = [f'vm-{number}' for number in range(count)]
+        vms = {
+            name: Vm(name, _ZONE, '127.0.0.1', False, 7000, {})
+            for name in names
+        }
+        self.ranked = sorted(
+            names, key=lambda name: len(nodes_before(name, names))
+        )
+        self.lost: set[str] = set()
+        self.unanswered: set[str] = set()
+        self._now_ms = 0
+        self._serial = 0
+        self._delayed: list[tuple[int, ReaderReport]] = []
+        self._duties = {name: ReaderDuty(name, _ZONE, 0) for name in names}
+        for duty in self._duties.values():
+            duty.replace_list(VmList(1, vms))
+
+    def readers(self) -> list[int]:
+        """Return the ranks of the nodes that read."""
+        return [
+            rank
+            for rank, name in enumerate(self.ranked)
+            if name not in self.lost
+            and self._duties[name].must_read(self._now_ms)
+        ]
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass."""
+        end_ms = self._now_ms + duration_ms
+        while self._now_ms < end_ms:
+            self._now_ms += _STEP_MS
+            reading = self.readers()
+            if not self._now_ms % REPORT_INTERVAL_MS:
+                for rank in reading:
+                    self._deliver(self.report_of(rank))
+            for at_ms, report in self._delayed:
+                if at_ms == self._now_ms:
+                    self._deliver(report)
+
+    def report_of(self, rank: int) -> ReaderReport:
+        """Return the next report of a node."""
+        self._serial += 1
+        name = self.ranked[rank]
+        return ReaderReport(name, 1, self._serial, name not in self.unanswered)
+
+    def delay(self, rank: int, delay_ms: int) -> None:
+        """Deliver a report once more, late."""
+        report = self.report_of(rank)
+        self._deliver(report)
+        self._delayed.append((self._now_ms + delay_ms, report))
+
+    def _deliver(self, report: ReaderReport) -> None:
+        for duty in self._duties.values():
+            duty.note(report, self._now_ms)
+
+
+@given('a zone of {count:d} nodes, of which those of rank 0 and 1 read')
+def start_zone(context: Context, count: int) -> None:
+    """Let the nodes hear of their readers."""
+    context.zone = SimulatedZone(count)
+    context.zone.run(_SETTLE_MS)
+    assert context.zone.readers() == [0, 1], context.zone.readers()
+
+
+@when('{duration:d} ms pass')
+def pass_time(context: Context, duration: int) -> None:
+    """Let time pass."""
+    context.zone.run(duration)
+
+
+@when('the nodes of ranks "{ranks}" are lost')
+def lose(context: Context, ranks: str) -> None:
+    """Stop the reports of nodes."""
+    context.zone.lost.update(names_of(context, ranks))
+
+
+@when('the nodes of ranks "{ranks}" are back')
+def bring_back(context: Context, ranks: str) -> None:
+    """Let nodes report again."""
+    context.zone.lost.difference_update(names_of(context, ranks))
+
+
+@when('the platform does not answer the nodes of ranks "{ranks}"')
+def refuse(context: Context, ranks: str) -> None:
+    """Let nodes report that they fail."""
+    context.zone.unanswered.update(names_of(context, ranks))
+
+
+@when('a report of the node of rank {rank:d} is delayed by {delay:d} ms')
+def delay_report(context: Context, rank: int, delay: int) -> None:
+    """Deliver one report a second time."""
+    context.zone.delay(rank, delay)
+
+
+@then('the nodes of ranks "{ranks}" read')
+def check_readers(context: Context, ranks: str) -> None:
+    """Compare the readers."""
+    found = ', '.join(map(str, context.zone.readers()))
+    assert found == ranks, found
+
+
+def names_of(context: Context, ranks: str) -> list[str]:
+    """Return the nodes of some ranks."""
+    return [context.zone.ranked[int(rank)] for rank in ranks.split(', ')]
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -15,6 +15,7 @@
     VmListRequest,
     VmListSnapshot,
 )
+from .reader_gossip import ReaderGossip
 from .update_puller import UpdatePuller
 
 if TYPE_CHECKING:
@@ -42,6 +43,9 @@
         self._parts = parts
         self._links = links
         self._puller = UpdatePuller(parts, self._is_same_zone)
+        self._readers = ReaderGossip(
+            parts, links, self._is_same_zone, parts.routing.rng
+        )
 
     def broadcast(self, message: Message, source: Link | None = None) -> None:
         """Send a message to all linked nodes.
@@ -113,7 +117,7 @@
             case VmListSnapshot():
                 self._parts.membership.receive_update(message, link)
             case VmListDelta():
-                self._parts.membership.receive_change(message, link)
+                self._handle_delta(message, link)
             case VmListRequest() | ConfigRequest():
                 self._answer_request(message, link)
             case _:
@@ -131,6 +135,12 @@
         if beat.leaving:
             self._parts.routing.leaving.note_leaving(link.vm, link.incarnation)
 
+    def _handle_delta(self, change: VmListDelta, link: Link) -> None:
+        if change.base == change.version:
+            self._readers.receive(change, link)
+        else:
+            self._parts.membership.receive_change(change, link)
+
     def _answer_request(
         self, request: VmListRequest | ConfigRequest, link: Link
     ) -> None:
--- a/src/jackdawhead/node/parts.py
+++ b/src/jackdawhead/node/parts.py
@@ -17,6 +17,7 @@
     from .identity import Identity
     from .membership import MembershipController
     from .pause_watch import PauseWatch
+    from .reader_controller import ReaderController
     from .tickets.store import TicketStore
     from .trace_recorder import TraceRecorder
 
@@ -38,6 +39,7 @@
     membership: MembershipController
     tickets: TicketStore
     pauses: PauseWatch
+    readers: ReaderController
 
 
 __all__ = ('NodeParts',)
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -13,9 +13,9 @@
 from ..config.sources import SourceFile
 from ..policy.platform_readers import (
     fallback_poll_interval_ms,
-    is_platform_reader,
     platform_retry_ms,
 )
+from .reader_controller import LONG_POLL_MS
 
 if TYPE_CHECKING:
     from random import Random
@@ -25,8 +25,6 @@
 
 CONFIG_KEY: Final = 'config'
 VMS_KEY: Final = 'vms'
-# Kept short because the platform may silently drop a watch while it changes.
-_LONG_POLL_MS: Final = 2000
 _BATCH_DELAY_MS: Final = 200
 # Gives nodes that start at the same time as this one time to be listed.
 _START_DELAY_MS: Final = 3000
@@ -37,7 +35,7 @@
 
     The readers of a zone use long polls and announce each change to other
     nodes. All other nodes poll at long intervals, in case an announcement
-    does not reach them.
+    does not reach them, and take over when the readers are not heard of.
 
     :param key: name of the value, ``config`` or ``vms``.
     :param client: client of the platform.
@@ -81,27 +79,25 @@
             self._run_once()
 
     def _run_once(self) -> None:
-        if not self._is_platform_reader():
-            self._sleep_with_jitter(
-                fallback_poll_interval_ms(self._parts.board.vm_list.read())
-            )
-            self.read_once()
+        readers = self._parts.readers
+        if not readers.must_read():
+            vm_list = self._parts.board.vm_list.read()
+            interval_ms = self._with_jitter(fallback_poll_interval_ms(vm_list))
+            if not readers.await_duty(interval_ms):
+                self.read_once()
             return
         started_ms = monotonic_ms()
-        if not self.read_once(_LONG_POLL_MS):
+        # The first call shows at once what was missed, and that it is answered.
+        wait_ms = LONG_POLL_MS if readers.is_reading else 0
+        if not self.read_once(wait_ms):
             vm_list = self._parts.board.vm_list.read()
             self._sleep_with_jitter(
                 platform_retry_ms(self._consecutive_failures, vm_list)
             )
-        elif monotonic_ms() - started_ms < _LONG_POLL_MS - _BATCH_DELAY_MS:
+        elif monotonic_ms() - started_ms < LONG_POLL_MS - _BATCH_DELAY_MS:
             # Changes often arrive in bursts; read a burst in one call.
             gevent.sleep(seconds(_BATCH_DELAY_MS))
 
-    def _is_platform_reader(self) -> bool:
-        settings = self._parts.settings
-        vm_list = self._parts.board.vm_list.read()
-        return is_platform_reader(settings.vm, settings.zone, vm_list)
-
     def _known_version(self) -> int:
         board = self._parts.board
         if self._key == CONFIG_KEY:
@@ -117,6 +113,8 @@
             self._parts.membership.offer(published.version, text)
 
     def _note_answer(self) -> None:
+        if self._key == VMS_KEY:
+            self._parts.readers.note_answer()
         if self._consecutive_failures:
             self._consecutive_failures = 0
             self._parts.audit.record(
@@ -135,7 +133,10 @@
         self._consecutive_failures += 1
 
     def _sleep_with_jitter(self, duration_ms: float) -> None:
-        gevent.sleep(seconds(duration_ms) * (0.5 + self._rng.random()))
+        gevent.sleep(seconds(self._with_jitter(duration_ms)))
+
+    def _with_jitter(self, duration_ms: float) -> float:
+        return duration_ms * (0.5 + self._rng.random())
 
 
 def _sources(plain: Any) -> tuple[SourceFile, ...]:
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -160,6 +160,7 @@
             self.parts.home.run,
             self.parts.routing.run,
             self.parts.pauses.run,
+            self.parts.readers.run,
         ]
         for loop in loops:
             self._spawn(stack, loop)
--- a/src/jackdawhead/policy/platform_readers.py
+++ b/src/jackdawhead/policy/platform_readers.py
@@ -1,6 +1,7 @@
 """Election of the nodes that watch the platform for their zone, the readers.
 
-Other nodes get updates from each other and poll the platform only rarely.
+Other nodes get updates from each other and poll the platform only rarely,
+unless the readers are not heard of (:mod:`.reader_duty`).
 """
 
 from __future__ import annotations
@@ -10,9 +11,11 @@
 import xxhash
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..blackboard import VmList
 
-_READERS_PER_ZONE: Final = 2
+READERS_PER_ZONE: Final = 2
 _MIN_FALLBACK_MS: Final = 20_000
 _FALLBACK_PER_NODE_MS: Final = 1000
 _FIRST_RETRY_MS: Final = 200
@@ -24,26 +27,42 @@
 _MAX_UNLISTED_RETRY_MS: Final = 5000
 
 
+def nodes_of(zone: str, vm_list: VmList) -> list[str]:
+    """Return the VMs of the nodes that may read the platform for a zone.
+
+    :param zone: the zone.
+    :param vm_list: VM list that a node knows.
+    """
+    return [
+        vm.name
+        for vm in vm_list.vms.values()
+        if vm.zone == zone and vm.stream_port and not vm.leaving
+    ]
+
+
+def nodes_before(own: str, nodes: Iterable[str]) -> list[str]:
+    """Return the nodes that are preferred to one as readers of their zone.
+
+    They are ranked by rendezvous hashing.
+
+    :param own: VM of the node; it need not be listed yet.
+    :param nodes: VMs of the nodes of the zone.
+    """
+    own_weight = _weight(own)
+    return [node for node in nodes if _weight(node) > own_weight]
+
+
 def is_platform_reader(own: str, zone: str, vm_list: VmList) -> bool:
     """Return whether a node is one of the two readers of its zone.
 
-    The readers are chosen by rendezvous hashing over the listed nodes. A node
-    that is not listed yet is ranked as if it were.
+    Others take over if these two are not heard of.
 
     :param own: VM of the node.
     :param zone: zone of the node.
     :param vm_list: VM list that the node knows.
     """
-    nodes = [
-        vm.name
-        for vm in vm_list.vms.values()
-        if vm.zone == zone and vm.stream_port and not vm.leaving
-    ]
-    if not nodes:
-        return True
-    own_weight = _weight(own)
-    heavier = sum(1 for node in nodes if _weight(node) > own_weight)
-    return heavier < _READERS_PER_ZONE
+    before = nodes_before(own, nodes_of(zone, vm_list))
+    return len(before) < READERS_PER_ZONE
 
 
 def fallback_poll_interval_ms(vm_list: VmList) -> int:
@@ -74,7 +93,10 @@
 
 
 __all__ = (
+    'READERS_PER_ZONE',
     'fallback_poll_interval_ms',
     'is_platform_reader',
+    'nodes_before',
+    'nodes_of',
     'platform_retry_ms',
 )
