Tests: nodes keep little of endless bodies and heads, whether callers read them or not

Another operator's report: a backend sent bytes that were no answer without end, and the machine that had called it ran out of memory.

--- a/features/path/endless.feature
+++ b/features/path/endless.feature
@@ -34,3 +34,28 @@
       | kind            |
       | header-lines    |
       | interim-answers |
+
+  # A node that keeps such bytes runs out of memory, and ends with all requests.
+  Scenario Outline: A node keeps little of <kind> for callers that <read> the answer
+    Given a fleet of 2 nodes and 1 entry in front of "registry-desk"
+    When upstreams 1 to 2 change to "endless" of "<kind>"
+    And 20 callers that <read> the answer send lookups to node 3 for 1500 ms
+    Then at least <received> bytes reached the callers
+    And no node used more than 64000000 bytes of memory meanwhile
+    When upstreams 1 to 2 send answers again
+    Then the same processes serve lookups of node 3
+
+    Examples: kinds of endless bytes
+      | kind               | read      | received |
+      | body               | read      | 1000000  |
+      | body               | don't read | 0       |
+      | chunk              | read      | 1000000  |
+      | chunk              | don't read | 0       |
+      | chunks             | read      | 100000   |
+      | chunks             | don't read | 0       |
+      | bytes-after-answer | read      | 2        |
+      | refusal-body       | read      | 1        |
+      | header-value       | read      | 1        |
+      | status-words       | read      | 1        |
+      | foreign-answer     | read      | 1        |
+      | trailers           | read      | 1        |
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -37,6 +37,17 @@
     ),
     'chunk-extension': (b''.join((_CHUNKED_HEAD, b'4;')), _FILLER),
     'trailers': (b''.join((_CHUNKED_HEAD, b'0\r\n')), b'X-Filling: yes\r\n'),
+    'body': (b''.join((_MATCHING_HEAD, b'\r\n')), _FILLER),
+    'chunk': (b''.join((_CHUNKED_HEAD, b'fffffffff\r\n')), _FILLER),
+    'chunks': (_CHUNKED_HEAD, b'8\r\nxxxxxxxx\r\n'),
+    'bytes-after-answer': (
+        b''.join((_MATCHING_HEAD, b'Content-Length: 2\r\n\r\nhi')),
+        _FILLER,
+    ),
+    'refusal-body': (
+        b'HTTP/1.1 503 Full\r\nContent-Length: 900000000\r\n\r\n',
+        _FILLER,
+    ),
 }
 
 
