A node reports that it reads the platform only once it watches

A node that starts reads the platform once and begins to watch 1.5 to 4.5 s later, but reported from the start that it reads: after both readers were killed and restarted, the nodes that had taken over would have ended seconds before anybody watched (found by reading). It now reports from the beginning of its watches.

--- a/features/policy/reader_duty.feature
+++ b/features/policy/reader_duty.feature
@@ -50,3 +50,10 @@
     And the nodes of ranks "0, 1" are lost
     And 1600 ms pass
     Then the nodes of ranks "2, 3" read
+
+  # The nodes that had taken over ended seconds before a restarted one watched.
+  Scenario: A node that has started reports only once it watches
+    Given a node that ranks first and has read the platform at its start
+    Then it sends no report
+    When it begins to watch
+    Then it reports that it reads
--- a/features/steps/reader_duty_steps.py
+++ b/features/steps/reader_duty_steps.py
@@ -6,7 +6,9 @@
 
 from behave import given, then, when
 
-from jackdawhead.blackboard import Vm, VmList
+from jackdawhead.blackboard import Blackboard, Vm, VmList
+from jackdawhead.node.identity import new_identity
+from jackdawhead.node.reader_controller import ReaderController
 from jackdawhead.policy.platform_readers import nodes_before
 from jackdawhead.policy.reader_duty import (
     REPORT_INTERVAL_MS,
@@ -20,6 +22,7 @@
 _ZONE: Final = 'a'
 _STEP_MS: Final = 50
 _SETTLE_MS: Final = 3000
+_STREAM_KEY: Final = 'a-shared-key-for-tests'
 
 
 class SimulatedZone:
@@ -133,3 +136,34 @@
 def names_of(context: Context, ranks: str) -> list[str]:
     """Return the nodes of some ranks."""
     return [context.zone.ranked[int(rank)] for rank in ranks.split(', ')]
+
+
+@given('a node that ranks first and has read the platform at its start')
+def start_reader(context: Context) -> None:
+    """Create the controller of a node that is alone in its zone."""
+    context.reports = []
+    context.controller = ReaderController(
+        new_identity('vm-0', (_STREAM_KEY,)), _ZONE, Blackboard()
+    )
+    context.controller.send_report = context.reports.append
+    context.controller.note_answer()
+
+
+@then('it sends no report')
+def check_silent(context: Context) -> None:
+    """Check the duty once."""
+    context.controller.check()
+    assert not context.reports, context.reports
+
+
+@when('it begins to watch')
+def begin_watch(context: Context) -> None:
+    """Begin the watches."""
+    context.controller.begin()
+
+
+@then('it reports that it reads')
+def check_report(context: Context) -> None:
+    """Check the duty once more."""
+    context.controller.check()
+    assert [each.is_reading for each in context.reports] == [True]
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -75,6 +75,8 @@
     def run(self) -> None:
         """Poll the value forever."""
         self._sleep_with_jitter(_START_DELAY_MS)
+        if self._key == VMS_KEY:
+            self._parts.readers.begin()
         while True:
             self._run_once()
 
--- a/src/jackdawhead/node/reader_controller.py
+++ b/src/jackdawhead/node/reader_controller.py
@@ -41,6 +41,7 @@
         self._board = board
         self._duty = ReaderDuty(identity.vm, zone, monotonic_ms())
         self._is_due = Event()
+        self._is_watching = False
         self._answered_at_ms: float | None = None
         self._reported_at_ms: float = 0
         self._report = ReaderReport(identity.vm, identity.incarnation, 0, False)
@@ -67,6 +68,13 @@
         age_ms = monotonic_ms() - self._answered_at_ms
         return age_ms <= LONG_POLL_MS + _ANSWER_DELAY_MS
 
+    def begin(self) -> None:
+        """Record that the watches have begun; no report is sent before.
+
+        A node that starts reads the platform once and watches it only later.
+        """
+        self._is_watching = True
+
     def note_answer(self) -> None:
         """Record that the platform has answered with all changes so far."""
         self._answered_at_ms = monotonic_ms()
@@ -94,7 +102,7 @@
                 self._is_due.set()
             else:
                 self._is_due.clear()
-        if is_due and not self._board.leaving:
+        if is_due and self._is_watching and not self._board.leaving:
             self._report_if_due()
 
     def _report_if_due(self) -> None:
