The reader of a body is ended before its connection is drained

The connection then ended in an internal error, after a whole answer.

The handler ends that greenlet first.

--- a/features/path/uploads.feature
+++ b/features/path/uploads.feature
@@ -13,7 +13,7 @@
   Scenario: An upstream answers while its caller pauses in the body
     Given a fleet of 1 nodes in front of "registry-desk"
     When upstream 1 changes to "early" of "true"
-    And a caller announces 900000 bytes to node 1, sends 300000 and waits for the answer
+    And a caller announces 900000 bytes to node 1, sends 300000 and waits for the answer, 20 times
     Then the answer has status 413 and the connection is closed
     And no node reports an internal error
 
--- a/features/steps/upload_steps.py
+++ b/features/steps/upload_steps.py
@@ -80,17 +80,18 @@
 
 @when(
     'a caller announces {size:d} bytes to node {position:d}, sends {sent:d} and'
-    ' waits for the answer'
+    ' waits for the answer, {count:d} times'
 )
-def await_early_answer(
-    context: Context, size: int, position: int, sent: int
+def await_early_answers(
+    context: Context, size: int, position: int, sent: int, count: int
 ) -> None:
     """Send the start of a body, and read until the node closes."""
     head = f'POST /cultivars/up HTTP/1.1\r\nHost: x\r\nContent-Length: {size}'
-    with connect(context, position) as sock:
-        sock.sendall(f'{head}\r\n\r\n'.encode())
-        sock.sendall(bytes(sent))
-        context.received = read_all(sock)
+    for _ in range(count):
+        with connect(context, position) as sock:
+            sock.sendall(f'{head}\r\n\r\n'.encode())
+            sock.sendall(bytes(sent))
+            context.received = read_all(sock)
 
 
 @then('the answer has status {status:d} and the connection is closed')
--- a/src/jackdawhead/node/caller_body.py
+++ b/src/jackdawhead/node/caller_body.py
@@ -52,6 +52,7 @@
         if is_chunked:
             self.rfile = ChunkGuard(rfile, self)
         self._is_position_lost = False
+        self._reader: gevent.Greenlet | None = None
         self._has_body = bool(content_length) or is_chunked
 
     def read(self, length: int | None = None) -> bytes:
@@ -65,11 +66,14 @@
             raise BodyPositionLostError('an earlier read of the body failed')
         # Kept if the read ends in any other way than by returning.
         self._is_position_lost = True
+        self._reader = gevent.getcurrent()
         try:
             chunk: bytes = super().read(length)
         except ValueError as error:
             # gevent raises it for a chunk without a size.
             raise OSError(f'malformed request body: {error}') from error
+        finally:
+            self._reader = None
         self._is_position_lost = False
         return chunk
 
@@ -84,6 +88,14 @@
         is_unasked = self._has_body and self.socket is not None
         return not is_unasked and self._rest_bytes <= _MAX_DISCARDED_BYTES
 
+    def end_reader(self) -> None:
+        """End another greenlet that is still reading.
+
+        Two greenlets can't wait for the same connection.
+        """
+        if self._reader is not None:
+            self._reader.kill()
+
     def discard_rest(self) -> None:
         """Read up to the end of the body, unless that takes too long.
 
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -178,6 +178,7 @@
     def _end_body(self) -> None:
         """Read to the end of the body, or close the connection."""
         body = self.wsgi_input
+        body.end_reader()
         try:
             body.discard_rest()
         except OSError as error:
