Read-through: one check of an unrun refusal; the node's own figure for its memory

Two steps asserted the same refusal line by line; they share it now, with the same assertions. The check of a node's memory multiplied pages by 4,096, which is not the page size of every arm64 machine; it reads resident_bytes of the admin page, as other steps do, with the same limit. Imports of one step file in order. Product code is unchanged.

--- a/features/steps/fuzz_list_steps.py
+++ b/features/steps/fuzz_list_steps.py
@@ -23,18 +23,19 @@
 from features.steps.platform_steps import upstream_entry
 from jackdawhead.audit import AuditTrail
 from jackdawhead.node.config_controller import ConfigController
+from jackdawhead.node.identity import new_identity
 from jackdawhead.node.platform_client import (
     PlatformSource,
     PublishedValue,
     decode_published,
 )
-from jackdawhead.node.identity import new_identity
 from jackdawhead.node.platform_watch import (
     CONFIG_KEY,
     VMS_KEY,
     PlatformWatch,
 )
 from jackdawhead.node.listing_rules import ListingRules
+from jackdawhead.node.reader_controller import ReaderController
 from jackdawhead.node.upstream_list import (
     ListedUpstreams,
     Moment,
@@ -42,7 +43,6 @@
 from jackdawhead.platform.store_types import StoredItem
 from jackdawhead.platform.upstream_entries import decode_record
 from jackdawhead.policy.removal_grace_period import RemovalGracePeriod
-from jackdawhead.node.reader_controller import ReaderController
 from jackdawhead.wire.codec import decode, encode
 from jackdawhead.wire.messages import (
     MESSAGE_CODES,
--- a/features/steps/grown_config_steps.py
+++ b/features/steps/grown_config_steps.py
@@ -13,7 +13,7 @@
 from features.steps.platform_steps import config_document, resource, route
 from features.steps.tolerant_steps import ConfigNode, body_of, spec_of
 from jackdawhead.memory import freeze_startup_objects
-from standins.fleet import wait_until
+from standins.fleet import read_json, wait_until
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -190,7 +190,6 @@
 
 @then('the node uses less than {limit:d} bytes of memory')
 def check_node_memory(context: Context, limit: int) -> None:
-    """Read the resident memory of the node's process."""
-    with open(f'/proc/{context.node.pid}/statm', encoding='ascii') as statm:
-        pages = int(statm.read().split()[1])
-    assert pages * 4096 < limit, pages * 4096
+    """Read the resident memory that the node reports."""
+    resident_bytes = read_json(context.admin_port, '/status')['resident_bytes']
+    assert resident_bytes < limit, resident_bytes
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -67,6 +67,7 @@
     ports = fleet.reserve_ports(5)
     context.caller_port = ports[0]
     context.ready_port = ports[1]
+    context.admin_port = ports[3]
     context.upstream = PlatformUpstream()
     server = HttpServer(
         Address(_IP, 0), context.upstream.serve, _IDLE_TIMEOUT_S
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -480,9 +480,7 @@
 )
 def check_late_call(context: Context, position: int, after: int) -> None:
     """Send a call that could be cut at the end of the stop."""
-    reply = _call_of_run(context, position, after)
-    assert reply.status == 503, reply
-    assert reply.headers['x-outcome'] == 'not-run', reply
+    _check_unrun_refusal(_call_of_run(context, position, after))
 
 
 def _call_of_run(context: Context, position: int, after: int) -> HttpResponse:
@@ -500,7 +498,10 @@
 )
 def check_not_call(context: Context, deadline: int, position: int) -> None:
     """Send a request that may outlast the stop, though it is a quick one."""
-    reply = _call_with(context, position, deadline)
+    _check_unrun_refusal(_call_with(context, position, deadline))
+
+
+def _check_unrun_refusal(reply: HttpResponse) -> None:
     assert reply.status == 503, reply
     assert reply.headers['x-outcome'] == 'not-run', reply
 
