A node whose duty to read the platform ends no longer stands still

Cause: the watch asked the duty, but waited for an event that the last check had set; between the end of the duty and the next check the loop went round without yielding. Now the event is the only answer.

Ruled out: the other loops of node/, each of which waits on every path.

--- a/features/policy/reader_duty.feature
+++ b/features/policy/reader_duty.feature
@@ -57,3 +57,9 @@
     Then it sends no report
     When it begins to watch
     Then it reports that it reads
+
+  # The event loop of the node stopped until the reports had become too old.
+  Scenario: A node whose duty ends goes on with its other work
+    Given a node of rank 2 that reads in place of silent readers
+    When both readers are heard of again before its next check
+    Then its watch has gone round at most 6 times
--- a/features/steps/reader_duty_steps.py
+++ b/features/steps/reader_duty_steps.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Final
 
+import gevent
 from behave import given, then, when
+from returns.result import Success
 
 from jackdawhead.blackboard import Blackboard, Vm, VmList
 from jackdawhead.node.identity import new_identity
+from jackdawhead.node.platform_watch import VMS_KEY, PlatformWatch
 from jackdawhead.node.reader_controller import ReaderController
 from jackdawhead.policy.platform_readers import nodes_before
 from jackdawhead.policy.reader_duty import (
@@ -23,6 +27,11 @@
 _STEP_MS: Final = 50
 _SETTLE_MS: Final = 3000
 _STREAM_KEY: Final = 'a-shared-key-for-tests'
+_STAND_IN_NODES: Final = 3
+# Readers that are silent for longer are taken for lost.
+_SILENCE_S: Final = 1.1
+# Less than the time after which the readers are taken for lost again.
+_SETTLED_S: Final = 0.5
 
 
 class SimulatedZone:
@@ -33,7 +42,7 @@
 
     def __init__(self, count: int) -> None:
         names = [f'vm-{number}' for number in range(count)]
-        vms = {
+        self.vms = {
             name: Vm(name, _ZONE, '127.0.0.1', False, 7000, {})
             for name in names
         }
@@ -47,7 +56,7 @@
         self._delayed: list[tuple[int, ReaderReport]] = []
         self._duties = {name: ReaderDuty(name, _ZONE, 0) for name in names}
         for duty in self._duties.values():
-            duty.replace_list(VmList(1, vms))
+            duty.replace_list(VmList(1, self.vms))
 
     def readers(self) -> list[int]:
         """Return the ranks of the nodes that read."""
@@ -167,3 +176,57 @@
     """Check the duty once more."""
     context.controller.check()
     assert [each.is_reading for each in context.reports] == [True]
+
+
+class NoDelay:
+    """Counts the delays that are drawn, one a round, and draws none.
+
+    Adding a half gives the factor of a delay, see ``PlatformWatch``.
+    """
+
+    def __init__(self) -> None:
+        self.drawn = 0
+
+    def random(self) -> float:
+        """Return what makes the first delay zero and all others whole."""
+        self.drawn += 1
+        return -0.5 if self.drawn == 1 else 0.5
+
+
+@given('a node of rank 2 that reads in place of silent readers')
+def start_stand_in(context: Context) -> None:
+    """Create the controller and the watch of a node that has taken over."""
+    zone = SimulatedZone(_STAND_IN_NODES)
+    context.zone = zone
+    board = Blackboard()
+    context.controller = ReaderController(
+        new_identity(zone.ranked[2], (_STREAM_KEY,)), _ZONE, board
+    )
+    board.vm_list.write(VmList(1, zone.vms))
+    gevent.sleep(_SILENCE_S)
+    context.controller.check()
+    assert context.controller.must_read()
+    context.rng = NoDelay()
+    client = SimpleNamespace(read=lambda *_: Success(None))
+    parts = SimpleNamespace(board=board, readers=context.controller)
+    context.watch = PlatformWatch(VMS_KEY, client, parts, context.rng)
+
+
+@when('both readers are heard of again before its next check')
+def hear_again(context: Context) -> None:
+    """End the duty, start the watch, and let the event loop run."""
+    for rank in (0, 1):
+        context.controller.note_report(context.zone.report_of(rank))
+    context.running = [
+        gevent.spawn(context.watch.run),
+        gevent.spawn(context.controller.run),
+    ]
+    gevent.sleep(_SETTLED_S)
+    gevent.killall(context.running)
+
+
+@then('its watch has gone round at most {rounds:d} times')
+def check_rounds(context: Context, rounds: int) -> None:
+    """Compare the rounds, which do not depend on the speed of the VM."""
+    assert context.rng.drawn <= rounds, context.rng.drawn
+    assert not context.controller.must_read()
--- a/src/jackdawhead/node/reader_controller.py
+++ b/src/jackdawhead/node/reader_controller.py
@@ -49,8 +49,11 @@
         board.vm_list.subscribe(self._duty.replace_list)
 
     def must_read(self) -> bool:
-        """Return whether this node reads the platform now."""
-        return self._duty.must_read(monotonic_ms())
+        """Return whether this node reads the platform.
+
+        :returns: the answer of the last check, for which ``await_duty`` waits.
+        """
+        return self._is_due.is_set()
 
     def await_duty(self, timeout_ms: float) -> bool:
         """Wait until this node must read the platform.
@@ -95,8 +98,8 @@
 
     def check(self) -> None:
         """Compare the duty with that of the last check."""
-        is_due = self.must_read()
-        if is_due is not self._is_due.is_set():
+        is_due = self._duty.must_read(monotonic_ms())
+        if is_due is not self.must_read():
             log_event('platform-reader', due=is_due)
             if is_due:
                 self._is_due.set()
