Interfaces of the parts on organisations, quotas, giving way and placement

Organisations in the typed configuration, refusals for unknown keys and exceeded quotas, a priority that travels with the work.

--- a/features/steps/field_steps.py
+++ b/features/steps/field_steps.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import gevent
+import msgpack
 from behave import given, then, when
 from returns.result import Failure, Success
 
@@ -44,7 +45,14 @@
     """Encode and decode a message with one changed field."""
     sent = replace(message_of(kind), **{field: number})
     context.field = field
-    context.decoded = decode(encode(sent)[_LENGTH_BYTES:])
+    context.payload = encode(sent)[_LENGTH_BYTES:]
+    context.decoded = decode(context.payload)
+
+
+@then('it was sent with {count:d} fields')
+def check_field_count(context: Context, count: int) -> None:
+    """Count the fields after the message code."""
+    assert len(msgpack.unpackb(context.payload)) == count + 1
 
 
 @then('it is decoded as {result}')
--- a/features/wire/bounds.feature
+++ b/features/wire/bounds.feature
@@ -33,6 +33,9 @@
       | Submit         | risk_limit      | 1000                 | 1000      |
       | Submit         | risk_limit      | 1001                 | malformed |
       | Submit         | risk_limit      | -1                   | malformed |
+      | Submit         | priority        | -1                   | -1        |
+      | Submit         | priority        | 1000                 | 1000      |
+      | Submit         | priority        | -2                   | malformed |
       | Submit         | request_id      | -1                   | malformed |
       | Submit         | fingerprint     | 18446744073709551615 | 18446744073709551615 |
       | Credit         | byte_count      | 0                    | 0         |
@@ -100,3 +103,14 @@
   Scenario: A published value with a version in its bounds is read
     When the platform publishes a value with the version 9007199254740991
     Then the value has the version 9007199254740991
+
+  # Builds without organisations refuse a message with a field more.
+  Scenario Outline: A message "Submit" with the priority <priority> has <count> fields
+    When a message "Submit" has the priority <priority>
+    Then it is decoded as <priority>
+    And it was sent with <count> fields
+
+    Examples:
+      | priority | count |
+      | -1       | 17    |
+      | 0        | 18    |
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .organisation import Organisation
+
 
 class WorkClass(StrEnum):
     """How long an operation is expected to hold a slot."""
@@ -172,6 +174,7 @@
         0 to use the value of the service.
     :param split: weights by name of service, to distribute the requests over
         several services; empty to send all to the one service.
+    :param is_public: whether requests need no key of an organisation.
     """
 
     name: str
@@ -183,6 +186,7 @@
     timeout_ms: int = 0
     max_attempts: int = 0
     split: dict[str, int] = field(default_factory=dict)
+    is_public: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -255,6 +259,8 @@
     """A validated configuration.
 
     :param digest: hash of the merged content as 32 hexadecimal digits.
+    :param organisations: organisations by name; without any, callers need no
+        key.
     """
 
     digest: str
@@ -263,6 +269,7 @@
     routes: dict[str, Route]
     headers: HeaderNames = field(default_factory=HeaderNames)
     callers: CallerPolicy = field(default_factory=CallerPolicy)
+    organisations: dict[str, Organisation] = field(default_factory=dict)
 
 
 __all__ = (
--- a/src/jackdawhead/node/entry/call_state.py
+++ b/src/jackdawhead/node/entry/call_state.py
@@ -8,6 +8,7 @@
 from ...clock import monotonic_ms
 from ...outcome import Outcome
 from ...policy.resend import combined_outcome
+from ...wire.messages import OPERATION_PRIORITY
 
 if TYPE_CHECKING:
     from ...config.model import Operation
@@ -34,6 +35,8 @@
     :param attempts: number of attempts so far.
     :param outcome: outcome of all attempts so far taken together.
     :param arrived_at_ms: monotonic time at which this object was created.
+    :param priority: rank under overload, 0 being the most important; -1 for
+        that of the operation.
     """
 
     request: CallerRequest
@@ -49,6 +52,7 @@
     attempts: int = 0
     outcome: Outcome = Outcome.NOT_RUN
     arrived_at_ms: float = field(default_factory=monotonic_ms)
+    priority: int = OPERATION_PRIORITY
 
     def left_ms(self) -> float:
         """Return the time until the deadline, in milliseconds."""
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -230,6 +230,7 @@
                 request.host,
                 call.caller_service,
                 risk_limit,
+                call.priority,
             ),
         )
         if not request.last:
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -33,6 +33,8 @@
 _UNKNOWN_LENGTH: Final = -1
 _STATUS_OF_REASON: Final = {
     Reason.NO_ROUTE: 404,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.OVER_QUOTA: 429,
     Reason.BODY_TOO_LARGE: 413,
     Reason.BODY_CUT: 400,
     Reason.DEADLINE: 504,
--- a/src/jackdawhead/node/home/session.py
+++ b/src/jackdawhead/node/home/session.py
@@ -11,6 +11,7 @@
 from ...policy.work import Work
 from ...reasons import Reason
 from ...wire.messages import (
+    OPERATION_PRIORITY,
     Body,
     Cancel,
     Credit,
@@ -24,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ...config.model import Operation
     from .controller import HomeController
     from .upstream import HomeUpstream
 
@@ -102,6 +104,7 @@
             now_ms + submit.deadline_ms,
             submit.may_wait,
             submit.last,
+            _priority_of(submit, operation),
         )
         job = Job(submit, operation, work, self._deliver)
         self._submitted[submit.request_id] = _SubmittedJob(job, upstream)
@@ -141,4 +144,10 @@
             submitted.upstream.cancel(submitted.job)
 
 
+def _priority_of(submit: Submit, operation: Operation) -> int:
+    if submit.priority == OPERATION_PRIORITY:
+        return operation.priority
+    return submit.priority
+
+
 __all__ = ('HomeSession',)
--- a/src/jackdawhead/node/reader_controller.py
+++ b/src/jackdawhead/node/reader_controller.py
@@ -53,7 +53,7 @@
 
         :returns: the answer of the last check, for which ``await_duty`` waits.
         """
-        return self._is_due.is_set()
+        return bool(self._is_due.is_set())
 
     def await_duty(self, timeout_ms: float) -> bool:
         """Wait until this node must read the platform.
--- a/src/jackdawhead/policy/work.py
+++ b/src/jackdawhead/policy/work.py
@@ -23,6 +23,7 @@
         busy when no slot is free, so that its entry can try another upstream.
     :param is_whole: whether its entry has the whole body. If not, the run takes
         as long as the caller, and it can't be sent to another upstream.
+    :param priority: rank under overload, 0 being the most important.
     """
 
     work_id: int
@@ -33,6 +34,7 @@
     deadline_at_ms: float
     may_wait: bool = True
     is_whole: bool = True
+    priority: int = 0
 
 
 class Verdict(StrEnum):
--- a/src/jackdawhead/reasons.py
+++ b/src/jackdawhead/reasons.py
@@ -10,6 +10,8 @@
 
     NO_ROUTE = 'no-route'
     NO_CONFIG = 'no-configuration'
+    UNKNOWN_KEY = 'unknown-key'
+    OVER_QUOTA = 'over-quota'
     NO_UPSTREAM = 'no-upstream'
     BODY_TOO_LARGE = 'body-too-large'
     BODY_CUT = 'request-body-cut'
--- a/src/jackdawhead/wire/base.py
+++ b/src/jackdawhead/wire/base.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Final, TypeVar
+from dataclasses import Field, dataclass, field
+from typing import Any, Final, TypeVar
+
+_OPTIONAL: Final = 'is_optional'
 
 HeaderPairs = list[list[str]]
 _MessageT = TypeVar('_MessageT')
@@ -33,10 +35,30 @@
     return register
 
 
+def optional_field(default: Any) -> Any:
+    """Return a last field that is sent only if it differs from its default.
+
+    Nodes of earlier builds don't know it, and don't have to until it is used.
+
+    :param default: value of the field if the message lacks it.
+    """
+    return field(default=default, metadata={_OPTIONAL: True})
+
+
+def is_optional(declared: Field[Any]) -> bool:
+    """Return whether a field was declared by ``optional_field``.
+
+    :param declared: field of a message class.
+    """
+    return _OPTIONAL in declared.metadata
+
+
 __all__ = (
     'MESSAGE_CODES',
     'MESSAGE_TYPES',
     'HeaderPairs',
     'Message',
+    'is_optional',
     'message',
+    'optional_field',
 )
--- a/src/jackdawhead/wire/codec.py
+++ b/src/jackdawhead/wire/codec.py
@@ -13,6 +13,7 @@
 import msgpack
 from returns.result import Failure, Result, Success
 
+from .base import is_optional
 from .field_bounds import Bounds, bounds_of
 from .messages import MESSAGE_CODES, MESSAGE_TYPES, Message
 
@@ -45,6 +46,10 @@
     )
     for kind, names in _FIELD_NAMES.items()
 }
+_OPTIONAL_DEFAULTS: Final[dict[type[Message], tuple[Any, ...]]] = {
+    kind: tuple(each.default for each in fields(kind) if is_optional(each))
+    for kind in MESSAGE_CODES
+}
 _pack = msgpack.Packer(use_bin_type=True).pack
 
 
@@ -56,6 +61,10 @@
     kind = type(message)
     parts = [MESSAGE_CODES[kind]]
     parts.extend(getattr(message, name) for name in _FIELD_NAMES[kind])
+    for default in reversed(_OPTIONAL_DEFAULTS[kind]):
+        if parts[-1] != default:
+            break
+        parts.pop()
     payload: bytes = _pack(parts)
     return b''.join((_LENGTH_PREFIX.pack(len(payload)), payload))
 
@@ -78,6 +87,7 @@
     if kind is None:
         return Failure('unknown message code')
     arguments: list[Any] = parts[1:]
+    arguments.extend(_missing_defaults(kind, len(arguments)))
     if not _has_valid_fields(kind, arguments):
         return Failure(f'wrong fields for {kind.__name__}')
     if not _apply_bounds(kind, arguments):
@@ -85,6 +95,13 @@
     return Success(kind(*arguments))
 
 
+def _missing_defaults(kind: type[Message], count: int) -> tuple[Any, ...]:
+    """Return the defaults of the optional fields that a message lacks."""
+    defaults = _OPTIONAL_DEFAULTS[kind]
+    missing = len(_FIELD_NAMES[kind]) - count
+    return defaults[-missing:] if 0 < missing <= len(defaults) else ()
+
+
 def _has_valid_fields(kind: type[Message], arguments: list[Any]) -> bool:
     expected = _FIELD_TYPES[kind]
     if tuple(map(type, arguments)) != expected:
--- a/src/jackdawhead/wire/field_bounds.py
+++ b/src/jackdawhead/wire/field_bounds.py
@@ -43,6 +43,8 @@
     'config_version': _VERSION,
     # Negative while more requests run than there are slots.
     'free': Bounds(-MAX_SLOTS, MAX_SLOTS),
+    # -1 for the priority of the operation.
+    'priority': Bounds(least=-1),
     'risk': _PERMILLE,
     'risk_limit': _PERMILLE,
     'status': Bounds(_MIN_STATUS, _MAX_STATUS),
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -24,6 +24,7 @@
     VmListSnapshot,
 )
 from .work_messages import (
+    OPERATION_PRIORITY,
     Body,
     Cancel,
     Credit,
@@ -38,6 +39,7 @@
 __all__ = (
     'MESSAGE_CODES',
     'MESSAGE_TYPES',
+    'OPERATION_PRIORITY',
     'PROTOCOL_VERSION',
     'Body',
     'Cancel',
--- a/src/jackdawhead/wire/work_messages.py
+++ b/src/jackdawhead/wire/work_messages.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from .base import HeaderPairs, Message, message
+from .base import HeaderPairs, Message, message, optional_field
 
 _MAX_RISK: Final = 1000
+OPERATION_PRIORITY: Final = -1
 
 
 @message(4)
@@ -28,6 +29,8 @@
     :param caller_service: service that runs on the VM of the caller.
     :param risk_limit: highest acceptable probability of a failure, in
         thousandths; above it the home refuses the request.
+    :param priority: rank under overload, 0 being the most important; -1 for
+        that of the operation.
     """
 
     request_id: int
@@ -47,6 +50,7 @@
     host: str = ''
     caller_service: str = ''
     risk_limit: int = _MAX_RISK
+    priority: int = optional_field(OPERATION_PRIORITY)
 
 
 @message(5)
@@ -127,6 +131,7 @@
 
 
 __all__ = (
+    'OPERATION_PRIORITY',
     'Body',
     'Cancel',
     'Credit',
