--- a/src/jackdawhead/logs.py
+++ b/src/jackdawhead/logs.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Callable
 from contextlib import ExitStack
 from typing import Any, Final
 
-import eliot
+from eliot import Logger, add_destinations
 
 from .clock import monotonic_ms
 from .log_output import BoundedOutput
@@ -19,6 +20,7 @@
 _FLUSH_TIMEOUT_S: Final = 0.2
 
 _rates: Final = LogRates()
+_logger: Final = Logger()
 
 WriteLine = Callable[[str], None]
 
@@ -54,7 +56,7 @@
     :param stack: flushes buffered lines for up to 0.2 s when it closes.
     """
     output = BoundedOutput(descriptor)
-    eliot.add_destinations(KeyValueDestination(output.write))
+    add_destinations(KeyValueDestination(output.write))
     stack.callback(output.close)
     stack.callback(output.flush, _FLUSH_TIMEOUT_S)
 
@@ -74,7 +76,9 @@
     dropped = _rates.pop_dropped(event, now_ms)
     if dropped:
         fields['dropped_before'] = dropped
-    eliot.log_message(message_type=event, **fields)
+    # Events belong to no task of eliot, whose identity would cost a random
+    # number each.
+    _logger.write({**fields, 'timestamp': time.time(), 'message_type': event})
 
 
 def _format(field: object) -> str:
--- a/src/jackdawhead/node/late_imports.py
+++ b/src/jackdawhead/node/late_imports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import mimetypes
 from importlib import import_module
 from typing import TYPE_CHECKING, Final
 
@@ -20,6 +21,8 @@
 
 def import_listeners() -> type[HttpListeners]:
     """Import the HTTP listeners in steps, between which other tasks run."""
+    # Falcon would read the VM's files of media types, which no answer needs.
+    mimetypes.init(())
     for module in _STEPS:
         import_module(module)
         gevent.sleep(seconds(_PAUSE_MS))
--- a/src/jackdawhead/wire/stream.py
+++ b/src/jackdawhead/wire/stream.py
@@ -135,7 +135,7 @@
         batch = self._next_batch()
         while batch and not self.closed:
             try:
-                self._sock.sendall(batch)
+                self._send_whole(batch)
             except OSError as error:
                 self.close(f'send failed: {error}')
                 return
@@ -143,6 +143,12 @@
             batch = self._next_batch()
         self._writer = None
 
+    def _send_whole(self, batch: bytes) -> None:
+        """Send a batch; gevent's ``sendall`` asks for the buffer size first."""
+        unsent = memoryview(batch)
+        while unsent:
+            unsent = unsent[self._sock.send(unsent) :]
+
     def _next_batch(self) -> bytes:
         frames = list(self._control_queue)
         self._control_queue.clear()
