Organisations: keys are checked, not passed on, and name the organisation

A request on a route that isn't public needs a key of an organisation, where the configuration in force has organisations; otherwise it gets 401 before its body is read. The upstream gets the name of the organisation and never the key. Each request is checked, and again if the configuration changes while its body arrives. The organisation's priority precedes that of the operation.

Keys are kept as digests. A key that two organisations claim stays with the one that had it; an organisation that can't be read keeps its last accepted form.

--- a/features/steps/grown_config_steps.py
+++ b/features/steps/grown_config_steps.py
@@ -4,6 +4,7 @@
 
 import gc
 import time
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any, Final
 
 import gevent
@@ -16,6 +17,8 @@
 from standins.fleet import read_json, wait_until
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from behave.runner import Context
 
 _MS_PER_S: Final = 1000
@@ -54,18 +57,25 @@
 def load_config(context: Context) -> None:
     """Publish the document, and see how long other greenlets wait."""
     body = body_of(7, context.document)
+    with ticking(context):
+        context.node.load(body)
+    context.first = context.node.loaded.config
+
+
+@contextmanager
+def ticking(context: Context) -> Iterator[None]:
+    """See how long another greenlet waits meanwhile."""
     # As a node does after its start; the tests have a larger heap.
     freeze_startup_objects()
     context.stack.callback(gc.unfreeze)
     waits_ms: list[float] = []
-    ticking = gevent.spawn(_tick, waits_ms)
+    ticks = gevent.spawn(_tick, waits_ms)
     gevent.sleep(_SETTLE_S)
     waits_ms.clear()
-    context.node.load(body)
+    yield
     gevent.sleep(_SETTLE_S)
-    ticking.kill()
+    ticks.kill()
     context.waits_ms = waits_ms
-    context.first = context.node.loaded.config
 
 
 def _tick(waits_ms: list[float]) -> None:
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -103,10 +103,12 @@
         'JACKDAWHEAD_NODE_FILE': str(path),
         'JACKDAWHEAD_STREAM_KEY': _STREAM_KEY,
     }
+    context.node_log = fleet.folder / 'node.log'
+    log = context.stack.enter_context(context.node_log.open('wb'))
     context.node = subprocess.Popen(
         [sys.executable, '-m', 'jackdawhead', 'node', '--platform'],
         env=variables,
-        stdout=subprocess.DEVNULL,
+        stdout=log,
     )
     context.stack.callback(kill_process, context.node)
     wait_until(lambda: readiness(context) == 200, 'node ready')
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -21,6 +21,7 @@
     WorkClass,
     Zone,
 )
+from .organisation import Organisation
 
 _QUEUE_DEFAULTS: Final = {
     'admission': 'deadline',
@@ -78,6 +79,11 @@
         },
         headers=HeaderNames(**plain.get('headers', {})),
         callers=CallerPolicy(**plain.get('callers', {})),
+        organisations={
+            name: _build_organisation(name, organisation)
+            for name, organisation in plain.get('organisations', {}).items()
+        },
+        requires_keys='organisations' in plain,
     )
 
 
@@ -119,6 +125,11 @@
     )
 
 
+def _build_organisation(name: str, plain: Fields) -> Organisation:
+    key_digests = frozenset(plain['key_digests'])
+    return Organisation(name, **plain | {'key_digests': key_digests})
+
+
 def _build_operation(name: str, plain: Fields) -> Operation:
     work_class = WorkClass(plain['work_class'])
     expected_ms = min(_DEFAULT_EXPECTED_MS[work_class], plain['deadline_ms'])
--- a/src/jackdawhead/config/checks.py
+++ b/src/jackdawhead/config/checks.py
@@ -9,6 +9,7 @@
 from ..policy.admissions import ADMISSIONS
 from ..policy.balancers import BALANCERS
 from ..policy.detectors import DETECTORS
+from .credentials import key_id
 from .problems import Problem
 
 if TYPE_CHECKING:
@@ -50,7 +51,8 @@
     """Return problems that a schema cannot express.
 
     These are unknown zones, services, operations and rules, routes that match
-    the same requests, and run times above their deadline.
+    the same requests, run times above their deadline, keys of several
+    organisations, and organisations without a header for keys.
 
     :param tree: merged files that conform to the schema.
     """
@@ -59,6 +61,7 @@
         *_check_routes(tree),
         *_check_deadlines(tree),
         *_check_rules(tree),
+        *_check_organisations(tree),
     )
 
 
@@ -165,6 +168,30 @@
                 )
 
 
+def _check_organisations(tree: MergedTree) -> Iterator[Problem]:
+    organisations = _section(tree, 'organisations')
+    if organisations and not _section(tree, 'headers').get('credential'):
+        yield Problem(
+            tree.place_of('organisations'),
+            'headers',
+            'has no `credential`, the header with the key of an organisation',
+            'set headers.credential',
+        )
+    names_by_key: dict[str, list[str]] = {}
+    for name, organisation in organisations.items():
+        for digest in organisation['key_digests']:
+            names_by_key.setdefault(digest, []).append(name)
+    for digest, names in names_by_key.items():
+        for name in names if len(names) > 1 else ():
+            path = f'organisations.{name}'
+            yield Problem(
+                tree.place_of(path),
+                path,
+                f'claims the key {key_id(digest)}, like another organisation',
+                'leave the key to one organisation',
+            )
+
+
 def _section(tree: MergedTree, name: str) -> dict[str, Any]:
     section = tree.plain.get(name, {})
     return section if isinstance(section, dict) else {}
--- a/src/jackdawhead/config/entries.py
+++ b/src/jackdawhead/config/entries.py
@@ -23,11 +23,14 @@
     WorkClass,
     Zone,
 )
+from .organisation_entries import OrganisationMerger
 from .problems import Place, Problem
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from .organisation import Organisation
+
 _REMEDY: Final = 'correct the entry; its last valid form is used meanwhile'
 # A service has at least one operation; no route uses this one.
 _UNUSED: Final = Operation(
@@ -45,10 +48,13 @@
     """A route, and the operation that its requests belong to.
 
     Routes with the same operation share it; its deadline is the longest.
+
+    :param requires_key: whether the operator wrote that the route isn't public.
     """
 
     route: Route
     operation: Operation
+    requires_key: bool = False
 
 
 @dataclass(slots=True)
@@ -61,12 +67,15 @@
     :param services: services without operations: they share those of all
         routes.
     :param limits: limits of callers, by field of :class:`CallerPolicy`.
+    :param requires_keys: whether callers need the key of an organisation.
     """
 
     digest: str
     routes: dict[str, RouteEntry | None] = field(default_factory=dict)
     services: dict[str, Service | None] = field(default_factory=dict)
     limits: dict[str, int | None] = field(default_factory=dict)
+    organisations: dict[str, Organisation | None] = field(default_factory=dict)
+    requires_keys: bool = False
     problems: list[Problem] = field(default_factory=list)
 
     def reject(self, path: str, cause: str) -> None:
@@ -77,6 +86,14 @@
         """
         self.problems.append(Problem(Place('(document)'), path, cause, _REMEDY))
 
+    def reject_organisation(self, name: str, cause: str) -> None:
+        """Add a problem with a key of an organisation.
+
+        :param name: name of the organisation.
+        :param cause: what is wrong.
+        """
+        self.reject(f'organisations.{name}', cause)
+
 
 class EntryMerger:
     """Builds successive versions of a configuration.
@@ -123,6 +140,10 @@
             services=services,
             routes=routes,
             callers=callers,
+            organisations=OrganisationMerger(
+                entries.organisations, self.last.organisations, on_step
+            ).merge(entries.reject_organisation),
+            requires_keys=entries.requires_keys,
         )
         return LoadedConfig(self.last, MergedTree({}), tuple(entries.problems))
 
--- a/src/jackdawhead/config/entry_fallback.py
+++ b/src/jackdawhead/config/entry_fallback.py
@@ -16,7 +16,14 @@
     from .problems import Problem
     from .sources import Plain
 
-_SECTIONS: Final = ('zones', 'services', 'routes', 'headers', 'callers')
+_SECTIONS: Final = (
+    'zones',
+    'services',
+    'routes',
+    'headers',
+    'callers',
+    'organisations',
+)
 _OPERATIONS: Final = 'operations'
 
 Path = tuple[str, ...]
@@ -29,9 +36,10 @@
 ) -> MergedTree | None:
     """Return the tree with each faulty entry in its last accepted form.
 
-    Entries are zones, services, operations, routes, headers and limits of
-    callers. An entry is left out if it has no accepted form, or if that form
-    is now faulty too.
+    Entries are zones, services, operations, routes, headers, limits of callers
+    and organisations. An entry is left out if it has no accepted form, or if
+    that form is now faulty too. One that is in its accepted form, but clashes
+    with another, is left out only if that doesn't end by replacing the other.
 
     :param tree: the merged files.
     :param problems: problems found in the tree.
@@ -40,13 +48,17 @@
     :returns: a new tree, or none if a problem cannot be attributed to a
         single entry.
     """
-    paths = dict.fromkeys(
-        _entry_path(tree.plain, problem.field) for problem in problems
-    )
     plain = tree.plain
-    for path in paths:
-        if path is None:
+    paths: list[Path] = []
+    for problem in problems:
+        found = _entry_path(plain, problem.field)
+        if found is None:
             return None
+        paths.append(found)
+    changed = [
+        path for path in paths if _is_changed(plain, path, last_accepted)
+    ]
+    for path in dict.fromkeys(changed or paths):
         if not any(path[:size] in paths for size in range(1, len(path))):
             entry = _find(last_accepted, path)
             plain = _with_entry(plain, path, entry)
@@ -55,6 +67,14 @@
     return MergedTree(plain, tree.origins)
 
 
+def _is_changed(
+    plain: Mapping[str, Plain],
+    path: Path,
+    last_accepted: Mapping[str, Plain],
+) -> bool:
+    return _find(plain, path) != _find(last_accepted, path)
+
+
 def _with_operations(
     plain: dict[str, Plain],
     route: Mapping[str, Plain],
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -237,6 +237,11 @@
         request comes from.
     :param echoed_id: request header that upstreams repeat in the response.
     :param seal: response header that marks a successful response as complete.
+    :param credential: request header with the key of an organisation, which is
+        not passed on.
+    :param credential_scheme: word before the key, empty if there is none.
+    :param upstream_organisation: request header in which upstreams get the
+        name of the organisation that the key belongs to.
     """
 
     request_id: str = 'X-Request-Id'
@@ -252,6 +257,9 @@
     caller_service: str = ''
     echoed_id: str = ''
     seal: str = ''
+    credential: str = ''
+    credential_scheme: str = ''
+    upstream_organisation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,8 +267,9 @@
     """A validated configuration.
 
     :param digest: hash of the merged content as 32 hexadecimal digits.
-    :param organisations: organisations by name; without any, callers need no
-        key.
+    :param organisations: organisations by name.
+    :param requires_keys: whether callers need the key of an organisation, but
+        for public routes.
     """
 
     digest: str
@@ -270,6 +279,7 @@
     headers: HeaderNames = field(default_factory=HeaderNames)
     callers: CallerPolicy = field(default_factory=CallerPolicy)
     organisations: dict[str, Organisation] = field(default_factory=dict)
+    requires_keys: bool = False
 
 
 __all__ = (
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -4,6 +4,8 @@
 
 from typing import Any, Final
 
+from .credentials import KEY_DIGEST_PATTERN
+
 _DAY_MS: Final = 86_400_000
 NAME_PATTERN: Final = r'^[a-z0-9][a-z0-9_-]{0,62}\Z'
 _HEADER_PATTERN: Final = '^([A-Za-z0-9][A-Za-z0-9-]{0,62})?$'
@@ -126,11 +128,26 @@
         'timeout_ms': _DURATION_MS,
         'max_attempts': _integer(1, 100),
         'split': {**_mapping_of(_integer(0, 1_000_000)), 'minProperties': 1},
+        'is_public': _BOOLEAN,
     },
     'service',
     'operation',
     'path_prefix',
 )
+_RATE: Final[Schema] = {'type': 'number', 'minimum': 0, 'maximum': 1e9}
+_ORGANISATION: Final = _object(
+    {
+        'key_digests': {
+            'type': 'array',
+            'items': {'type': 'string', 'pattern': KEY_DIGEST_PATTERN},
+            'uniqueItems': True,
+        },
+        'priority': _integer(0, 1000),
+        'rate_per_s': _RATE,
+        'burst': _RATE,
+    },
+    'key_digests',
+)
 _CALLERS: Final = _object(
     {
         'idle_ms': _DURATION_MS,
@@ -157,6 +174,9 @@
             'caller_service',
             'echoed_id',
             'seal',
+            'credential',
+            'credential_scheme',
+            'upstream_organisation',
         )
     }
 )
@@ -171,6 +191,7 @@
         'routes': {**_mapping_of(_ROUTE), 'minProperties': 1},
         'headers': _HEADERS,
         'callers': _CALLERS,
+        'organisations': _mapping_of(_ORGANISATION),
     },
     'zones',
     'services',
--- a/src/jackdawhead/config/validated_cache.py
+++ b/src/jackdawhead/config/validated_cache.py
@@ -14,7 +14,7 @@
     from .problems import Problem
     from .sources import Plain
 
-_SECTIONS: Final = ('services', 'routes')
+_SECTIONS: Final = ('services', 'routes', 'organisations')
 
 Digests = dict[str, dict[str, int]]
 
@@ -47,7 +47,7 @@
 
 
 def entry_digests(tree: MergedTree) -> Digests:
-    """Return a hash of each service and each route, by section and name.
+    """Return a hash of each service, route and organisation, by section.
 
     :param tree: the merged files.
     """
@@ -66,7 +66,7 @@
     digests: Digests,
     known: Digests,
 ) -> MergedTree:
-    """Return the tree without the services and routes already validated.
+    """Return the tree without the entries that are already validated.
 
     At least one entry of each section is kept, since the schema does not allow
     an empty section.
--- a/src/jackdawhead/node/caller_listener.py
+++ b/src/jackdawhead/node/caller_listener.py
@@ -26,7 +26,7 @@
     :param request_stats: request counters.
     """
     settings = parts.settings
-    api = CallerApi(settings, parts.board, dispatchers, request_stats)
+    api = CallerApi(parts, dispatchers, request_stats)
     return HttpServer(
         settings.caller_address,
         api.app(),
--- a/src/jackdawhead/node/entry/call_state.py
+++ b/src/jackdawhead/node/entry/call_state.py
@@ -11,6 +11,7 @@
 from ...wire.messages import OPERATION_PRIORITY
 
 if TYPE_CHECKING:
+    from ...blackboard import Blackboard
     from ...config.model import Operation
     from ...policy.service_router import ServiceRouter
     from ...policy.tried_upstreams import TriedUpstreams
@@ -70,4 +71,17 @@
         self.outcome = combined_outcome(self.outcome, outcome)
 
 
-__all__ = ('DEADLINE_GRACE_MS', 'Call')
+def priority_of(organisation: str, board: Blackboard) -> int:
+    """Return the rank of an organisation's requests, -1 if it has none.
+
+    :param organisation: name of the organisation, empty for none.
+    :param board: source of the configuration.
+    """
+    loaded = board.config.read().loaded
+    found = loaded.config.organisations.get(organisation) if loaded else None
+    if found is None or found.priority is None:
+        return OPERATION_PRIORITY
+    return found.priority
+
+
+__all__ = ('DEADLINE_GRACE_MS', 'Call', 'priority_of')
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -21,7 +21,7 @@
 from ...policy.tried_upstreams import TriedUpstreams
 from ...reasons import Reason
 from ..decision_log import log_answer, log_choice
-from .call_state import Call
+from .call_state import Call, priority_of
 from .exchanges import Exchanges
 from .requests import Answer, CallerRequest, Refused, UpstreamAnswer
 from .service_window import ServiceWindows
@@ -109,6 +109,7 @@
             self._board.own_service.read(),
             route.max_attempts,
             request.request_id,
+            priority=priority_of(request.organisation, self._board),
         )
 
     def _send(self, call: Call) -> Answer:
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -17,17 +17,19 @@
 from ..tickets.store import TICKET_LIFETIME_MS
 from .body_reads import BodyReads, NodeStopsError
 from .caller_watch import WatchedBody, watch_caller
-from .request_reader import header_of, read_request
+from .key_check import Caller, KeyCheck
+from .request_fields import header_of
+from .request_reader import read_request, with_caller
 from .requests import Answer, Refused, UpstreamAnswer
 from .stop_limits import STOP_REFUSAL, TICKET_STOP_REFUSAL
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ...blackboard import Blackboard
-    from ...config.settings import NodeSettings
     from ..dispatchers import Dispatchers
+    from ..parts import NodeParts
     from .request_stats import RequestStats
+    from .requests import CallerRequest
 
 _MS_PER_S: Final = 1000
 _UNKNOWN_LENGTH: Final = -1
@@ -52,25 +54,24 @@
 class CallerApi:
     """Dispatches callers' HTTP requests and sends the answers back.
 
-    :param settings: limits on request bodies and the VM of this node.
-    :param board: source of the header names and the caller policy.
+    :param parts: controllers of this node.
     :param dispatchers: dispatchers without and with tickets.
     :param request_stats: statistics of finished requests.
     """
 
     def __init__(
         self,
-        settings: NodeSettings,
-        board: Blackboard,
+        parts: NodeParts,
         dispatchers: Dispatchers,
         request_stats: RequestStats,
     ) -> None:
-        self._settings = settings
-        self._board = board
+        self._settings = parts.settings
+        self._board = parts.board
+        self._keys = KeyCheck(parts.board, parts.routing, parts.pauses)
         self._dispatcher = dispatchers.plain
         self._tickets = dispatchers.tickets
         self._request_stats = request_stats
-        self._reads = BodyReads(board)
+        self._reads = BodyReads(parts.board)
 
     def app(self) -> App:
         """Return the WSGI application."""
@@ -87,14 +88,19 @@
         names = self._header_names()
         ticket = header_of(request.env, names.ticket)
         if ticket == _NEW_TICKET:
-            self._issue_ticket(response, names)
+            self._issue_ticket(request, response, names)
         else:
             self._serve(request, response, names, ticket)
         if self._board.leaving:
             response.set_header('Connection', 'close')
 
-    def _issue_ticket(self, response: Response, names: HeaderNames) -> None:
-        if self._board.leaving:
+    def _issue_ticket(
+        self, request: Request, response: Response, names: HeaderNames
+    ) -> None:
+        caller = self._keys.identify(request.env)
+        if isinstance(caller, Refused):
+            _fill_refusal(response, caller, names, self._caller_policy())
+        elif self._board.leaving:
             # Its answer would be gone with this process.
             _fill_refusal(response, STOP_REFUSAL, names, self._caller_policy())
         else:
@@ -111,7 +117,7 @@
         note_disconnect = partial(
             self._note_disconnect, request.env, names, started_ms
         )
-        answer = self._dispatch(request, names, ticket, note_disconnect)
+        answer = self._answer(request, ticket, note_disconnect)
         self._request_stats.count(answer, monotonic_ms() - started_ms)
         if isinstance(answer, UpstreamAnswer):
             self._fill(response, answer, names)
@@ -147,10 +153,21 @@
             _DEFAULT_CALLER_POLICY if loaded is None else loaded.config.callers
         )
 
+    def _answer(
+        self,
+        request: Request,
+        ticket: str,
+        on_disconnect: Callable[[], None],
+    ) -> Answer:
+        caller = self._keys.identify(request.env)
+        if isinstance(caller, Refused):
+            return caller
+        return self._dispatch(request, caller, ticket, on_disconnect)
+
     def _dispatch(
         self,
         request: Request,
-        names: HeaderNames,
+        caller: Caller,
         ticket: str,
         on_disconnect: Callable[[], None],
     ) -> Answer:
@@ -161,8 +178,9 @@
             return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
         idle_ms = self._settings.caller_idle_ms
         try:
-            with self._reads.track(header_of(environ, names.request_id)):
-                call = read_request(environ, names, length, idle_ms)
+            request_id = header_of(environ, caller.names.request_id)
+            with self._reads.track(request_id):
+                call = read_request(environ, caller, length, idle_ms)
         except NodeStopsError:
             return TICKET_STOP_REFUSAL if ticket else STOP_REFUSAL
         except TimeoutError:
@@ -173,9 +191,31 @@
         if ticket:
             # Not cancelled when the caller disconnects: a resend with the same
             # ticket returns the answer of this run.
-            return self._tickets.dispatch(call, ticket)
+            return self._dispatch_confirmed(
+                environ,
+                call,
+                caller,
+                partial(self._tickets.dispatch, text=ticket),
+            )
         with watch_caller(environ[SOCKET_KEY], on_disconnect):
-            return self._dispatcher.dispatch(call)
+            return self._dispatch_confirmed(
+                environ, call, caller, self._dispatcher.dispatch
+            )
+
+    def _dispatch_confirmed(
+        self,
+        environ: dict[str, Any],
+        call: CallerRequest,
+        caller: Caller,
+        dispatch: Callable[[CallerRequest], Answer],
+    ) -> Answer:
+        """Dispatch a request; its key may have been taken away meanwhile."""
+        now_caller = self._keys.confirm(environ, caller)
+        if isinstance(now_caller, Refused):
+            return now_caller
+        if now_caller is not caller:
+            call = with_caller(call, environ, now_caller)
+        return dispatch(call)
 
     def _fill(
         self,
@@ -217,6 +257,8 @@
 ) -> None:
     response.status = _status_of(refused, policy)
     response.content_type = falcon.MEDIA_JSON
+    if refused.reason is Reason.UNKNOWN_KEY:
+        _set_header(response, 'WWW-Authenticate', names.credential_scheme)
     _set_header(response, names.outcome, refused.outcome.value)
     after_ms = refused.retry_after_ms
     if after_ms:
--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -9,62 +9,70 @@
 
 from ...clock import monotonic_ms, seconds
 from ...wire.header_numbers import deadline_ms
-from ..home.request_head import HOP_BY_HOP
-from ..http_server import CONNECTED_KEY, HEADERS_KEY
+from ..http_server import CONNECTED_KEY
+from .passed_headers import passed_headers
+from .request_fields import environ_key, header_of, host_of, path_of
 from .requests import CallerRequest
 
 if TYPE_CHECKING:
     from ...config.model import HeaderNames
-    from ...wire.messages import HeaderPairs
     from ..caller_body import CallerBody
+    from .key_check import Caller
 
 _MAX_BUFFERED_BODY_BYTES: Final = 65_536
 _MAX_ORGANISATION_CHARS: Final = 64
 _UNKNOWN_LENGTH: Final = -1
-_HEADER_PREFIX: Final = 'HTTP_'
 
 
 def read_request(
     environ: dict[str, Any],
-    names: HeaderNames,
+    caller: Caller,
     length: int | None,
     idle_ms: float,
 ) -> CallerRequest:
     """Read a request and buffer up to 64 KiB of its body.
 
     :param environ: WSGI environment.
-    :param names: names of the headers that the fleet interprets.
+    :param caller: who sent the request.
     :param length: length of the body, if the caller announced it.
     :param idle_ms: longest time for reading, unless the caller sent a
         deadline.
     :raises OSError: if the body is truncated, malformed or too slow.
     :raises TimeoutError: if the deadline has passed.
     """
-    allowed_ms = _deadline_ms(environ, names)
+    allowed_ms = _deadline_ms(environ, caller.names)
     if allowed_ms == 0:
         raise TimeoutError('the caller sent a deadline of 0 ms')
     timeout_ms = allowed_ms or idle_ms
     began_ms = monotonic_ms()
     with gevent.Timeout(seconds(timeout_ms), TimeoutError):
-        request = _caller_request(environ, names, length)
+        request = _caller_request(environ, caller, length)
     if allowed_ms is None:
         return request
     left_ms = allowed_ms - int(monotonic_ms() - began_ms)
     return replace(request, deadline_ms=max(1, left_ms))
 
 
-def header_of(environ: dict[str, Any], name: str) -> str:
-    """Return a header of a request, or an empty text if it is missing.
+def with_caller(
+    request: CallerRequest, environ: dict[str, Any], caller: Caller
+) -> CallerRequest:
+    """Return a request with another caller.
 
+    :param request: the request as it was read.
     :param environ: WSGI environment.
-    :param name: name of the header in any case; no header has an empty name.
+    :param caller: who sent the request.
     """
-    return str(environ.get(_environ_key(name), ''))
+    return replace(
+        request,
+        headers=passed_headers(environ, caller),
+        organisation=_organisation(environ, caller),
+        key_digest=caller.key_digest,
+    )
 
 
 def _caller_request(
     environ: dict[str, Any],
-    names: HeaderNames,
+    caller: Caller,
     length: int | None,
 ) -> CallerRequest:
     body: CallerBody = environ['wsgi.input']
@@ -79,54 +87,38 @@
     body_bytes = _UNKNOWN_LENGTH if length is None else length
     if last:
         body_bytes = len(chunk)
-    target = environ['RAW_URI']
+    names = caller.names
     return CallerRequest(
         method=environ['REQUEST_METHOD'],
-        path=target.partition('?')[0],
-        target=target,
-        headers=_end_to_end_headers(environ, names),
-        organisation=_organisation(environ, names),
+        path=path_of(environ),
+        target=environ['RAW_URI'],
+        headers=passed_headers(environ, caller),
+        organisation=_organisation(environ, caller),
         deadline_ms=_deadline_ms(environ, names) or 0,
         body_bytes=body_bytes,
         chunk=chunk,
         last=last,
         read_body=body.read,
-        host=environ.get('HTTP_HOST', '').partition(':')[0].lower(),
+        host=host_of(environ),
         request_id=header_of(environ, names.request_id),
         connected_at_ms=environ[CONNECTED_KEY],
+        key_digest=caller.key_digest,
     )
 
 
-def _end_to_end_headers(
-    environ: dict[str, Any], names: HeaderNames
-) -> HeaderPairs:
-    fleet_headers = {
-        names.deadline_ms.lower(),
-        names.caller_service.lower(),
-        names.instance.lower(),
-    }
-    # Headers that the Connection header lists are hop-by-hop, too (RFC 9110).
-    hop_by_hop = environ.get('HTTP_CONNECTION', '').lower().split(',')
-    dropped = HOP_BY_HOP | fleet_headers | {each.strip() for each in hop_by_hop}
-    pairs: HeaderPairs = environ[HEADERS_KEY]
-    return [each for each in pairs if each[0].lower() not in dropped]
-
-
-def _organisation(environ: dict[str, Any], names: HeaderNames) -> str:
+def _organisation(environ: dict[str, Any], caller: Caller) -> str:
+    if caller.is_identified_by_key:
+        return caller.organisation
+    names = caller.names
     if not names.organisation:
         return ''
-    organisation = environ.get(_environ_key(names.organisation))
+    organisation = environ.get(environ_key(names.organisation))
     fallback = environ.get('REMOTE_ADDR', '')
     return str(organisation or fallback)[:_MAX_ORGANISATION_CHARS]
 
 
 def _deadline_ms(environ: dict[str, Any], names: HeaderNames) -> int | None:
-    return deadline_ms(environ.get(_environ_key(names.deadline_ms), ''))
-
-
-def _environ_key(header: str) -> str:
-    """Return the environment key of a header; an empty name never matches."""
-    return _HEADER_PREFIX + header.upper().replace('-', '_')
+    return deadline_ms(header_of(environ, names.deadline_ms))
 
 
-__all__ = ('header_of', 'read_request')
+__all__ = ('read_request', 'with_caller')
--- a/src/jackdawhead/node/entry/requests.py
+++ b/src/jackdawhead/node/entry/requests.py
@@ -32,6 +32,8 @@
     :param request_id: identity that the caller gave the request, for the log.
     :param connected_at_ms: monotonic time at which its connection was accepted,
         0 if another node has forwarded it.
+    :param key_digest: digest of the key that identifies the organisation, empty
+        without one or if another node has checked it.
     """
 
     method: str
@@ -47,6 +49,7 @@
     host: str = ''
     request_id: str = ''
     connected_at_ms: float = 0
+    key_digest: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawhead/platform/config_document.py
+++ b/src/jackdawhead/platform/config_document.py
@@ -27,6 +27,8 @@
     :param timeout: request timeout, for example ``1500ms``.
     :param target: latency target; answers within it are worth most.
     :param split: weighted services that replace the single ``service``.
+    :param public: whether requests need no key; written only where
+        configurations have tenants.
     """
 
     host: str
@@ -40,6 +42,7 @@
     split: list[WeightedService] = msgspec.field(
         name='trafficSplit', default=[]
     )
+    public: bool | None = None
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
@@ -54,6 +57,19 @@
     )
 
 
+class TenantSpec(msgspec.Struct, frozen=True):
+    """An organisation as the platform writes it.
+
+    :param keys: keys of its callers, decoded one by one.
+    :param priority: rank of its requests, none for that of the routes.
+    """
+
+    keys: list[Any] = msgspec.field(name='apiKeys')
+    priority: int | None = None
+    rate_per_s: float = msgspec.field(name='ratePerS', default=0)
+    burst: float = 0
+
+
 class LimitsSpec(msgspec.Struct, frozen=True):
     """Limits for callers.
 
@@ -114,5 +130,6 @@
     'Resource',
     'RouteSpec',
     'ServiceSpec',
+    'TenantSpec',
     'read_document',
 )
--- a/src/jackdawhead/platform/config_translation.py
+++ b/src/jackdawhead/platform/config_translation.py
@@ -11,12 +11,20 @@
 import msgspec
 
 from ..config.build import build_service
+from ..config.credentials import key_digest
 from ..config.entries import RouteEntry
 from ..config.model import Operation, Route, Service, WorkClass
+from ..config.organisation import Organisation
 from ..config.schema import HOST_PATTERN, NAME_PATTERN
 from ..json_parts import DECODE_ERRORS
 from ..registry import Registry
-from .config_document import LimitsSpec, Resource, RouteSpec, ServiceSpec
+from .config_document import (
+    LimitsSpec,
+    Resource,
+    RouteSpec,
+    ServiceSpec,
+    TenantSpec,
+)
 from .formats import parse_duration_ms
 
 if TYPE_CHECKING:
@@ -38,6 +46,9 @@
 _MAX_BODY_BYTES: Final = 1_099_511_627_776
 _NAME: Final = re.compile(NAME_PATTERN)
 _HOST: Final = re.compile(HOST_PATTERN)
+_MAX_RATE: Final = 1e9
+# Names of organisations are sent in a header.
+_HEADER_TEXT: Final = re.compile('[!-~]{1,63}')
 # Settings that the platform's operators cannot change; see
 # docs/design/platform.md.
 _SERVICE_POLICY: Final = {
@@ -76,6 +87,18 @@
     cause: str = ''
 
 
+class _PartlyFaultyError(ValueError):
+    """A part of a resource can't be used.
+
+    :param cause: what is wrong.
+    :param entry: the entry without that part.
+    """
+
+    def __init__(self, cause: str, entry: Any) -> None:
+        super().__init__(cause)
+        self.entry = entry
+
+
 class _Translation(ABC):
     """Translates resources of one kind.
 
@@ -127,6 +150,8 @@
             return Part('', name)
         try:
             return Part(kind, name, translation.translate(name, resource.spec))
+        except _PartlyFaultyError as error:
+            return Part(kind, name, error.entry, str(error))
         except DECODE_ERRORS as error:
             return Part(kind, name, cause=str(error))
 
@@ -160,9 +185,14 @@
             ),
             max_attempts=_clamp(spec.attempts, _MAX_ATTEMPTS),
             split=split,
+            is_public=bool(spec.public),
         )
         deadline_ms = max(operation.deadline_ms, route.timeout_ms)
-        return RouteEntry(route, replace(operation, deadline_ms=deadline_ms))
+        return RouteEntry(
+            route,
+            replace(operation, deadline_ms=deadline_ms),
+            requires_key=spec.public is False,
+        )
 
 
 @_TRANSLATIONS.register('services')
@@ -179,6 +209,31 @@
         )
 
 
+@_TRANSLATIONS.register('tenants')
+class _OrganisationTranslation(_Translation):
+    """Translates organisations; a key that can't be used is left out."""
+
+    def translate(self, name: str, text: msgspec.Raw) -> Organisation:
+        spec = msgspec.json.decode(text, type=TenantSpec)
+        keys = [each for each in spec.keys if isinstance(each, str) and each]
+        _check(_HEADER_TEXT.fullmatch(name), f'{name!r} is not a valid name')
+        _check(spec.rate_per_s >= 0, 'the rate is negative')
+        _check(spec.burst >= 0, 'the burst is negative')
+        priority = spec.priority
+        if priority is not None:
+            priority = min(max(0, priority), _MAX_PRIORITY)
+        organisation = Organisation(
+            name,
+            frozenset(key_digest(key.encode()) for key in keys),
+            priority,
+            min(spec.rate_per_s, _MAX_RATE),
+            min(spec.burst, _MAX_RATE),
+        )
+        if len(keys) < len(spec.keys):
+            raise _PartlyFaultyError('a key is not a text', organisation)
+        return organisation
+
+
 @_TRANSLATIONS.register('limits')
 class _LimitsTranslation(_Translation):
     """Translates limits of callers, of which an invalid one is none."""
--- a/src/jackdawhead/platform/document_loader.py
+++ b/src/jackdawhead/platform/document_loader.py
@@ -7,7 +7,7 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from ..config.entries import Entries, EntryMerger
+from ..config.entries import Entries, EntryMerger, RouteEntry
 from ..config.load import ConfigLoader, LoadedConfig, SourceLoader
 from ..config.model import CallerPolicy, HeaderNames, Zone
 from ..config.problems import Place, Problem
@@ -116,17 +116,27 @@
         path = f'{part.kind}.{part.name}' if part.kind else f'{number}'
         if part.cause:
             entries.reject(path, part.cause)
-        match part.kind:
-            case 'routes':
-                entries.routes[part.name] = part.entry
-            case 'services':
-                entries.services[part.name] = part.entry
-            case 'limits':
-                limits = part.entry
-                entries.limits.update(
-                    dict.fromkeys(_LIMITS) if limits is None else limits
-                )
+        _add(entries, part)
     return entries
 
 
+def _add(entries: Entries, part: Part) -> None:
+    match part.kind:
+        case 'routes':
+            route: RouteEntry | None = part.entry
+            entries.routes[part.name] = route
+            entries.requires_keys |= route is not None and route.requires_key
+        case 'services':
+            entries.services[part.name] = part.entry
+        case 'tenants':
+            entries.organisations[part.name] = part.entry
+            # Its callers have keys, also if it can't be read.
+            entries.requires_keys = True
+        case 'limits':
+            limits = part.entry
+            entries.limits.update(
+                dict.fromkeys(_LIMITS) if limits is None else limits
+            )
+
+
 __all__ = ('DocumentLoader', 'decode_document')
--- a/src/jackdawhead/platform/names.py
+++ b/src/jackdawhead/platform/names.py
@@ -19,6 +19,9 @@
     # Identifies one start of an upstream: a restart has another value.
     'instance': 'Expect-Instance',
     'caller_service': 'Caller-Service',
+    'credential': 'Authorization',
+    'credential_scheme': 'Token',
+    'upstream_organisation': 'Tenant',
     'outcome': '',
     'retry_after_ms': '',
     'organisation': '',
