Admission rule 'value': what costs callers least gives way

Cause: the rule 'target' orders one queue by arrival and nothing that is queued gives way; an urgent kind finds the queue full of less urgent work with a longer target.

The new rule keeps the queue in order of due times and leaves out the least worthy work up to the first that would be late: by priority, by the slot time that its organisation has used, by slot time. What is left out after it was queued is refused at once as not run (AdmissionRule.take_displaced). A kind or an organisation that is served much less than all is protected.

The status says from which priority on work is refused (an optional field); entries don't use it yet.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -116,6 +116,19 @@
     And it listens for callers at "10.1.0.38:8147"
     And it stops within its grace period of 6000 ms
 
+  Scenario Outline: With "<field>" as "<text>" in the settings all services get the rule "<rule>"
+    When the settings file of the platform is read with "<field>" as "<text>"
+    Then all services get the admission rule "<rule>"
+
+    Examples:
+      | field           | text                 | rule   |
+      | something.new   | 1                    | target |
+      | contracts       | base,drain,platform  | target |
+      | contracts       | base,pressure        | value  |
+      | contracts       | tenants,quota        | value  |
+      | zones.basel-c   | basel                | target |
+      | zones.basel-c   | jura                 | value  |
+
   Scenario: A missing address in the settings file is reported
     When the settings file of the platform is read without "listen.outbound"
     Then the problem names "listen.outbound"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -312,6 +312,31 @@
     read_settings_text(context, '\n'.join((*kept, f'{name}={odd}')))
 
 
+@then('all services get the admission rule "{rule}"')
+def check_admission(context: Context, rule: str) -> None:
+    """Check the settings, and a service that is loaded with them."""
+    settings = context.settings_result.unwrap()
+    assert settings.admission == rule, settings
+    source = StoreSource(
+        settings.node.platform_address,
+        settings.zones,
+        settings.node.stream_address.port,
+        settings.expiry_ms,
+        settings.node.listener_ports,
+        settings.admission,
+    )
+    document = {
+        'version': '00000007',
+        'resources': [resource('services', 'desk')],
+    }
+    loaded = source.config_loader().load_valid_entries(
+        (SourceFile('platform-document.json', json.dumps(document)),),
+        lambda: None,
+    )
+    service = loaded.unwrap().config.services['desk']
+    assert service.queue.admission == rule, service
+
+
 @then('its seeds are "{address}"')
 def check_seeds(context: Context, address: str) -> None:
     """Check the seeds that are left."""
--- a/features/wire/bounds.feature
+++ b/features/wire/bounds.feature
@@ -114,3 +114,15 @@
       | priority | count |
       | -1       | 17    |
       | 0        | 18    |
+
+  # Builds without levels refuse a message with a field more.
+  Scenario Outline: A message "UpstreamStatus" with the refused_from <level> has <count> fields
+    When a message "UpstreamStatus" has the refused_from <level>
+    Then it is decoded as <level>
+    And it was sent with <count> fields
+
+    Examples:
+      | level   | count |
+      | 1000000 | 13    |
+      | 2       | 14    |
+      | 0       | 14    |
--- a/src/jackdawhead/cli/commands/node.py
+++ b/src/jackdawhead/cli/commands/node.py
@@ -88,6 +88,7 @@
                 settings.node.stream_address.port,
                 settings.expiry_ms,
                 settings.node.listener_ports,
+                settings.admission,
             )
             watch = SettingsWatch(
                 settings.node,
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -16,6 +16,7 @@
 from ..decision_log import log_admission, log_cancel, log_run, log_use
 from .connections import ConnectionPool
 from .execution import Execution, ExecutionResult, Target
+from .offers import refusal_reason
 
 if TYPE_CHECKING:
     from random import Random
@@ -27,6 +28,7 @@
     from .upstream_spec import HomeEvents, UpstreamSpec
 
 _LEAVING_RETRY_AFTER_MS: Final = 200  # another home may run the work
+_DISPLACED: Final = 'displaced'
 
 
 class HomeUpstream:
@@ -91,7 +93,7 @@
         :param job: the request.
         """
         job.caller_id = job.header(self.spec.headers.request_id) or ''
-        reason = _refusal_reason(job, self._state, self._stop)
+        reason = refusal_reason(job, self._state, self._stop)
         if reason is not None:
             log_admission(job, self._state, reason.value, self._stop)
             is_leaving = reason is Reason.NODE_LEAVING
@@ -99,6 +101,10 @@
             return
         admission = self._state.offer(job.work, monotonic_ms())
         log_admission(job, self._state, admission.verdict.value, self._stop)
+        for each in self._state.admission.take_displaced():
+            displaced = self._waiting.pop(each.work.work_id)
+            log_admission(displaced, self._state, _DISPLACED, self._stop)
+            displaced.refuse(Reason.OVERLOADED, each.retry_after_ms)
         if admission.verdict is Verdict.START:
             self._start(job)
         elif admission.verdict is Verdict.WAIT:
@@ -282,18 +288,4 @@
             self._waiting.pop(work.work_id).refuse(reason)
 
 
-def _refusal_reason(
-    job: Job, state: UpstreamState, stop: HomeStop
-) -> Reason | None:
-    """Return why a new request may neither run nor be queued, if so."""
-    now_ms = monotonic_ms()
-    if state.is_draining(now_ms):
-        return Reason.DRAINING
-    if not stop.accepts(state.admission, job.work, now_ms):
-        return Reason.NODE_LEAVING
-    if not state.accepts_risk(job.submit.risk_limit, now_ms):
-        return Reason.RISKY
-    return None
-
-
 __all__ = ('HomeUpstream',)
--- a/src/jackdawhead/platform/config_translation.py
+++ b/src/jackdawhead/platform/config_translation.py
@@ -46,7 +46,6 @@
     'healthy_floor_percent': 70,
     'balancer': 'least-risk',
     'detection': {'detector': 'none'},
-    'queue': {'admission': 'target'},
     'retry': {
         'budget_percent': 12,
         'redirect_percent': 100,
@@ -102,10 +101,15 @@
     """Translates one resource at a time.
 
     :param zones: the zones that all services run in.
+    :param admission: admission rule of all services.
     """
 
-    def __init__(self, zones: Iterable[str]) -> None:
-        plain = {**_SERVICE_POLICY, 'zones': sorted(zones)}
+    def __init__(self, zones: Iterable[str], admission: str) -> None:
+        plain = {
+            **_SERVICE_POLICY,
+            'zones': sorted(zones),
+            'queue': {'admission': admission},
+        }
         policy = build_service('', plain)
         self._by_kind = {
             kind: _TRANSLATIONS.find(kind).unwrap()(policy)
--- a/src/jackdawhead/platform/document_loader.py
+++ b/src/jackdawhead/platform/document_loader.py
@@ -16,7 +16,7 @@
 from .config_document import read_document
 from .config_translation import Part, ResourceTranslator
 from .formats import parse_version
-from .names import HEADER_NAMES
+from .names import HEADER_NAMES, TARGET_ADMISSION
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -56,11 +56,14 @@
     as such.
 
     :param zones: regions by availability zone.
+    :param admission: admission rule of all services.
     """
 
-    def __init__(self, zones: Mapping[str, str]) -> None:
+    def __init__(
+        self, zones: Mapping[str, str], admission: str = TARGET_ADMISSION
+    ) -> None:
         self._files = ConfigLoader()
-        self._translator = ResourceTranslator(zones)
+        self._translator = ResourceTranslator(zones, admission)
         self._parts: dict[bytes, Part] = {}
         self._merger = EntryMerger(
             {name: Zone(name, region) for name, region in zones.items()},
--- a/src/jackdawhead/platform/names.py
+++ b/src/jackdawhead/platform/names.py
@@ -27,6 +27,12 @@
     'ticket': '',
 }
 
+# Admission rules of the project.
+TARGET_ADMISSION: Final = 'target'
+VALUE_ADMISSION: Final = 'value'
+# Names in the settings' list `contracts` of which one asks for the latter.
+VALUE_CONTRACTS: Final = frozenset(('pressure', 'tenants'))
+
 CONFIG_ITEM_KEY: Final = 'op/config'
 UPSTREAM_KEY_PREFIX: Final = 'servers/'
 
@@ -35,5 +41,8 @@
     'HEADER_NAMES',
     'SETTINGS_FILE_VARIABLE',
     'STREAM_KEY_VARIABLE',
+    'TARGET_ADMISSION',
     'UPSTREAM_KEY_PREFIX',
+    'VALUE_ADMISSION',
+    'VALUE_CONTRACTS',
 )
--- a/src/jackdawhead/platform/settings_file.py
+++ b/src/jackdawhead/platform/settings_file.py
@@ -14,7 +14,13 @@
 from ..logs import log_event
 from ..node.upstream_list import vm_name
 from .formats import parse_duration_ms
-from .names import SETTINGS_FILE_VARIABLE, STREAM_KEY_VARIABLE
+from .names import (
+    SETTINGS_FILE_VARIABLE,
+    STREAM_KEY_VARIABLE,
+    TARGET_ADMISSION,
+    VALUE_ADMISSION,
+    VALUE_CONTRACTS,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -44,11 +50,13 @@
     :param zones: regions by availability zone.
     :param expiry_ms: time without a heartbeat after which an upstream's entry
         may expire.
+    :param admission: admission rule of all services.
     """
 
     node: NodeSettings
     zones: dict[str, str]
     expiry_ms: int
+    admission: str = TARGET_ADMISSION
 
 
 def settings_path() -> Path:
@@ -89,10 +97,21 @@
     zones.setdefault(fields['zone'], fields.get('region', fields['zone']))
     heartbeat_ms = _duration_ms(fields, 'heartbeat', '1500ms')
     return PlatformSettings(
-        _node_settings(fields), zones, _EXPIRY_HEARTBEATS * heartbeat_ms
+        _node_settings(fields),
+        zones,
+        _EXPIRY_HEARTBEATS * heartbeat_ms,
+        _admission(fields, zones),
     )
 
 
+def _admission(fields: dict[str, str], zones: dict[str, str]) -> str:
+    """Return the admission rule; see docs/design/giving-way.md."""
+    contracts = fields.get('contracts', '').split(',')
+    has_contract = not VALUE_CONTRACTS.isdisjoint(contracts)
+    has_regions = len(set(zones.values())) > 1
+    return VALUE_ADMISSION if has_contract or has_regions else TARGET_ADMISSION
+
+
 def _node_settings(fields: dict[str, str]) -> NodeSettings:
     ip = fields['ip']
     # The admin page takes the first port of the range; nodes need no other.
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -19,7 +19,7 @@
     RemovalGracePeriod,
 )
 from .document_loader import DocumentLoader, decode_document
-from .names import CONFIG_ITEM_KEY, UPSTREAM_KEY_PREFIX
+from .names import CONFIG_ITEM_KEY, TARGET_ADMISSION, UPSTREAM_KEY_PREFIX
 from .store import StoreClient
 from .store_types import Snapshot, StoredItem, StoreFailure
 from .upstream_entries import decode_record
@@ -48,6 +48,7 @@
     :param expiry_ms: time without a heartbeat after which an upstream's entry
         may expire.
     :param node_ports: ports that the nodes listen on, the same on all VMs.
+    :param admission: admission rule of all services.
     """
 
     def __init__(
@@ -57,7 +58,9 @@
         stream_port: int,
         expiry_ms: float,
         node_ports: frozenset[int],
+        admission: str = TARGET_ADMISSION,
     ) -> None:
+        self._admission = admission
         self._client = StoreClient(address)
         self._zones = zones
         self._upstreams = ListedUpstreams(
@@ -80,7 +83,7 @@
         self._upstreams.list_in_force = list_in_force
 
     def config_loader(self) -> SourceLoader:
-        return DocumentLoader(self._zones)
+        return DocumentLoader(self._zones, self._admission)
 
     def read(
         self,
--- a/src/jackdawhead/policy/admission.py
+++ b/src/jackdawhead/policy/admission.py
@@ -8,8 +8,9 @@
 
 from ..config.model import WorkClass
 from ..registry import Registry
+from ..wire.messages import ALL_PRIORITIES
 from .run_times import RunTimes
-from .work import Admission, Verdict, Work
+from .work import Admission, Displaced, Verdict, Work
 
 if TYPE_CHECKING:
     from random import Random
@@ -104,6 +105,18 @@
         :param now_ms: monotonic time.
         """
 
+    def take_displaced(self) -> tuple[Displaced, ...]:
+        """Remove and return the work that gave way to what was offered."""
+        return ()
+
+    def refused_from(self, now_ms: float) -> int:
+        """Return the most urgent priority that gets no place in the queue.
+
+        :param now_ms: monotonic time.
+        :returns: ``ALL_PRIORITIES`` if work of all priorities is taken.
+        """
+        return ALL_PRIORITIES
+
     def finish(self, work: Work, run_ms: float | None) -> None:
         """Free the slot of finished work and learn from its run time.
 
--- a/src/jackdawhead/policy/admissions.py
+++ b/src/jackdawhead/policy/admissions.py
@@ -6,6 +6,7 @@
 from .deadline_admission import DeadlineAdmission
 from .fifo_admission import FifoAdmission
 from .target_admission import TargetAdmission
+from .value_admission import ValueAdmission
 
 __all__ = (
     'ADMISSIONS',
@@ -13,4 +14,5 @@
     'DeadlineAdmission',
     'FifoAdmission',
     'TargetAdmission',
+    'ValueAdmission',
 )
--- a/src/jackdawhead/policy/completion_times.py
+++ b/src/jackdawhead/policy/completion_times.py
@@ -62,6 +62,15 @@
             known.updated(took_ms) if known else _first_estimate(took_ms)
         )
 
+    def deviation_ms(self, operation: Operation) -> float:
+        """Return the mean deviation of the times from their mean.
+
+        :param operation: operation of the request; until times are measured,
+            half of its configured time counts.
+        """
+        configured = _first_estimate(operation.expected_ms)
+        return self._estimates.get(operation.name, configured).deviation_ms
+
     def high_ms(self, operation: Operation) -> float:
         """Return a time that nearly no request exceeds.
 
--- a/src/jackdawhead/policy/run_times.py
+++ b/src/jackdawhead/policy/run_times.py
@@ -53,6 +53,17 @@
         configured = self._operations.get(operation)
         return float(configured.expected_ms) if configured else _DEFAULT_RUN_MS
 
+    def likely_ms(self, operation: str) -> float:
+        """Return a run time that most work of an operation doesn't exceed.
+
+        :param operation: name; an unknown one gets the expected run time.
+        """
+        configured = self._operations.get(operation)
+        if configured is None:
+            return self.expected_ms(operation)
+        deviation_ms = self._completions.deviation_ms(configured)
+        return self.expected_ms(operation) + deviation_ms
+
     def high_ms(self, operation: str) -> float:
         """Return a run time that nearly no work of an operation exceeds.
 
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -216,6 +216,7 @@
             avoid_ms=int(max(refusing_ms, self._avoid_until_ms - now_ms)),
             draining=self.is_draining(now_ms),
             risk=int(RISK_SCALE * self.risk(now_ms)),
+            refused_from=self.admission.refused_from(now_ms),
         )
 
     def risk(self, now_ms: float) -> float:
--- a/src/jackdawhead/policy/work.py
+++ b/src/jackdawhead/policy/work.py
@@ -61,4 +61,15 @@
     retry_after_ms: int = 0
 
 
-__all__ = ('Admission', 'Verdict', 'Work')
+@dataclass(frozen=True, slots=True)
+class Displaced:
+    """Queued work that gave way to work of more value, and has not run.
+
+    :param retry_after_ms: time after which the caller may retry.
+    """
+
+    work: Work
+    retry_after_ms: int = 0
+
+
+__all__ = ('Admission', 'Displaced', 'Verdict', 'Work')
--- a/src/jackdawhead/replay/homes.py
+++ b/src/jackdawhead/replay/homes.py
@@ -89,6 +89,7 @@
             job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.RISKY))
             return
         admission = self.state.offer(job.work, now_ms)
+        self._refuse_displaced()
         if admission.verdict is Verdict.START:
             self._start(job)
         elif admission.verdict is Verdict.WAIT:
@@ -185,6 +186,16 @@
                 job = self._waiting.pop(work.work_id)
                 job.answer(HomeAnswer(Outcome.NOT_RUN, Reason.NODE_LEAVING))
 
+    def _refuse_displaced(self) -> None:
+        for each in self.state.admission.take_displaced():
+            self._waiting.pop(each.work.work_id).answer(
+                HomeAnswer(
+                    Outcome.NOT_RUN,
+                    Reason.OVERLOADED,
+                    retry_after_ms=each.retry_after_ms,
+                )
+            )
+
     def _withdraw_waiting(self) -> None:
         for work in self.state.admission.withdraw_all():
             job = self._waiting.pop(work.work_id)
--- a/src/jackdawhead/replay/requests.py
+++ b/src/jackdawhead/replay/requests.py
@@ -90,6 +90,7 @@
             arrived_ms,
             self.deadline_at_ms,
             not self.is_reserved,
+            priority=self.operation.priority,
         )
 
 
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -14,6 +14,7 @@
     Welcome,
 )
 from .update_messages import (
+    ALL_PRIORITIES,
     ConfigRequest,
     ConfigUpdate,
     CrashReport,
@@ -37,6 +38,7 @@
 PROTOCOL_VERSION: Final = 5
 
 __all__ = (
+    'ALL_PRIORITIES',
     'MESSAGE_CODES',
     'MESSAGE_TYPES',
     'OPERATION_PRIORITY',
--- a/src/jackdawhead/wire/update_messages.py
+++ b/src/jackdawhead/wire/update_messages.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
-from .base import HeaderPairs, Message, message
+from .base import HeaderPairs, Message, message, optional_field
+
+# Above any priority.
+ALL_PRIORITIES: Final = 1_000_000
 
 
 @message(11)
@@ -72,6 +76,8 @@
         upstream, 0 if they may use it.
     :param draining: whether it accepts no new requests.
     :param risk: probability that a request fails there now, in thousandths.
+    :param refused_from: most urgent priority that gets no place in its queue;
+        above all priorities if it takes any.
     """
 
     upstream: str
@@ -87,6 +93,7 @@
     avoid_ms: int
     draining: bool
     risk: int = 0
+    refused_from: int = optional_field(ALL_PRIORITIES)
 
 
 @message(15)
@@ -142,6 +149,7 @@
 
 
 __all__ = (
+    'ALL_PRIORITIES',
     'ConfigRequest',
     'ConfigUpdate',
     'CrashReport',
