--- a/features/fleet/leaving.feature
+++ b/features/fleet/leaving.feature
@@ -12,6 +12,13 @@
     Then upstream 2 starts no request later than 3 s after that
     And every lookup has the whole answer to its own request
 
+  # An overdue lookup was sent again 3.2 s after its upstream was listed so.
+  Scenario: Long work is not sent again to an upstream that leaves meanwhile
+    Given a fleet of 1 nodes in front of "registry-desk"
+    When a caller sends GET "/cultivars/usual?ms=180" to node 1, 8 times in turn
+    And VM 1 is listed as leaving while it runs "/cultivars/long?ms=1800"
+    Then that request was answered by its only run
+
   Scenario: A rolling restart of all nodes under load
     Given a fleet of 4 nodes in front of "registry-desk"
     When all nodes are restarted in turn while callers send lookups to the other nodes
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -41,6 +41,8 @@
 _RESTART_LOAD_S = 5.0
 _KEY_LOAD_S = 4.0
 _SECOND_VERSION = 2
+_OK = 200
+_LONG_DEADLINE_MS = 8000
 
 
 def lookup(number: int) -> HttpRequest:
@@ -263,6 +265,44 @@
     load_while(context, list(context.fleet.nodes), seconds, leave)
 
 
+@when(
+    'a caller sends GET "{target}" to node {position:d}, {count:d} times '
+    'in turn'
+)
+def send_same(context: Context, target: str, position: int, count: int) -> None:
+    """Send requests, each one after the previous answer."""
+    port = context.fleet.nodes[node_at(context, position)].caller_port
+    for _ in range(count):
+        assert call(port, 'GET', target).status == _OK
+
+
+@when('VM {position:d} is listed as leaving while it runs "{target}"')
+def leave_during_run(context: Context, position: int, target: str) -> None:
+    """Send a request, and publish the mark as soon as it runs."""
+    vm = node_at(context, position)
+    path = target.partition('?')[0]
+
+    def runs() -> list[Any]:
+        work = context.fleet.executed_work()
+        return [each for each in work if each['path'] == path]
+
+    port = context.fleet.nodes[vm].caller_port
+    headers = {'X-Deadline-Ms': str(_LONG_DEADLINE_MS)}
+    sent = gevent.spawn(call, port, 'GET', target, headers=headers)
+    wait_until(lambda: bool(runs()), 'a run')
+    context.fleet.leaving.add(vm)
+    context.fleet.publish_vms()
+    context.reply = sent.get()
+    context.runs = runs()
+
+
+@then('that request was answered by its only run')
+def check_only_run(context: Context) -> None:
+    """Compare the answer with the records of the upstream."""
+    assert context.reply.status == _OK, context.reply
+    assert len(context.runs) == 1, context.runs
+
+
 @then(
     'upstream {position:d} starts no request later than {seconds:d} s '
     'after that'
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import ExitStack
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -28,11 +28,9 @@
 from .request_head import answer_headers, request_head
 
 if TYPE_CHECKING:
-    from ...config.model import HeaderNames, Operation
-    from ...config.settings import Address
-    from ...policy.retries import HomeResendBudget
-    from .connections import Connection, ConnectionPool
+    from .connections import Connection
     from .job import Job
+    from .target import Target
 
 _MIN_SERVER_ERROR_STATUS: Final = 500
 _OVERDUE_FACTOR: Final = 6
@@ -43,24 +41,6 @@
     """The deadline of the request passed."""
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
-    """Where and how to run a request.
-
-    :param instance: identity of the upstream's instance that must run it.
-    :param expected_ms: expected run time of the operation.
-    :param resends: budget of resends to the same upstream.
-    """
-
-    address: Address
-    pool: ConnectionPool
-    operation: Operation
-    names: HeaderNames
-    instance: str
-    expected_ms: float
-    resends: HomeResendBudget
-
-
 class Execution:
     """One run of a request.
 
@@ -107,7 +87,7 @@
             return self._exchange(connection)
         except (OSError, HTTPParseError):
             is_allowed = self._may_resend(connection)
-            if not is_allowed or not self._target.resends.may_resend():
+            if not is_allowed or not self._target.may_resend():
                 return self._connection_lost()
         return self._retry_on_new_connection()
 
@@ -155,7 +135,7 @@
             opened,
             self._target.pool,
             self._overdue_after_ms(),
-            self._target.resends.may_resend,
+            self._target.may_resend,
             self._resend,
         )
         self._found_silent = opened.found_silent
@@ -293,4 +273,4 @@
         )
 
 
-__all__ = ('Execution', 'ExecutionResult', 'RunResult', 'Target')
+__all__ = ('Execution', 'ExecutionResult', 'RunResult')
--- a/src/jackdawhead/node/home/request_head.py
+++ b/src/jackdawhead/node/home/request_head.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from ...wire.messages import HeaderPairs, Submit
-    from .execution import Target
+    from .target import Target
 
 HOP_BY_HOP: Final = frozenset(
     (
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -15,8 +15,9 @@
 from ...reasons import Reason
 from ..decision_log import log_admission, log_cancel, log_run, log_use
 from .connections import ConnectionPool
-from .execution import Execution, ExecutionResult, Target
+from .execution import Execution, ExecutionResult
 from .offers import refusal_reason
+from .target import Target
 
 if TYPE_CHECKING:
     from random import Random
@@ -179,6 +180,7 @@
 
     def close(self) -> None:
         """Refuse queued requests and close idle connections."""
+        self._state.has_left = True
         self._withdraw_waiting(Reason.DRAINING)
         self._pool.close()
 
@@ -212,6 +214,7 @@
             self.spec.instance,
             self._state.admission.run_times.expected_ms(job.operation.name),
             self._resends,
+            lambda: self.draining,
         )
 
     def _finish(self, job: Job, result: ExecutionResult | None) -> None:
--- a/src/jackdawhead/policy/upstream_state.py
+++ b/src/jackdawhead/policy/upstream_state.py
@@ -92,6 +92,7 @@
         self._avoid_ms = 0
         self._draining_until_ms: float = 0
         self._listed_leaving = False
+        self.has_left = False
 
     def replace_service(self, service: Service) -> None:
         """Apply a new policy; running and queued work and evidence are kept.
@@ -106,7 +107,8 @@
 
         :param now_ms: monotonic time.
         """
-        return self._listed_leaving or self._draining_until_ms > now_ms
+        is_leaving = self.has_left or self._listed_leaving
+        return is_leaving or self._draining_until_ms > now_ms
 
     def mark_leaving_in_vm_list(self, leaving: bool) -> bool:
         """Set whether the VM list has the upstream's VM as leaving.
