--- a/features/path/keys.feature
+++ b/features/path/keys.feature
@@ -104,6 +104,13 @@
     Then it gets status 200
     And the upstream got "Tenant: bolt" and no key
 
+  Scenario: An operator sees what became of an organisation's requests
+    Given a configuration with the organisations "acme" and "bolt"
+    When a caller gets "/d/1" with "Authorization: Token k-acme"
+    And a caller gets "/d/1" with "Authorization: Token k-acme"
+    Then the log names "acme" and the id of the key "k-acme" for its answer
+    And the metrics have "acme" with 2 answered and 0 refused requests
+
   Scenario: Keys are not to be seen
     Given a configuration with the organisations "acme" and "bolt"
     When a caller gets "/d/1" with "Authorization: Token k-acme"
--- a/features/steps/key_steps.py
+++ b/features/steps/key_steps.py
@@ -50,9 +50,12 @@
         received += sock.recv(1)
     head, _, _ = received.partition(b'\r\n\r\n')
     lines = head.decode().lower().split('\r\n')
+    status = int(lines[0].split()[1])
+    if status < _OK:
+        return status
     length = next(each for each in lines if each.startswith('content-length'))
     sock.recv(int(length.partition(':')[2]), socket.MSG_WAITALL)
-    return int(lines[0].split()[1])
+    return status
 
 
 def _publish(context: Context, version: int) -> None:
@@ -281,6 +284,37 @@
     )
 
 
+@then('the log names "{name}" and the id of the key "{key}" for its answer')
+def check_answer_log(context: Context, name: str, key: str) -> None:
+    """Find the line of the answer."""
+    fields = f'organisation={name} key={key_id(key_digest(key.encode()))}'
+    wait_until(
+        lambda: any(
+            'event=request-answered id=r1' in line and fields in line
+            for line in _log(context).splitlines()
+        ),
+        fields,
+    )
+
+
+@then(
+    'the metrics have "{name}" with {answered:d} answered and {refused:d}'
+    ' refused requests'
+)
+def check_counts(
+    context: Context, name: str, answered: int, refused: int
+) -> None:
+    """Read the metrics page."""
+    text = call(context.admin_port, 'GET', '/metrics').body.decode()
+    counts = {'answered': answered, 'refused': refused}
+    for result, count in counts.items():
+        line = (
+            'jackdawhead_organisation_requests_total'
+            f'{{organisation="{name}",result="{result}"}} {float(count)}'
+        )
+        assert line in text.splitlines(), text
+
+
 def _log(context: Context) -> str:
     text: str = context.node_log.read_text()
     return text
--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..clock import monotonic_ms
+from ..config.credentials import key_id
 from ..logs import log_event
 from ..outcome import Outcome
 from .entry.requests import UpstreamAnswer
@@ -63,9 +64,20 @@
         left_ms=int(call.deadline_at_ms - now_ms),
         config_version=board.config.read().version,
         list_version=board.vm_list.read().version,
+        **_caller_fields(call),
     )
 
 
+def _caller_fields(call: Call) -> dict[str, object]:
+    request = call.request
+    if not request.key_digest:
+        return {}
+    return {
+        'organisation': request.organisation,
+        'key': key_id(request.key_digest),
+    }
+
+
 def _outcome_fields(answer: Answer) -> dict[str, object]:
     if isinstance(answer, UpstreamAnswer):
         return {'came_to': answer.status, 'outcome': Outcome.RAN.value}
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -215,7 +215,10 @@
             return now_caller
         if now_caller is not caller:
             call = with_caller(call, environ, now_caller)
-        return dispatch(call)
+        answer = dispatch(call)
+        if call.key_digest:
+            self._request_stats.organisations.note(call.organisation, answer)
+        return answer
 
     def _fill(
         self,
--- a/src/jackdawhead/node/entry/request_stats.py
+++ b/src/jackdawhead/node/entry/request_stats.py
@@ -8,6 +8,7 @@
 from prometheus_client import Histogram
 
 from ...clock import seconds
+from .organisation_counts import OrganisationCounts
 from .requests import Answer, UpstreamAnswer
 
 # From a quick lookup to the longest deadline in use.
@@ -19,12 +20,14 @@
 
     The result is the status class of an upstream's answer, such as ``2xx``, or
     the reason of a refusal. The attribute ``latency`` is a histogram of the
-    time to the first byte of the answer.
+    time to the first byte of the answer. The attribute ``organisations`` has
+    the requests that were identified by a key.
     """
 
     def __init__(self) -> None:
         self.by_result: Counter[str] = Counter()
         self.caller_disconnects = 0
+        self.organisations = OrganisationCounts()
         self.latency = Histogram(
             'jackdawhead_request_seconds',
             'Time to the first byte of the answer, by status class or reason.',
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -17,6 +17,7 @@
 
     from prometheus_client.metrics_core import Metric
 
+    from .entry.organisation_counts import OrganisationCounts
     from .runtime import Node
 
 
@@ -24,7 +25,8 @@
     """Collects the metrics of a node.
 
     All labels have bounded cardinality: status classes, refusal reasons,
-    services, health states, and the upstreams of this home.
+    services, health states, the upstreams of this home, and the largest
+    organisations.
 
     :param node: the running node.
     """
@@ -49,6 +51,7 @@
         for answer, count in sorted(node.http.request_stats.by_result.items()):
             answers.add_metric([answer], count)
         yield answers
+        yield _organisation_requests(node.http.request_stats.organisations)
         yield GaugeMetricFamily(
             'jackdawhead_requests_in_progress',
             'Caller requests in progress.',
@@ -153,6 +156,19 @@
     return registry
 
 
+def _organisation_requests(counts: OrganisationCounts) -> Metric:
+    family = CounterMetricFamily(
+        'jackdawhead_organisation_requests',
+        'Requests identified by a key, of the 20 organisations with the most;'
+        ' those of all others have no name, and may decrease.',
+        labels=['organisation', 'result'],
+    )
+    for count in counts.shown():
+        family.add_metric([count.name, 'answered'], count.answered)
+        family.add_metric([count.name, 'refused'], count.refused)
+    return family
+
+
 def _process_metrics() -> Iterator[Metric]:
     usage = resource.getrusage(resource.RUSAGE_SELF)
     yield CounterMetricFamily(
--- a/src/jackdawhead/node/tickets/dispatch.py
+++ b/src/jackdawhead/node/tickets/dispatch.py
@@ -80,8 +80,13 @@
             ticket,
             lambda: self._dispatcher.dispatch(request),
             deadline_ms + DEADLINE_GRACE_MS,
+            request.organisation if self._requires_keys() else '',
         )
 
+    def _requires_keys(self) -> bool:
+        loaded = self._parts.board.config.read().loaded
+        return loaded is not None and loaded.config.requires_keys
+
     def _dispatch(
         self,
         request: CallerRequest,
--- a/src/jackdawhead/node/tickets/store.py
+++ b/src/jackdawhead/node/tickets/store.py
@@ -26,6 +26,7 @@
 _MAX_TICKETS: Final = 50_000
 _MAX_ANSWER_BYTES: Final = 65_536
 _MAX_TOTAL_BYTES: Final = 4_000_000
+_OF_ANOTHER: Final = Refused(Outcome.UNKNOWN, Reason.TICKET_REFUSED)
 _TICKET_GONE: Final = Refused(Outcome.UNKNOWN, Reason.TICKET_GONE)
 
 
@@ -38,12 +39,14 @@
     :param answer: result of the run; replaced by a new one after an outcome
         of 'not run'.
     :param body_bytes: size of the answer's body.
+    :param organisation: organisation whose request it is, if a key told it.
     """
 
     issued_at_ms: float
     is_started: bool = False
     answer: AsyncResult = field(default_factory=AsyncResult)
     body_bytes: int = 0
+    organisation: str = ''
 
 
 class TicketStore:
@@ -79,6 +82,7 @@
         ticket: Ticket,
         work: Callable[[], Answer],
         timeout_ms: float,
+        organisation: str = '',
     ) -> Answer:
         """Run the work of a ticket, or return the answer of its first run.
 
@@ -88,13 +92,18 @@
         :param ticket: ticket with a valid signature.
         :param work: runs the request and returns the answer.
         :param timeout_ms: longest wait for the answer.
+        :param organisation: organisation that a key identifies, if any;
+            another one doesn't get the answer.
         """
         entry = self._find(ticket)
         if entry is None:
             return _TICKET_GONE
         if not entry.is_started:
             entry.is_started = True
+            entry.organisation = organisation
             gevent.spawn(self._run, ticket.number, entry, work)
+        if entry.organisation not in {'', organisation}:
+            return _OF_ANOTHER
         answer: Answer | None = entry.answer.wait(seconds(timeout_ms))
         if answer is None:
             return Refused(Outcome.UNKNOWN, Reason.DEADLINE)
