Placement over zones and regions: the way has a cost of its own

Cause: another zone cost 8 ms and one price a byte, whichever it was, so two thirds of the work left its region though there was room in it; entries with old reports took the upstream that was once the fastest, all the same one; the busiest upstream was in 2.5 times as many subsets as the mean.

Now, only with zones of several regions (or `balancer: nearest` with them): of each kind of way two upstreams are drawn in proportion to room and the least expected time is taken, with the round trip measured on the links and a price for the learned bytes, both bounded by the target; known full homes near are asked to queue; tests of failing upstreams and second copies count the way too. Subsets `even`: by ranks on rings of zone, region and the rest.

--- a/features/fleet/subsets.feature
+++ b/features/fleet/subsets.feature
@@ -45,3 +45,41 @@
     Then each node owns 50 to 200 upstreams
     When a node leaves
     Then only the upstreams of that node have another home
+
+  Scenario Outline: Even subsets give no upstream much more than the mean
+    Given <count> VMs in six zones of three regions, with even subsets
+    Then the busiest upstream is in at most 1.3 times the mean number
+    And each entry uses 20 upstreams of its region and 10 others
+    And each entry uses the upstream on its own VM
+    And a VM that leaves or joins changes 1 upstreams a subset on average, and 4 at most
+
+    Examples: sizes of fleets
+      | count |
+      | 60    |
+      | 100   |
+      | 235   |
+      | 300   |
+
+  Scenario Outline: Even subsets stay even when a zone or a region is lost
+    Given <count> VMs in six zones of three regions, with even subsets
+    When the VMs of "<place>" <way>
+    Then the busiest upstream is in at most 1.3 times the mean number
+
+    Examples: losses
+      | count | place    | way               |
+      | 60    | zone-1   | leave the list    |
+      | 60    | region-1 | leave the list    |
+      | 100   | zone-1   | leave the list    |
+      | 100   | region-1 | leave the list    |
+      | 235   | zone-1   | leave the list    |
+      | 235   | region-1 | leave the list    |
+      | 300   | zone-1   | leave the list    |
+      | 300   | region-1 | leave the list    |
+      | 60    | zone-1   | cannot be dialled |
+      | 60    | region-1 | cannot be dialled |
+      | 100   | zone-1   | cannot be dialled |
+      | 100   | region-1 | cannot be dialled |
+      | 235   | zone-1   | cannot be dialled |
+      | 235   | region-1 | cannot be dialled |
+      | 300   | zone-1   | cannot be dialled |
+      | 300   | region-1 | cannot be dialled |
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -12,7 +12,7 @@
 from jackdawhead.blackboard import Vm, VmList
 from jackdawhead.policy.homes import HomeMap
 from jackdawhead.policy.member_loads import Member
-from jackdawhead.policy.subset import SubsetRule
+from jackdawhead.policy.subset import RendezvousSubset
 from standins.fleet import wait_until
 
 if TYPE_CHECKING:
@@ -121,7 +121,7 @@
     return {
         entry: {
             member.name
-            for member in SubsetRule(entry, zone).choose(
+            for member in RendezvousSubset(entry, zone).choose(
                 context.members, context.size, lost
             )
         }
--- a/src/jackdawhead/config/build.py
+++ b/src/jackdawhead/config/build.py
@@ -51,6 +51,7 @@
     'quarantine_ms': 600_000,
 }
 _DEFAULT_SUBSET_SIZE: Final = 30
+_DEFAULT_SUBSET: Final = 'rendezvous'
 _DEFAULT_BALANCER: Final = 'least-wait'
 _DEFAULT_EXPECTED_MS: Final = {WorkClass.SHORT: 50, WorkClass.LONG: 2000}
 
@@ -116,6 +117,7 @@
             **_DETECTION_DEFAULTS | plain.get('detection', {}),
         ),
         poison=PoisonPolicy(**_POISON_DEFAULTS | plain.get('poison', {})),
+        subset=plain.get('subset', _DEFAULT_SUBSET),
     )
 
 
--- a/src/jackdawhead/config/checks.py
+++ b/src/jackdawhead/config/checks.py
@@ -9,6 +9,7 @@
 from ..policy.admissions import ADMISSIONS
 from ..policy.balancers import BALANCERS
 from ..policy.detectors import DETECTORS
+from ..policy.subset_rules import SUBSET_RULES
 from .problems import Problem
 
 if TYPE_CHECKING:
@@ -142,6 +143,7 @@
     for name, service in _section(tree, 'services').items():
         configured_rules = (
             ('balancer', service.get('balancer'), BALANCERS),
+            ('subset', service.get('subset'), SUBSET_RULES),
             (
                 'queue.admission',
                 service.get('queue', {}).get('admission'),
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -136,6 +136,7 @@
     :param subset_size: number of upstreams that each entry uses.
     :param balancer: registered name of the balancer.
     :param operations: operations by name.
+    :param subset: registered name of the rule that chooses these upstreams.
     """
 
     name: str
@@ -150,6 +151,7 @@
     retry: RetryPolicy
     detection: DetectionPolicy
     poison: PoisonPolicy
+    subset: str = 'rendezvous'
 
     def slots_for(self, listed: int) -> int:
         """Return the slots of an upstream; no request runs off a connection.
@@ -271,6 +273,11 @@
     callers: CallerPolicy = field(default_factory=CallerPolicy)
     organisations: dict[str, Organisation] = field(default_factory=dict)
 
+    @property
+    def regions(self) -> dict[str, str]:
+        """Region of each zone."""
+        return {zone.name: zone.region for zone in self.zones.values()}
+
 
 __all__ = (
     'CallerPolicy',
--- a/src/jackdawhead/config/schema.py
+++ b/src/jackdawhead/config/schema.py
@@ -104,6 +104,7 @@
         'healthy_floor_percent': _PERCENT,
         'subset_size': _integer(3, 1000),
         'balancer': _NAME,
+        'subset': _NAME,
         'operations': {**_mapping_of(_OPERATION), 'minProperties': 1},
         'queue': _QUEUE,
         'retry': _RETRY,
--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -36,6 +36,7 @@
         id=call.request_id,
         attempt=attempt,
         upstream=load.upstream,
+        way=call.router.ways.way_to(load.zone).value,
         risk=load.risk_now(now_ms),
         wait_ms=int(load.expected_wait_ms(now_ms)),
         age_ms=int(now_ms - load.reported_at_ms) if load.reported_at_ms else -1,
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -33,6 +33,10 @@
     def last_pong_at_ms(self) -> float:
         """Monotonic time of the last answer to a ping."""
 
+    @property
+    def round_trip_ms(self) -> float | None:
+        """Time between the last ping and its answer, None if unknown."""
+
     def ping(self) -> int:
         """Send a ping to the home and return its serial number."""
 
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -11,6 +11,7 @@
 from ...policy.loads import UpstreamLoad
 from ...policy.placement import (
     home_risk_limit,
+    may_redirect,
     routing_query,
     uses_risk_balancer,
 )
@@ -178,10 +179,12 @@
         has_others: bool,
     ) -> Answer:
         budget = call.router.budget
-        may_redirect = call.request.last and not call.tried.was_busy(
-            load.upstream
+        is_redirect = (
+            call.request.last
+            and not call.tried.was_busy(load.upstream)
+            and may_redirect(call.router, load, monotonic_ms())
         )
-        is_reserved = may_redirect and budget.reserve_redirect(
+        is_reserved = is_redirect and budget.reserve_redirect(
             attempt_number,
             call.operation.work_class,
             has_others=has_others,
--- a/src/jackdawhead/node/entry/exchanges.py
+++ b/src/jackdawhead/node/entry/exchanges.py
@@ -21,6 +21,7 @@
 from .race import Copy, Race, Reply, is_success
 from .requests import Answer, Refused, UpstreamAnswer
 from .stop_limits import STOP_REFUSAL
+from .way_notes import note_answered, note_sent
 
 if TYPE_CHECKING:
     from ...policy.service_router import ServiceRouter
@@ -211,6 +212,7 @@
         risk_limit: int,
     ) -> None:
         request = call.request
+        note_sent(call, load)
         attempt.channel.send(
             Submit(
                 attempt.request_id,
@@ -266,10 +268,7 @@
         load = reply.copy.load
         if isinstance(message, Head):
             load.note_answer(monotonic_ms())
-            answer_bytes = max(message.body_bytes, len(message.chunk))
-            call.router.transfer_sizes.note(
-                call.operation.name, call.request.body_bytes + answer_bytes
-            )
+            note_answered(call, load, message)
         is_ok = is_success(message)
         if is_ok:
             call.router.poison.note_success(call.fingerprint)
--- a/src/jackdawhead/node/entry/members.py
+++ b/src/jackdawhead/node/entry/members.py
@@ -8,10 +8,10 @@
 from ...policy.expiry import pop_expired
 from ...policy.homes import HomeMap
 from ...policy.member_loads import Member
-from ...policy.subset import SubsetRule
+from ...policy.subset_rules import SUBSET_RULES, EntryPlaces
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from ...blackboard import Vm, VmList
     from ...config.model import Service
@@ -42,7 +42,12 @@
     """
 
     def __init__(self, entry: str, zone: str) -> None:
-        self._rule = SubsetRule(entry, zone)
+        self._rules = {
+            name: SUBSET_RULES.find(name).unwrap()(entry, zone)
+            for name in SUBSET_RULES.names()
+        }
+        self._regions: Mapping[str, str] = {}
+        self._entries: dict[str, str] = {}
         self._by_service: dict[str, list[Member]] = {}
         self._unreachable_until_ms: dict[str, float] = {}
 
@@ -66,7 +71,23 @@
             used_homes.add(home)
             for service, member in _members_on(vm, home):
                 self._by_service.setdefault(service, []).append(member)
-        self._rule.retain_homes(frozenset(used_homes))
+        self._entries = {
+            each.name: each.zone
+            for each in vm_list.vms.values()
+            if each.stream_port and not each.leaving
+        }
+        for rule in self._rules.values():
+            rule.retain_homes(frozenset(used_homes))
+        self._replace_entries()
+
+    def replace_regions(self, regions: Mapping[str, str]) -> None:
+        """Apply the zones of a new configuration.
+
+        :param regions: region of each zone.
+        """
+        if regions != self._regions:
+            self._regions = regions
+            self._replace_entries()
 
     def listed(self, service: Service) -> tuple[Member, ...]:
         """Return all upstreams of a service that accept new work.
@@ -84,7 +105,7 @@
 
         :param service: service with its zones and the size of the subset.
         """
-        return self._rule.choose(
+        return self._rules[service.subset].choose(
             self.listed(service),
             service.subset_size,
             frozenset(self._unreachable_until_ms),
@@ -117,6 +138,11 @@
         """
         return pop_expired(self._unreachable_until_ms, now_ms)
 
+    def _replace_entries(self) -> None:
+        places = EntryPlaces(self._entries, self._regions)
+        for rule in self._rules.values():
+            rule.replace_entries(places)
+
 
 def _members_on(vm: Vm, home: str) -> Iterator[tuple[str, Member]]:
     """Yield the upstreams of a VM that accept new work, with their services."""
--- a/src/jackdawhead/node/entry/routing.py
+++ b/src/jackdawhead/node/entry/routing.py
@@ -10,6 +10,7 @@
 from ...clock import monotonic_ms, seconds
 from ...policy.detection import Health, HealthChange
 from ...policy.service_router import ServiceRouter
+from ...policy.ways import Ways
 from .leaving_homes import LeavingHomes
 from .members import ServiceCount, ServiceMembers
 from .routes import RouteTable
@@ -57,6 +58,7 @@
     ) -> None:
         self.rng = rng
         self.table: RouteTable | None = None
+        self.ways = Ways(zone)
         self._zone = zone
         self._board = board
         self._audit = audit
@@ -261,6 +263,9 @@
         if loaded is None:
             return
         self.table = RouteTable(loaded.config.routes.values())
+        regions = loaded.config.regions
+        self.ways.replace_regions(regions)
+        self._members.replace_regions(regions)
         services = loaded.config.services
         for removed in self._routers.keys() - services.keys():
             self._routers.pop(removed)
@@ -280,7 +285,7 @@
             router.replace_members(self._members.used(router.service))
 
     def _add_router(self, service: Service) -> ServiceRouter:
-        router = ServiceRouter(service, self._zone, self.rng)
+        router = ServiceRouter(service, self._zone, self.rng, self.ways)
         router.replace_members(self._members.used(service))
         self.leaving.apply_to(router)
         self._routers[service.name] = router
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -45,8 +45,9 @@
     ``heard_heartbeat`` is set by the first heartbeat or the end of the link,
     ``knows_upstreams`` by the first one by which the peer has a configuration
     and a VM list,
-    and ``last_pong_at_ms`` is the monotonic time of the last pong, which proves
-    that the path works in both directions.
+    ``last_pong_at_ms`` is the monotonic time of the last pong, which proves
+    that the path works in both directions, and ``round_trip_ms`` the time since
+    its ping, None if a later one was sent meanwhile.
 
     :param identity: identity of this node.
     :param sock: connected socket.
@@ -78,6 +79,8 @@
         self._identity = identity
         self._nonce = new_nonce()
         self.last_pong_at_ms: float = 0
+        self.round_trip_ms: float | None = None
+        self._last_ping_at_ms: float = 0
         self._last_ping_serial = 0
         self._last_pong_serial = 0
         self._on_message = on_message
@@ -124,6 +127,7 @@
         :returns: serial number of the ping.
         """
         self._last_ping_serial += 1
+        self._last_ping_at_ms = monotonic_ms()
         self.send(Ping(self._last_ping_serial))
         return self._last_ping_serial
 
@@ -164,14 +168,20 @@
             case Ping(serial=serial) if self.vm:
                 self.send(Pong(serial))
             case Pong(serial=serial) if self.vm:
-                self._last_pong_serial = serial
-                self.last_pong_at_ms = self.last_received_at_ms
+                self._note_pong(serial)
                 self._on_message(self, message)
             case _ if self.vm:
                 self._on_message(self, message)
             case _:
                 self._handle_handshake(message)
 
+    def _note_pong(self, serial: int) -> None:
+        self._last_pong_serial = serial
+        self.last_pong_at_ms = self.last_received_at_ms
+        is_last = serial == self._last_ping_serial
+        round_trip_ms = self.last_pong_at_ms - self._last_ping_at_ms
+        self.round_trip_ms = round_trip_ms if is_last else None
+
     def _handle_handshake(self, message: Message) -> None:
         """Handle a message received before the handshake has completed."""
         raise NotImplementedError
--- a/src/jackdawhead/node/local_channel.py
+++ b/src/jackdawhead/node/local_channel.py
@@ -30,6 +30,7 @@
 
     def __init__(self, parts: NodeParts) -> None:
         self.vm = parts.identity.vm
+        self.round_trip_ms: float | None = None
         self._parts = parts
         self._session = HomeSession(parts.home, self._receive)
 
@@ -75,6 +76,7 @@
     match message:
         case Pong():
             parts.routing.note_path_recovered(channel.vm)
+            _note_round_trip(parts, channel)
         case UpstreamStatus():
             parts.routing.note_status(message)
         case Head() | Body() | Refusal() | Credit():
@@ -86,4 +88,13 @@
     return True
 
 
+def _note_round_trip(parts: NodeParts, channel: Channel) -> None:
+    round_trip_ms = channel.round_trip_ms
+    vm = parts.board.vm_list.read().vms.get(channel.vm)
+    if vm is not None and round_trip_ms is not None:
+        parts.routing.ways.round_trips.note(
+            vm.zone, round_trip_ms, monotonic_ms()
+        )
+
+
 __all__ = ('LocalChannel', 'receive_answer')
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -11,6 +11,7 @@
 
 from ..clock import seconds
 from ..policy.detection import Health
+from .way_metrics import way_metrics
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -36,6 +37,7 @@
         """Yield the current values of all metrics."""
         yield from self._request_metrics()
         yield from self._fleet_metrics()
+        yield from way_metrics(self._node.parts.routing.ways)
         yield from self._home_metrics()
         yield from _process_metrics()
 
--- a/src/jackdawhead/platform/config_translation.py
+++ b/src/jackdawhead/platform/config_translation.py
@@ -20,7 +20,7 @@
 from .formats import parse_duration_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
 # Expected run time as a share of the latency target until runs have been
 # observed; the offices' data sheets give a fifth to a third.
@@ -59,6 +59,8 @@
     'poison': {'max_crashes': 3},
     'operations': {},
 }
+# Settings that differ if the zones are in more than one region.
+_REGIONS_POLICY: Final = {'balancer': 'nearest', 'subset': 'even'}
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,11 +103,13 @@
 class ResourceTranslator:
     """Translates one resource at a time.
 
-    :param zones: the zones that all services run in.
+    :param zones: region of each of the zones that all services run in.
     """
 
-    def __init__(self, zones: Iterable[str]) -> None:
+    def __init__(self, zones: Mapping[str, str]) -> None:
         plain = {**_SERVICE_POLICY, 'zones': sorted(zones)}
+        if len(frozenset(zones.values())) > 1:
+            plain |= _REGIONS_POLICY
         policy = build_service('', plain)
         self._by_kind = {
             kind: _TRANSLATIONS.find(kind).unwrap()(policy)
--- a/src/jackdawhead/policy/balancers.py
+++ b/src/jackdawhead/policy/balancers.py
@@ -1,29 +1,22 @@
-"""Load balancers: the choice of an upstream for a request."""
+"""All load balancers: the choice of an upstream for a request."""
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from ..registry import Registry
-from .loads import Pool, RoutingQuery, UpstreamLoad
-from .risk_policy import pick_trial
+from .balancer import BALANCERS, Balancer
+from .nearest import NearestBalancer
+from .risk_balancer import LeastRiskBalancer
 from .sampling import least, sample
 
 if TYPE_CHECKING:
     from random import Random
 
+    from .loads import Pool, RoutingQuery, UpstreamLoad
+
 # Added to the expected time of an upstream in another zone (least-wait).
 _OTHER_ZONE_PENALTY_MS: Final = 5.0
-# Round trip between zones, as given in the offices' data sheets.
-_ZONE_ROUND_TRIP_MS: Final = 8.0
-# Links between zones are expensive and lossy. A caller may wait this much
-# longer for each byte that thereby stays within the zone.
-_OTHER_ZONE_MS_PER_BYTE: Final = 0.006
-# Jitter of the least-risk balancer, as a share of the run time.
-_RISK_JITTER_SHARE: Final = 0.1
-RISK_BALANCER: Final = 'least-risk'
 _SAMPLE_SIZE: Final = 3
 _TWO_CHOICES: Final = 2
 # Jitter of the least-wait balancer, as a share of the run time.
@@ -31,27 +24,6 @@
 _HALF: Final = 0.5
 
 
-class Balancer(ABC):
-    """Chooses an upstream from a pool."""
-
-    @abstractmethod
-    def choose(
-        self,
-        pool: Pool,
-        query: RoutingQuery,
-        rng: Random,
-    ) -> UpstreamLoad | None:
-        """Return the upstream to use, None if all were tried.
-
-        :param pool: upstreams that may be used.
-        :param query: properties of the attempt, with the excluded upstreams.
-        :param rng: source of randomness.
-        """
-
-
-BALANCERS: Final[Registry[Balancer]] = Registry('balancer')
-
-
 @BALANCERS.register('least-wait')
 class LeastWaitBalancer(Balancer):
     """Takes the fastest of a few random upstreams, own zone first.
@@ -102,66 +74,6 @@
     return _completion_ms(query, load) + jitter * load.report.run_ms
 
 
-@BALANCERS.register(RISK_BALANCER)
-class LeastRiskBalancer(Balancer):
-    """Takes the least expected time, with the risk of failure as a time cost.
-
-    For services whose upstreams fail in spells: the health of an upstream
-    matters more than its zone, so all upstreams are compared. The size of the
-    service's subset bounds their number.
-    """
-
-    def choose(
-        self,
-        pool: Pool,
-        query: RoutingQuery,
-        rng: Random,
-    ) -> UpstreamLoad | None:
-        if query.trial is not None and not query.tried:
-            trial = pick_trial(
-                _remaining(pool.local + pool.remote, query.refusing),
-                query.trial,
-                query.now_ms,
-                rng,
-            )
-            if trial is not None:
-                return trial
-        transfer_ms = (
-            _ZONE_ROUND_TRIP_MS + query.transfer_bytes * _OTHER_ZONE_MS_PER_BYTE
-        )
-        excluded = query.excluded
-        local = least(
-            _remaining(pool.local, excluded),
-            partial(_risk_weighted_ms, query, rng, 0),
-        )
-        remote = least(
-            _remaining(pool.remote, excluded),
-            partial(_risk_weighted_ms, query, rng, transfer_ms),
-        )
-        if local is None or remote is None:
-            return local or remote
-        local_ms = _risk_weighted_ms(query, rng, 0, local)
-        remote_ms = _risk_weighted_ms(query, rng, transfer_ms, remote)
-        return local if local_ms <= remote_ms else remote
-
-
-def _remaining(
-    members: tuple[UpstreamLoad, ...], excluded: frozenset[str]
-) -> list[UpstreamLoad]:
-    return [each for each in members if each.upstream not in excluded]
-
-
-def _risk_weighted_ms(
-    query: RoutingQuery,
-    rng: Random,
-    transfer_ms: float,
-    load: UpstreamLoad,
-) -> float:
-    jitter_ms = _RISK_JITTER_SHARE * rng.random() * load.report.run_ms
-    risk_ms = query.failure_cost_ms * load.risk_now(query.now_ms)
-    return _completion_ms(query, load) + transfer_ms + risk_ms + jitter_ms
-
-
 @BALANCERS.register('two-choices')
 class TwoChoicesBalancer(Balancer):
     """Takes the upstream with fewer requests in flight out of two at random."""
@@ -214,4 +126,9 @@
         return None
 
 
-__all__ = ('BALANCERS', 'RISK_BALANCER', 'Balancer')
+__all__ = (
+    'BALANCERS',
+    'Balancer',
+    'LeastRiskBalancer',
+    'NearestBalancer',
+)
--- a/src/jackdawhead/policy/loads.py
+++ b/src/jackdawhead/policy/loads.py
@@ -10,9 +10,10 @@
 
 if TYPE_CHECKING:
     from .risk_policy import TrialRule
+    from .ways import WayCosts
 
 # Load reports older than this are ignored.
-_REPORT_LIFE_MS: Final = 1000
+REPORT_LIFE_MS: Final = 1000
 # Longer than any real wait, so that avoided upstreams rank last.
 _AVOIDED_WAIT_MS: Final = 1e9
 # An upstream that seems to have stalled is avoided for this long.
@@ -127,7 +128,7 @@
             return _AVOIDED_WAIT_MS
         report = self.report
         each_ms = report.run_ms / report.slots
-        if now_ms - self.reported_at_ms > _REPORT_LIFE_MS:
+        if now_ms - self.reported_at_ms > REPORT_LIFE_MS:
             return max(0, self.in_flight + 1 - report.slots) * each_ms
         surplus = self.sent_since_report + 1 - report.free
         if report.free:
@@ -143,7 +144,7 @@
         :param typical_ms: run time of the service's other upstreams.
         :param now_ms: monotonic time.
         """
-        is_stale = now_ms - self.reported_at_ms > _REPORT_LIFE_MS
+        is_stale = now_ms - self.reported_at_ms > REPORT_LIFE_MS
         return is_stale and self.report.run_ms > _SLOW_FACTOR * typical_ms
 
     def is_avoided(self, now_ms: float) -> bool:
@@ -259,6 +260,7 @@
         is likely to fail, None if it may not.
     :param refusing: upstreams that are excluded, since their homes stop and
         have just refused such work.
+    :param ways: costs of the ways to the zones, None if they don't count.
     """
 
     now_ms: float
@@ -267,6 +269,7 @@
     transfer_bytes: float = 0
     trial: TrialRule | None = None
     refusing: frozenset[str] = field(default_factory=frozenset)
+    ways: WayCosts | None = None
 
     @property
     def has_shortage(self) -> bool:
@@ -280,6 +283,7 @@
 
 
 __all__ = (
+    'REPORT_LIFE_MS',
     'LoadReport',
     'Pool',
     'RoutingQuery',
--- a/src/jackdawhead/policy/placement.py
+++ b/src/jackdawhead/policy/placement.py
@@ -8,9 +8,10 @@
 
 from typing import TYPE_CHECKING
 
-from .balancers import RISK_BALANCER
+from .nearest import NEAREST_BALANCER, RISK_BALANCERS
 from .loads import RoutingQuery
 from .risk_policy import TrialRule, failure_cost_ms, risk_limit
+from .room import free_slots
 from .spell_estimate import RISK_SCALE
 
 if TYPE_CHECKING:
@@ -27,7 +28,7 @@
 
     :param router: router of the service.
     """
-    return router.service.balancer == RISK_BALANCER
+    return router.service.balancer in RISK_BALANCERS
 
 
 def routing_query(
@@ -62,6 +63,24 @@
     )
 
 
+def may_redirect(
+    router: ServiceRouter, load: UpstreamLoad, now_ms: float
+) -> bool:
+    """Return whether a busy home may refuse an attempt, for a retry elsewhere.
+
+    By the ``nearest`` balancer, a home that is known to be full was chosen
+    since a wait there is shorter than the way to another one.
+
+    :param router: router of the service.
+    :param load: upstream that was chosen.
+    :param now_ms: monotonic time.
+    """
+    is_wait_chosen = (
+        router.service.balancer == NEAREST_BALANCER and router.ways.has_regions
+    )
+    return not is_wait_chosen or free_slots(load, now_ms) > 0
+
+
 def home_risk_limit(
     router: ServiceRouter,
     operation: Operation,
@@ -73,7 +92,7 @@
 ) -> int:
     """Return the risk above which the home refuses the attempt, in thousandths.
 
-    Without the ``least-risk`` balancer homes accept any risk.
+    Without such a balancer homes accept any risk.
 
     :param router: router of the service.
     :param operation: operation of the request.
@@ -93,4 +112,9 @@
     )
 
 
-__all__ = ('home_risk_limit', 'routing_query', 'uses_risk_balancer')
+__all__ = (
+    'home_risk_limit',
+    'may_redirect',
+    'routing_query',
+    'uses_risk_balancer',
+)
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -9,7 +9,8 @@
 from .balancers import BALANCERS
 from .completion_times import CompletionTimes
 from .detection import Health, HealthChange
-from .detectors import DETECTORS
+from .detectors import detector_of
+from .health_counts import count_of
 from .evidence import CUSUM_SCALE, Sample, Summary
 from .loads import LoadReport
 from .member_loads import MemberLoads
@@ -19,13 +20,13 @@
 from .shortage import Shortage
 from .spell_estimate import RISK_SCALE
 from .transfer_sizes import TransferSizes
+from .ways import Ways
 
 if TYPE_CHECKING:
     from random import Random
 
     from ..config.model import Service
     from ..wire.messages import UpstreamStatus
-    from .detection import Detector
     from .loads import RoutingQuery, UpstreamLoad
     from .member_loads import Member
 
@@ -41,9 +42,12 @@
     :param service: policy and operations.
     :param zone: zone of this node.
     :param rng: source of randomness.
+    :param ways: ways from this node to the zones, shared by all services.
     """
 
-    def __init__(self, service: Service, zone: str, rng: Random) -> None:
+    def __init__(
+        self, service: Service, zone: str, rng: Random, ways: Ways | None = None
+    ) -> None:
         self.service = service
         self.used_at_ms: float = 0
         self.budget = RetryBudget(service.retry)
@@ -53,10 +57,11 @@
         self.shortage = Shortage()
         self._rng = rng
         self._balancer = BALANCERS.find(service.balancer).unwrap()()
-        self._detector = _detector_of(service)
+        self._detector = detector_of(service)
         self._members = MemberLoads()
         self._has_new_evidence = False
         self._pools = Pools(zone)
+        self.ways = ways or Ways(zone)
 
     @property
     def members(self) -> frozenset[str]:
@@ -94,7 +99,7 @@
         if service.detection.detector == before.detection.detector:
             self._detector.replace_service(service)
         else:
-            self._detector = _detector_of(service)
+            self._detector = detector_of(service)
         self._update_members(members)
         self._members_changed()
 
@@ -131,6 +136,9 @@
         :param operation: name of the request's operation.
         :param query: properties of the attempt, with the excluded upstreams.
         """
+        size_bytes = self.transfer_sizes.usual(operation)
+        work = self.service.operations[operation]
+        query = self.ways.with_costs(query, work, size_bytes)
         query = self._members.without_refusing(query, operation)
         trial = self._pools.due_trial(self.service, operation, query)
         if trial is not None:
@@ -223,17 +231,10 @@
     def count_of(self, health: Health) -> int:
         """Return how many upstreams have a state of health.
 
-        :param health: counts upstreams with this state for any operation, but
-            for ``HEALTHY`` only those that have it for all operations.
+        :param health: state of some operation, ``HEALTHY`` of all operations.
         """
         operations = self._pools.operations or tuple(self.service.operations)
-        states = [
-            {self._detector.health(load.upstream, each) for each in operations}
-            for load in self._members.listed
-        ]
-        if health is Health.HEALTHY:
-            return sum(1 for found in states if found == {Health.HEALTHY})
-        return sum(1 for found in states if health in found)
+        return count_of(self._detector, self.loads, operations, health)
 
     def avoid_home_until(self, home: str, until_ms: float) -> None:
         """Avoid all upstreams of a home that this node can't reach.
@@ -292,8 +293,4 @@
         self._pools.rebuild(self.service, members, self._detector)
 
 
-def _detector_of(service: Service) -> Detector:
-    return DETECTORS.find(service.detection.detector).unwrap()(service)
-
-
 __all__ = ('ServiceRouter',)
--- a/src/jackdawhead/policy/subset.py
+++ b/src/jackdawhead/policy/subset.py
@@ -1,4 +1,4 @@
-"""Subsetting: the upstreams of a service that an entry uses."""
+"""Subsets by rendezvous hashing."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from .subset_rule import SUBSET_RULES, SubsetRule
+
 if TYPE_CHECKING:
     from .member_loads import Member
 
@@ -17,7 +19,8 @@
 _OWN_HOME_WEIGHT: Final = 1 << _HASH_BITS
 
 
-class SubsetRule:
+@SUBSET_RULES.register('rendezvous')
+class RendezvousSubset(SubsetRule):
     """Chooses a bounded subset of each service by rendezvous hashing.
 
     Each entry ranks homes by a hash of its own and the home's name (Thaler and
@@ -31,8 +34,7 @@
     """
 
     def __init__(self, entry: str, zone: str) -> None:
-        self._entry = entry
-        self._zone = zone
+        super().__init__(entry, zone)
         self._weights: dict[str, int] = {}
 
     def choose(
@@ -41,13 +43,6 @@
         size: int,
         unreachable: frozenset[str],
     ) -> tuple[Member, ...]:
-        """Return the subset of a service's upstreams.
-
-        :param members: upstreams of one service that take new work.
-        :param size: size of the subset; no more than all members are used.
-        :param unreachable: homes that are used only to fill up the subset when
-            there are too few others.
-        """
         if len(members) <= size:
             return members
         reachable = [each for each in members if each.home not in unreachable]
@@ -56,10 +51,6 @@
         return used + self._pick_by_zone(others, size - len(used))
 
     def retain_homes(self, homes: frozenset[str]) -> None:
-        """Drop the cached weights of all other homes.
-
-        :param homes: homes to keep, all those of the VM list.
-        """
         for gone in self._weights.keys() - homes:
             self._weights.pop(gone)
 
@@ -93,4 +84,4 @@
         return xxhash.xxh3_64_intdigest(f'{self._entry}|{home}'.encode())
 
 
-__all__ = ('SubsetRule',)
+__all__ = ('RendezvousSubset',)
--- a/src/jackdawhead/replay/engine.py
+++ b/src/jackdawhead/replay/engine.py
@@ -6,11 +6,12 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from ..policy.balancers import RISK_BALANCER
+from ..policy.nearest import RISK_BALANCERS
 from ..policy.member_loads import Member
+from ..policy.subset_rules import EntryPlaces
 from ..trace.records import ArrivalRecord, PathRecord, UpstreamRecord
 from .behaviour import RecordedBehaviour
-from .context import ReplayContext
+from .context import DEFAULT_HOPS_MS, ReplayContext
 from .entries import ReplayEntry
 from .homes import ReplayUpstream
 from .result import ReplayResult
@@ -18,7 +19,10 @@
 from .timeline import Timeline
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from ..config.model import Config, Service
+    from ..policy.ways import Way
     from ..trace.reader import Trace
     from ..wire.messages import UpstreamStatus
 
@@ -35,6 +39,7 @@
     :param trace: arrivals, and the recorded behaviour of the upstreams.
     :param seed: seed of all random choices; equal seeds give equal results.
     :param stops: planned stops of nodes, each followed by a start.
+    :param hops_ms: one-way network delays between VMs.
     """
 
     def __init__(
@@ -43,6 +48,7 @@
         trace: Trace,
         seed: int,
         stops: tuple[PlannedStop, ...] = (),
+        hops_ms: Mapping[Way, float] = DEFAULT_HOPS_MS,
     ) -> None:
         self._config = config
         self._trace = trace
@@ -58,18 +64,22 @@
             Random(seed),
             self._start_ms,
             self._broadcast_status,
+            hops_ms,
         )
         self._members: dict[str, dict[str, Member]] = {
             name: {} for name in config.services
         }
         self._upstreams: dict[str, ReplayUpstream] = {}
+        places = EntryPlaces(
+            {node.node: node.zone for node in trace.nodes}, config.regions
+        )
         self._entries = {
             node.node: ReplayEntry(
                 node.node,
-                node.zone,
                 self._context,
                 self._upstreams,
                 self._broadcast_crash,
+                places,
             )
             for node in trace.nodes
         }
@@ -218,7 +228,7 @@
     def _broadcast_status(
         self, service: Service, status: UpstreamStatus
     ) -> None:
-        if service.balancer == RISK_BALANCER:
+        if service.balancer in RISK_BALANCERS:
             for entry in self._entries.values():
                 entry.view.on_status(service.name, status)
 
--- a/src/jackdawhead/replay/entries.py
+++ b/src/jackdawhead/replay/entries.py
@@ -8,7 +8,7 @@
 from ..policy.evidence import Sample
 from ..policy.hedging import hedge_after_ms, may_hedge_at
 from ..policy.loads import RoutingQuery, UpstreamLoad
-from ..policy.placement import home_risk_limit, routing_query
+from ..policy.placement import home_risk_limit, may_redirect, routing_query
 from ..policy.resend import is_resend_safe
 from ..policy.retries import backoff_ms
 from ..policy.tried_upstreams import TriedUpstreams
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..policy.subset_rules import EntryPlaces
     from ..trace.records import ArrivalRecord
 
 
@@ -30,22 +31,22 @@
     """An entry with the same routing state as a live one.
 
     :param node: VM of the entry.
-    :param zone: zone of the VM.
     :param context: state shared by the whole replay.
     :param upstreams: simulated upstreams by identity; the replay adds to it.
     :param on_crash: notifies the other entries of a crash, with this entry,
         the service, the fingerprint and the upstream.
+    :param places: zones of all entries, and the regions of the zones.
     """
 
     def __init__(
         self,
         node: str,
-        zone: str,
         context: ReplayContext,
         upstreams: dict[str, ReplayUpstream],
         on_crash: Callable[[ReplayEntry, str, int, str], None],
+        places: EntryPlaces,
     ) -> None:
-        self.view = EntryView(node, zone, context)
+        self.view = EntryView(node, context, places)
         self.is_listening = True
         self.active: set[ReplayRequest] = set()
         self._context = context
@@ -111,9 +112,9 @@
             self._end_attempt(request, answer)
             return
         self.view.note_linked(load.home)
-        may_redirect = not request.tried.was_busy(load.upstream)
         request.is_reserved = (
-            may_redirect
+            not request.tried.was_busy(load.upstream)
+            and may_redirect(request.router, load, timeline.now_ms)
             and request.router.budget.reserve_redirect(
                 request.attempts,
                 request.operation.work_class,
@@ -134,6 +135,7 @@
         load.note_sent()
         copy = ReplayCopy(load, timeline.now_ms)
         request.copies.append(copy)
+        self.view.note_sent(load.upstream)
         upstream = self._upstreams[load.upstream]
         hop_ms = self.view.hop_ms(load.upstream)
         job = HomeJob(
@@ -224,8 +226,7 @@
         self, request: ReplayRequest, load: UpstreamLoad
     ) -> None:
         """Deliver the status that a home also sends after a cancellation."""
-        timeline = self._context.timeline
-        timeline.schedule_after(
+        self._context.timeline.schedule_after(
             2 * self.view.hop_ms(load.upstream),
             lambda: self._update_status(request, load),
         )
--- a/src/jackdawhead/replay/result.py
+++ b/src/jackdawhead/replay/result.py
@@ -9,6 +9,7 @@
     from ..config.model import Operation
     from ..outcome import Outcome
     from ..policy.detection import HealthChange
+    from ..policy.ways import Way
     from ..reasons import Reason
 
 
@@ -36,6 +37,20 @@
     is_good: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SentCopy:
+    """A copy of a request that an entry has sent.
+
+    :param at_ms: virtual time at which it was sent.
+    :param zone: zone of the entry.
+    """
+
+    at_ms: float
+    zone: str
+    upstream: str
+    way: Way
+
+
 @dataclass(frozen=True, slots=True)
 class StartedRun:
     """A run that was started on an upstream.
@@ -85,6 +100,7 @@
     entries: int
     end_ms: float = 0
     finished: list[FinishedRequest] = field(default_factory=list)
+    sent: list[SentCopy] = field(default_factory=list)
     started: list[StartedRun] = field(default_factory=list)
     changes: list[ObservedHealthChange] = field(default_factory=list)
     shares: list[HealthyShare] = field(default_factory=list)
@@ -95,5 +111,6 @@
     'HealthyShare',
     'ObservedHealthChange',
     'ReplayResult',
+    'SentCopy',
     'StartedRun',
 )
--- a/src/jackdawhead/replay/views.py
+++ b/src/jackdawhead/replay/views.py
@@ -5,19 +5,18 @@
 from typing import TYPE_CHECKING, Final
 
 from ..policy.service_router import ServiceRouter
-from ..policy.subset import SubsetRule
+from ..policy.subset_rules import SUBSET_RULES
+from ..policy.ways import Way, Ways
 from .outcomes import healthy_share
-from .result import ObservedHealthChange
+from .result import ObservedHealthChange, SentCopy
 
 if TYPE_CHECKING:
     from ..config.model import Service
     from ..policy.member_loads import Member
+    from ..policy.subset_rules import EntryPlaces, SubsetRule
     from ..wire.messages import UpstreamStatus
     from .context import ReplayContext
 
-# One-way network delays between VMs.
-_SAME_ZONE_HOP_MS: Final = 0.5
-_CROSS_ZONE_HOP_MS: Final = 2.5
 # How long a home is avoided after it was found to be unreachable.
 _AVOID_UNREACHABLE_MS: Final = 500
 _ALL_REACHABLE: Final[frozenset[str]] = frozenset()
@@ -27,26 +26,35 @@
     """The same routing state as a live entry keeps.
 
     :param node: VM of the entry.
-    :param zone: zone of the VM.
     :param context: state shared by the whole replay.
+    :param places: zones of all entries, and the regions of the zones.
     """
 
-    def __init__(self, node: str, zone: str, context: ReplayContext) -> None:
+    def __init__(
+        self, node: str, context: ReplayContext, places: EntryPlaces
+    ) -> None:
         self.node = node
         self.routers: dict[str, ServiceRouter] = {}
         self.unreachable_homes: set[str] = set()
         self._restarted_homes: set[str] = set()
-        self._zone = zone
+        self._zone = places.zones[node]
         self._context = context
         self._zones: dict[str, str] = {}
-        self._subset = SubsetRule(node, zone)
+        self._ways = Ways(self._zone)
+        self._ways.replace_regions(places.regions)
+        self._subsets = {
+            name: self._subset_rule(name, places)
+            for name in SUBSET_RULES.names()
+        }
 
     def add_service(self, service: Service) -> None:
         """Add a router for a service.
 
         :param service: configuration of the service.
         """
-        router = ServiceRouter(service, self._zone, self._context.rng)
+        router = ServiceRouter(
+            service, self._zone, self._context.rng, self._ways
+        )
         self.routers[service.name] = router
 
     def replace_members(
@@ -62,7 +70,7 @@
         self._zones.update({each.name: each.zone for each in members})
         router = self.routers[service]
         router.replace_members(
-            self._subset.choose(
+            self._subsets[router.service.subset].choose(
                 members, router.service.subset_size, _ALL_REACHABLE
             )
         )
@@ -162,8 +170,33 @@
 
         :param upstream: identity of the upstream.
         """
-        is_same_zone = self._zones.get(upstream) == self._zone
-        return _SAME_ZONE_HOP_MS if is_same_zone else _CROSS_ZONE_HOP_MS
+        return self._context.hops_ms[self.way_to(upstream)]
+
+    def note_sent(self, upstream: str) -> None:
+        """Record that a copy of a request is sent to an upstream.
+
+        :param upstream: identity of the upstream.
+        """
+        now_ms = self._context.timeline.now_ms
+        way = self.way_to(upstream)
+        self._context.result.sent.append(
+            SentCopy(now_ms, self._zone, upstream, way)
+        )
+
+    def way_to(self, upstream: str) -> Way:
+        """Return the kind of way to an upstream's home.
+
+        :param upstream: identity of the upstream.
+        """
+        zone = self._zones.get(upstream, '')
+        if zone != self._zone and not self._ways.has_regions:
+            return Way.REGION
+        return self._ways.way_to(zone)
+
+    def _subset_rule(self, name: str, places: EntryPlaces) -> SubsetRule:
+        rule = SUBSET_RULES.find(name).unwrap()(self.node, self._zone)
+        rule.replace_entries(places)
+        return rule
 
 
 __all__ = ('EntryView',)
