--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -94,6 +94,7 @@
         verdict=verdict,
         free=state.admission.free,
         waiting=state.admission.waiting,
+        priority=job.work.priority,
         risk=state.risk(now_ms),
         risk_limit=job.submit.risk_limit,
         evidence_age_ms=_age_ms(state, now_ms),
--- a/src/jackdawhead/node/home/upstream.py
+++ b/src/jackdawhead/node/home/upstream.py
@@ -40,6 +40,8 @@
     :param events: callbacks.
     :param stop: whether work can be finished before the node stops.
     :param is_new: whether the upstream joined after this home started.
+
+    The attribute ``admission`` is its slots and queue.
     """
 
     def __init__(
@@ -56,7 +58,8 @@
         self._state = UpstreamState(
             spec.name, spec.service, rng, audit.record, is_new=is_new
         )
-        self._state.admission.handled_until_ms = events.handled_until_ms
+        self.admission = self._state.admission
+        self.admission.handled_until_ms = events.handled_until_ms
         self._pool = ConnectionPool(
             spec.address, spec.service.connections_per_upstream
         )
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -11,6 +11,7 @@
 
 from ..clock import seconds
 from ..policy.detection import Health
+from .level_metrics import level_metrics
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -140,6 +141,7 @@
         yield running
         yield waiting
         yield unused
+        yield from level_metrics(self._node.parts.home.all())
 
 
 def registry_of(node: Node) -> CollectorRegistry:
--- a/src/jackdawhead/policy/admission.py
+++ b/src/jackdawhead/policy/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import Counter
 from math import inf
 from typing import TYPE_CHECKING, Final
 
@@ -30,6 +31,7 @@
 
     The attribute ``handled_until_ms`` returns the monotonic time up to which
     ends of runs are known: those of later ones may not have been read yet.
+    ``displaced_counts`` counts the work that gave way, by priority.
     """
 
     def __init__(self, service: Service, rng: Random) -> None:
@@ -40,6 +42,7 @@
         self._running_long = 0
         self.handled_until_ms: Clock = lambda: inf
         self.run_times = RunTimes(service.operations)
+        self.displaced_counts: Counter[int] = Counter()
 
     @property
     def running(self) -> int:
--- a/src/jackdawhead/policy/value_admission.py
+++ b/src/jackdawhead/policy/value_admission.py
@@ -162,6 +162,7 @@
 
     def _displace(self, work: Work, now_ms: float) -> None:
         self._queue.remove(work)
+        self.displaced_counts[work.priority] += 1
         run_ms = self.run_times.expected_ms(work.operation)
         self._shares.note_displaced(work, run_ms, now_ms)
         retry_after_ms = self._retry_after_ms(work, now_ms)
