--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -11,6 +11,7 @@
 
 from ..clock import seconds
 from ..policy.detection import Health
+from .level_metrics import level_metrics
 from .way_metrics import way_metrics
 
 if TYPE_CHECKING:
@@ -145,6 +146,7 @@
         yield running
         yield waiting
         yield unused
+        yield from level_metrics(self._node.parts.home.all())
 
 
 def registry_of(node: Node) -> CollectorRegistry:
