--- a/features/config/faulty.feature
+++ b/features/config/faulty.feature
@@ -35,6 +35,9 @@
       | Broken syntax                 | a: [1, 2                                                                         | not valid YAML                |
       | A list instead of a mapping   | [1, 2]                                                                           | not a mapping                 |
       | A route that exists already   | routes: {r: {service: registry-desk, operation: lookup, method: GET, path_prefix: /cultivars}} | matches 'GET /cultivars' |
+      | A key in the place of its digest | organisations: {acme: {key_digests: [secret]}} | organisations.acme.key_digests.0: is malformed |
+      | Organisations without a header for keys | organisations: {acme: {key_digests: [6e8e0db32c9b6461e2c076e25a42f416]}} | set headers.credential |
+      | A key of two organisations | {headers: {credential: X-Key}, organisations: {acme: {key_digests: [6e8e0db32c9b6461e2c076e25a42f416]}, bolt: {key_digests: [6e8e0db32c9b6461e2c076e25a42f416]}}} | claims the key 6e8e0db3 |
 
   Scenario: A healthy floor above 100 percent
     Given the file "20-registry-desk.yaml" changed from "healthy_floor_percent: 60" to "healthy_floor_percent: 160"
@@ -78,3 +81,25 @@
     Then the exit code is 0
     And the output contains "- services.registry-desk.slots_per_upstream: 3"
     And the output contains "+ services.registry-desk.slots_per_upstream: 4"
+
+  Scenario Outline: No error quotes a key that is given in the place of its digest
+    Given the file "90-more.yaml" with
+      """
+      organisations: <organisations>
+      """
+    When "config check" runs on the folder
+    Then the exit code is 2
+    And the errors contain "organisations"
+    And the errors don't contain "secret"
+
+    Examples:
+      | organisations                        |
+      | secret                               |
+      | [secret]                             |
+      | {acme: secret}                       |
+      | {acme: [secret]}                     |
+      | {acme: {key_digests: secret}}        |
+      | {acme: {key_digests: [secret]}}      |
+      | {acme: {key_digests: {a: secret}}}   |
+      | {acme: {key_digests: [[secret]]}}    |
+      | {acme: {key_digests: [secret, secret]}} |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -194,6 +194,12 @@
     assert text in context.errors, context.errors
 
 
+@then('the errors don\'t contain "{text}"')
+def check_no_error(context: Context, text: str) -> None:
+    """Check that standard error doesn't contain a text."""
+    assert text not in context.errors, context.errors
+
+
 @then('the output contains "{text}"')
 def check_output(context: Context, text: str) -> None:
     """Check that standard output contains a text."""
--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -11,9 +11,14 @@
 from features.steps.grown_config_steps import ticking
 from features.steps.platform_steps import config_document, resource
 from features.steps.tolerant_steps import ConfigNode, body_of, spec_of
+from jackdawhead.config.credentials import key_digest
+from jackdawhead.config.load import ConfigLoader
+from jackdawhead.config.sources import SourceFile
 from jackdawhead.node.entry.key_check import Caller, KeyCheck
 from jackdawhead.node.entry.routing import RoutingController
 from jackdawhead.node.pause_watch import PauseWatch
+from standins.fleet import config_files
+from standins.sites import HELVETIA
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -189,3 +194,61 @@
     found = context.node.config.organisations
     same = [name for name, each in found.items() if each is before[name]]
     assert len(same) == count, len(same)
+
+
+def _load_own(context: Context, section: dict[str, Any] | None) -> None:
+    """Load the files of a site with organisations."""
+    files = config_files(HELVETIA.folder)
+    if section is not None:
+        more = {'headers': {'credential': 'X-Key'}, 'organisations': section}
+        files['90-more.yaml'] = json.dumps(more)
+    sources = tuple(SourceFile(name, text) for name, text in files.items())
+    loaded = context.loader.load_valid_entries(sources, lambda: None)
+    context.own = loaded.unwrap().config
+
+
+def _digests(keys: str) -> list[str]:
+    return [key_digest(key.encode()) for key in keys.split(', ')]
+
+
+@given('own files with the keys "{first}" of "acme" and "{second}" of "bolt"')
+def start_own(context: Context, first: str, second: str) -> None:
+    """Load a first version."""
+    context.loader = ConfigLoader()
+    change_own(context, first, second)
+
+
+@when('own files have the keys "{first}" of "acme" and "{second}" of "bolt"')
+def change_own(context: Context, first: str, second: str) -> None:
+    """Load a version with two organisations."""
+    section = {
+        'acme': {'key_digests': _digests(first)},
+        'bolt': {'key_digests': _digests(second), 'rate_per_s': 9.5},
+    }
+    _load_own(context, section)
+
+
+@when('own files have no organisation in the section')
+def empty_own(context: Context) -> None:
+    """Load a version with an empty section."""
+    _load_own(context, {})
+
+
+@when('own files have no section "organisations"')
+def remove_own(context: Context) -> None:
+    """Load a version without the section."""
+    _load_own(context, None)
+
+
+@then('the keys of "{name}" are "{keys}"')
+def check_own(context: Context, name: str, keys: str) -> None:
+    """Compare the digests."""
+    found = context.own.organisations.get(name)
+    assert found is not None, name
+    assert found.key_digests == frozenset(_digests(keys)), found
+
+
+@then('callers need {what}')
+def check_need(context: Context, what: str) -> None:
+    """Check whether requests without a key are refused."""
+    assert context.own.requires_keys is (what == 'keys')
--- a/src/jackdawhead/config/checks.py
+++ b/src/jackdawhead/config/checks.py
@@ -35,6 +35,8 @@
     'pattern': 'change the value so that it matches the pattern',
 }
 
+_QUOTING: Final = frozenset(('type', 'pattern', 'uniqueItems'))
+
 
 def check_schema(tree: MergedTree, schema: Schema) -> tuple[Problem, ...]:
     """Return a problem, with its place, for each violation of a schema.
@@ -214,7 +216,11 @@
         unknown = sorted(set(violation.instance) - set(known))
         field = '.'.join(filter(None, (path, unknown[0])))
     remedy = _REMEDIES.get(str(violation.validator), 'correct the value')
-    return Problem(tree.place_of(field), field, violation.message, remedy)
+    message = violation.message
+    if path.startswith('organisations') and violation.validator in _QUOTING:
+        # It could quote a key that is given in the place of its digest.
+        message = 'is malformed'
+    return Problem(tree.place_of(field), field, message, remedy)
 
 
 __all__ = ('check_references', 'check_schema')
