Soak: callers have keys of organisations; two checks from what upstreams see

Callers send the key of their organisation and claim another name; each twentieth request comes again with an unknown key. Upstreams record the name and the key that they get.

--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -13,6 +13,9 @@
       | a run of a request refused as not run   | true-refusal    |
       | an answer without a run                 | told-as-run     |
       | a run at an upstream that left long ago | leaving         |
+      | a run for another organisation          | organisation    |
+      | a run whose upstream got the key        | organisation    |
+      | a run with an unknown key               | known-key       |
       | a return to an older configuration      | config-forward  |
       | a node that misses the newest version   | config-in-force |
       | a node that ejects three of four        | floor           |
--- a/features/steps/soak_violations.py
+++ b/features/steps/soak_violations.py
@@ -31,6 +31,25 @@
     evidence.requests[0].is_answer_valid = False
 
 
+@violation('a run for another organisation')
+def add_foreign_run(evidence: Evidence) -> None:
+    """Tell an upstream the name of another organisation."""
+    evidence.runs[0] = replace(evidence.runs[0], organisation='bolt')
+
+
+@violation('a run whose upstream got the key')
+def add_leaked_key(evidence: Evidence) -> None:
+    """Pass a key on."""
+    evidence.runs[0] = replace(evidence.runs[0], has_key=True)
+
+
+@violation('a run with an unknown key')
+def add_keyless_run(evidence: Evidence) -> None:
+    """Run a request that has no right to it."""
+    evidence.keyless.append('k')
+    evidence.runs.append(replace(evidence.runs[0], key='k'))
+
+
 @violation('a second run of non-idempotent work')
 def add_second_run(evidence: Evidence) -> None:
     """Add a second run of a request."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,13 @@
 from jackdawhead.config.settings import Address
 
 from .evidence import OK, SentRequest
+from .organisations import (
+    KEY_HEADER,
+    NAME_HEADER,
+    UNKNOWN_KEY,
+    key_of,
+    organisation_of,
+)
 from .work import RequestedWork, draw_long_tailed
 
 if TYPE_CHECKING:
@@ -29,6 +36,7 @@
 # Share of requests that callers with spare connections send to stopping nodes.
 _STOPPING_SHARE: Final = 0.5
 _MAX_BODY_BYTES: Final = 20_000
+_REQUESTS_PER_INTRUDER: Final = 20
 
 
 class Caller:
@@ -80,7 +88,10 @@
                 deadline_ms=work.deadline_ms,
                 is_streamed=work.streamed_bytes > 0,
                 is_from_holder=self._spare > 0,
+                organisation=organisation_of(self._number),
             )
+            if count % _REQUESTS_PER_INTRUDER == 0:
+                self._send_unknown_key(vm, f'{request.key}-intruder')
             self._send(request, work)
             request.ended_s = self._testbed.now_s
             self._testbed.evidence.requests.append(request)
@@ -99,7 +110,11 @@
         body = b''
         if request.is_non_idempotent:
             body = self._rng.randbytes(self._rng.randint(1, _MAX_BODY_BYTES))
-        headers = {'X-Work-Key': request.key}
+        headers = {
+            'X-Work-Key': request.key,
+            KEY_HEADER: key_of(request.organisation),
+            NAME_HEADER: 'claimed',
+        }
         if work.deadline_ms:
             headers['X-Deadline-Ms'] = str(work.deadline_ms)
         http_request = HttpRequest(
@@ -124,6 +139,13 @@
             with suppress(OSError):
                 self._client_of(request.node).keep_open(self._spare)
 
+    def _send_unknown_key(self, vm: str, work_key: str) -> None:
+        headers = {'X-Work-Key': work_key, KEY_HEADER: UNKNOWN_KEY}
+        request = HttpRequest('GET', f'/cultivars/{work_key}', b'', headers)
+        self._testbed.evidence.keyless.append(work_key)
+        with suppress(OSError, HTTPParseError):
+            self._client_of(vm).send(request)
+
     def _client_of(self, vm: str) -> HttpClient:
         if vm not in self._clients:
             address = Address(_IP, self._testbed.node(vm).caller_port)
--- a/soak/checks/__init__.py
+++ b/soak/checks/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from . import answers, state, stops
+from . import answers, organisations, state, stops
 from .base import CHECKS, Check, Violation, find_violations
 
 __all__ = (
@@ -11,6 +11,7 @@
     'Violation',
     'answers',
     'find_violations',
+    'organisations',
     'state',
     'stops',
 )
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -30,6 +30,7 @@
     :param is_streamed: whether the answer begins while the work runs.
     :param is_from_holder: whether its caller keeps spare connections open, so
         that a request may cross the close of one.
+    :param organisation: organisation whose key it has.
     """
 
     key: str
@@ -45,6 +46,7 @@
     deadline_ms: int = 0
     is_streamed: bool = False
     is_from_holder: bool = False
+    organisation: str = ''
 
     @property
     def is_served(self) -> bool:
@@ -58,6 +60,8 @@
 
     :param is_cancelled: whether its node broke it off.
     :param ended_s: end of the work, none while it runs.
+    :param organisation: organisation that the upstream was told.
+    :param has_key: whether the upstream got the caller's key.
     """
 
     key: str
@@ -65,6 +69,8 @@
     started_s: float
     is_cancelled: bool = False
     ended_s: float | None = None
+    organisation: str = ''
+    has_key: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +116,8 @@
     :param faults: start, end and description of each fault.
     :param faults_end_s: end of the last fault.
     :param ends_s: time at which the callers stop.
+    :param keyless: keys of the work that was asked for with unknown keys of
+        organisations.
     """
 
     requests: list[SentRequest] = field(default_factory=list)
@@ -121,6 +129,7 @@
     faults: list[tuple[float, float, str]] = field(default_factory=list)
     faults_end_s: float = 0
     ends_s: float = 0
+    keyless: list[str] = field(default_factory=list)
 
 
 __all__ = (
--- a/soak/world.py
+++ b/soak/world.py
@@ -17,6 +17,7 @@
 from standins.sites import HELVETIA
 
 from .evidence import Evidence, LeavingPeriod, NodeStop, Run, Sample
+from .organisations import config_text
 
 if TYPE_CHECKING:
     from standins.fleet import NodeProcess
@@ -33,6 +34,7 @@
 }
 _TAIL_CONFIG: Final = Path(__file__).resolve().parent / 'registry-desk.yaml'
 _TAIL_CONFIG_NAME: Final = '20-registry-desk.yaml'
+_ORGANISATIONS_FILE: Final = '90-organisations.yaml'
 _CHANGE_FILE: Final = '99-soak.yaml'
 
 
@@ -56,6 +58,7 @@
         self._service = replace(HELVETIA.services[0], upstreams=node_count)
         self._placements = HELVETIA.placements(self._service)
         self._files = config_files(HELVETIA.folder)
+        self._files[_ORGANISATIONS_FILE] = config_text()
         self._stop_timeout_s = _STOP_TIMEOUT_S
         if has_short_stops:
             self.fleet.node_settings = _SHORT_STOPS
@@ -202,6 +205,8 @@
                 each['started_at'] - self._start_unix_s,
                 each['state'] == 'cancelled',
                 self._run_time_s(each['ended_at']),
+                each['organisation'],
+                bool(each['credential']),
             )
             for each in self.fleet.executed_work()
         ]
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -47,6 +47,8 @@
         ``lost`` in a crash.
     :param ended_at: Unix time in seconds, 0 while it runs.
     :param deadline_ms: time that it was given from its start, 0 if unlimited.
+    :param organisation: organisation that it is for, from ``X-Customer``.
+    :param credential: the caller's credential, from ``X-Key``.
     """
 
     upstream: str
@@ -57,6 +59,8 @@
     state: str = 'running'
     ended_at: float = 0
     deadline_ms: int = 0
+    organisation: str = ''
+    credential: str = ''
 
     def end(self, state: str) -> None:
         """Record how the work ended."""
@@ -137,6 +141,8 @@
             path,
             time.time(),
             deadline_ms=int(environ.get('HTTP_X_DEADLINE_MS', 0)),
+            organisation=environ.get('HTTP_X_CUSTOMER', ''),
+            credential=environ.get('HTTP_X_KEY', ''),
         )
         if self.behaviour.early and record.method == 'POST':
             self._active -= 1
