--- a/features/policy/placement.feature
+++ b/features/policy/placement.feature
@@ -88,6 +88,14 @@
     And "2" in "north-1" gets 15 to 45 % of those in its zone
     And "3" in "north-1" gets 15 to 45 % of those in its zone
 
+  Scenario: Work that cannot be repeated finds the one upstream that is well
+    Given an entry before 4 upstreams in each of six zones
+    And answers of 1500 bytes
+    And all upstreams but one of "north-1" have a risk of 0.2
+    When requests that cannot be repeated are placed
+    Then "3" in "north-1" gets 95 to 100 % of those in its zone
+    And at least 95 % are placed in "north-1"
+
   Scenario: An upstream that takes longer gets less work
     Given an entry before 4 upstreams in each of six zones
     And the upstreams "0" in "north-1" take 2 times as long
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -184,6 +184,13 @@
         load.trial_at_ms = 0
 
 
+@given('all upstreams but one of "{place}" have a risk of {risk:g}')
+def endanger(context: Context, place: str, risk: float) -> None:
+    """Report a risk of failure of all upstreams but the last one."""
+    for name in sorted(loads_in(context, place))[:-1]:
+        context.router.find(name).note_risk(risk, context.now_ms)
+
+
 @given('the upstreams "{name}" in "{zone}" take {factor:d} times as long')
 def slow_down(context: Context, name: str, zone: str, factor: int) -> None:
     """Report a longer run time of some upstreams."""
--- a/src/jackdawhead/policy/nearest.py
+++ b/src/jackdawhead/policy/nearest.py
@@ -67,7 +67,7 @@
         return None
     loads = remaining(pool.local + pool.remote, query.refusing)
     nearest_ms = min((ways.to(each.zone) for each in loads), default=0)
-    limit_ms = nearest_ms + ways.trial_ms
+    limit_ms = nearest_ms + ways.minor_ms
     near = [each for each in loads if ways.to(each.zone) <= limit_ms]
     return pick_trial(near, query.trial, query.now_ms, rng)
 
@@ -77,7 +77,22 @@
 ) -> Iterator[UpstreamLoad]:
     loads = remaining(pool.local + pool.remote, query.excluded)
     for members in _by_way(loads, ways):
-        yield from sample_by_room(members, _SAMPLE_SIZE, query.now_ms, rng)
+        healthy = [each for each in members if _is_healthy(query, ways, each)]
+        yield from sample_by_room(
+            healthy or members, _SAMPLE_SIZE, query.now_ms, rng
+        )
+
+
+def _is_healthy(
+    query: RoutingQuery, ways: WayCosts, load: UpstreamLoad
+) -> bool:
+    """Return whether the risk of a failure costs little.
+
+    Two draws may both hit upstreams in spells of failing, while others of the
+    same way are not.
+    """
+    risk_ms = query.failure_cost_ms * load.risk_now(query.now_ms)
+    return risk_ms <= ways.minor_ms and not load.is_avoided(query.now_ms)
 
 
 def _cost_ms(query: RoutingQuery, ways: WayCosts, load: UpstreamLoad) -> float:
--- a/src/jackdawhead/policy/ways.py
+++ b/src/jackdawhead/policy/ways.py
@@ -62,9 +62,8 @@
 # A request waits no longer than this share of its target for a nearer upstream,
 # so that the answer of a run that takes the other half is still in time.
 _MAX_PRICE_TARGETS: Final = 0.5
-# An attempt that only tests an upstream may cost this share of the target more
-# than one on the cheapest way.
-_MAX_TRIAL_TARGETS: Final = 0.25
+# Costs below this share of the target are minor.
+_MINOR_TARGETS: Final = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,13 +72,13 @@
 
     :param cost_ms: time that the caller would wait to avoid the way, by zone.
     :param ways: kind of way, by zone.
-    :param trial_ms: cost beyond that of the nearest upstream at which the
-        request may still test one that is likely to fail.
+    :param minor_ms: cost that is minor for the caller: of a way that an attempt
+        to test an upstream may take, or of the risk at a healthy upstream.
     """
 
     cost_ms: Mapping[str, float]
     ways: Mapping[str, Way]
-    trial_ms: float
+    minor_ms: float
 
     def to(self, zone: str) -> float:
         """Return the cost of the way to a zone.
@@ -149,8 +148,8 @@
             zone: self._cost_ms(zone, target_ms, byte_count, query.now_ms)
             for zone in self._ways
         }
-        trial_ms = _MAX_TRIAL_TARGETS * target_ms
-        return replace(query, ways=WayCosts(cost_ms, self._ways, trial_ms))
+        minor_ms = _MINOR_TARGETS * target_ms
+        return replace(query, ways=WayCosts(cost_ms, self._ways, minor_ms))
 
     def _cost_ms(
         self, zone: str, target_ms: float, byte_count: float, now_ms: float
