Bound what a node holds for callers that nobody controls

Cause: only each read had a time-out and each line a length. Connections of all callers together, heads in reading, their total time and answers that nobody reads were not bounded, and a caller that sends requests without waiting never let the event loop look at another socket.

One caller that pipelines requests for an unknown path and reads the answers stopped the node: three requests of another process to callers' and admin port got no byte in 4 s.

Now connections and memory of callers are bounded for the process and for each address; at a bound those that gave least for longest are closed first, never a request that was read. The whole head has headerTimeout. Turns between pipelined requests and while the rest of a refused request is dropped.

Heads over the limit, empty lines and half-closed connections were held before.

Two examples of bounds.feature asserted that fault: a header of 9,000 bytes and 200 headers were to be refused; they are now to be served, and 70,000 bytes and 1,100 headers to be refused with 431. The fuzz step passes the new argument.

Elsewhere: admin and readiness listeners have the bounds. Strangers at the listener of other nodes and bodies held by a home are open, see the design note.

--- a/features/path/bounds.feature
+++ b/features/path/bounds.feature
@@ -11,11 +11,25 @@
 
     Examples: what exceeds a limit or is malformed
       | what                      | status |
-      | a header of 9000 bytes    | 400    |
-      | 200 headers               | 400    |
+      | a header of 70000 bytes   | 431    |
+      | headers of 70000 bytes    | 431    |
+      | 1100 headers              | 431    |
       | two content lengths       | 400    |
       | a header without a colon  | 400    |
-      | a request line of 9000 bytes | 414 |
+      | a request line of 70000 bytes | 414 |
+      | 9 empty lines             | 400    |
+
+  # Callers take such a refusal as final, although their request is in order.
+  Scenario Outline: <what> are within the limits
+    When a caller sends raw bytes with <what>
+    Then the connection ends with a status of 200
+
+    Examples: what is allowed
+      | what                             |
+      | a header of 10000 bytes          |
+      | 200 headers                      |
+      | a path and a header of 9000 bytes |
+      | 8 empty lines                    |
 
   Scenario: A caller that stops sending is disconnected
     When a caller connects and sends half a request
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -16,14 +16,24 @@
 _IP = '127.0.0.1'
 _TIMEOUT_S = 20.0
 _GET = 'GET /cultivars/rosa HTTP/1.1\r\nHost: x\r\n'
+_LONG_HEADER = 'X-Long: {0}\r\n'.format('x' * 990)
 _RAW_REQUESTS = {
-    'a header of 9000 bytes': f'{_GET}X-Long: {"x" * 9000}\r\n\r\n',
-    '200 headers': ''.join((_GET, 'X-Many: x\r\n' * 200)),
+    'a header of 70000 bytes': f'{_GET}X-Long: {"x" * 70_000}\r\n\r\n',
+    'headers of 70000 bytes': ''.join((_GET, _LONG_HEADER * 70, '\r\n')),
+    '1100 headers': ''.join((_GET, 'X-Many: x\r\n' * 1100, '\r\n')),
+    'a header of 10000 bytes': f'{_GET}Cookie: {"x" * 10_000}\r\n\r\n',
+    '200 headers': ''.join((_GET, 'X-Many: x\r\n' * 200, '\r\n')),
+    'a path and a header of 9000 bytes': (
+        f'GET /cultivars/{"x" * 9000} HTTP/1.1\r\nHost: x\r\n'
+        f'X-Long: {"x" * 9000}\r\n\r\n'
+    ),
+    '8 empty lines': ''.join(('\r\n' * 8, _GET, '\r\n')),
+    '9 empty lines': ''.join(('\r\n' * 9, _GET, '\r\n')),
     'two content lengths': (
         f'{_GET}Content-Length: 1\r\nContent-Length: 2\r\n\r\n'
     ),
     'a header without a colon': f'{_GET}X-Broken\r\n\r\n',
-    'a request line of 9000 bytes': f'GET /{"x" * 9000} HTTP/1.1\r\n\r\n',
+    'a request line of 70000 bytes': (f'GET /{"x" * 70_000} HTTP/1.1\r\n\r\n'),
 }
 
 
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -75,6 +75,7 @@
     r'\ud83d',
 )
 _DEEP_NESTING = ''.join(('[' * 5000, ']' * 5000))
+_MAX_HEAD_BYTES = 65_536
 _HEAD_PARTS = (
     b'Host: x\r\n',
     b'Host: y\r\n',
@@ -251,7 +252,7 @@
 
     def check(lines: list[bytes], filling: bytes) -> None:
         text = b''.join((*lines, filling, b'\r\n\r\n'))
-        headers = RequestHeaders(BytesIO(text))
+        headers = RequestHeaders(BytesIO(text), _MAX_HEAD_BYTES)
         if headers.status:
             return
         if framing_problem('HTTP/1.1', headers.pairs) is None:
--- a/src/jackdawhead/config/model.py
+++ b/src/jackdawhead/config/model.py
@@ -209,6 +209,10 @@
         node's settings.
     :param max_body_bytes: maximum size of a request body, 0 to use the value
         of the node's settings.
+    :param max_head_bytes: maximum size of a request line, and of all headers,
+        0 to use the value of the node's settings.
+    :param head_ms: maximum time in which the head of a request arrives, 0 to
+        use the value of the node's settings.
     :param quarantined_status: HTTP status for quarantined requests.
     :param expired_status: HTTP status for requests that were not run before
         their deadline.
@@ -218,6 +222,8 @@
 
     idle_ms: int = 0
     max_body_bytes: int = 0
+    max_head_bytes: int = 0
+    head_ms: int = 0
     quarantined_status: int = 422
     expired_status: int = 504
     fractional_retry_after: bool = False
--- a/src/jackdawhead/config/settings.py
+++ b/src/jackdawhead/config/settings.py
@@ -17,6 +17,8 @@
 
 
 _DEFAULT_MAX_BODY_BYTES: Final = 1_073_741_824
+_DEFAULT_MAX_HEAD_BYTES: Final = 65_536
+_DEFAULT_CALLER_MEMORY_BYTES: Final = 134_217_728
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,15 @@
     :param seed_addresses: stream addresses of the nodes to contact if the
         platform is unreachable at the start.
     :param max_body_bytes: maximum size of a request body.
+    :param max_head_bytes: maximum size of a request line, and of all headers
+        of a request.
+    :param caller_head_ms: maximum time in which the whole head of a request
+        arrives.
+    :param caller_connections: maximum number of callers' connections.
+    :param caller_memory_bytes: maximum memory for callers' connections, the
+        requests that they send and the answers that they have not read.
+    :param caller_address_percent: share of these two that callers of one
+        address may use.
     :param drain_ms: maximum time that a shutdown waits for requests in
         progress.
     :param caller_idle_ms: timeout of a caller's idle connection.
@@ -79,6 +90,11 @@
     stream_keys: tuple[str, ...]
     seed_addresses: tuple[Address, ...] = ()
     max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES
+    max_head_bytes: int = _DEFAULT_MAX_HEAD_BYTES
+    caller_head_ms: int = 60_000
+    caller_connections: int = 2000
+    caller_memory_bytes: int = _DEFAULT_CALLER_MEMORY_BYTES
+    caller_address_percent: int = 100
     drain_ms: int = 60_000
     caller_idle_ms: int = 75_000
     link_idle_ms: int = 60_000
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -8,6 +8,7 @@
 from falcon import App, Request, Response
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from ..policy.caller_bounds import CONNECTION_BYTES, CallerBounds, CallerUse
 from ..policy.detection import Health
 from .http_server import HttpServer
 from .metrics import registry_of, resident_bytes
@@ -20,6 +21,11 @@
 _UNAVAILABLE: Final = 503
 _SINCE_PARAM: Final = 'since'
 _IDLE_TIMEOUT_S: Final = 30
+_MAX_CONNECTIONS: Final = 64
+# An operator or a probe needs a few connections.
+_BOUNDS: Final = CallerBounds(
+    CallerUse(_MAX_CONNECTIONS, _MAX_CONNECTIONS * CONNECTION_BYTES), 100
+)
 _DEFAULT_TRACE_S: Final = 10.0
 _MAX_TRACE_S: Final = 600.0
 
@@ -149,7 +155,7 @@
     """
     app = App()
     app.add_sink(_Ready(node).on_get, prefix='/')
-    return HttpServer(address, app, _IDLE_TIMEOUT_S)
+    return HttpServer(address, app, _IDLE_TIMEOUT_S, _BOUNDS)
 
 
 def admin_server(node: Node, address: Address) -> HttpServer:
@@ -165,7 +171,7 @@
     app.add_route('/status', _Status(node))
     app.add_route('/audit', _Audit(node))
     app.add_route('/trace', _Trace(node))
-    return HttpServer(address, app, _IDLE_TIMEOUT_S)
+    return HttpServer(address, app, _IDLE_TIMEOUT_S, _BOUNDS)
 
 
 __all__ = ('admin_server', 'ready_server', 'status_of')
--- a/src/jackdawhead/node/entry/answer_body.py
+++ b/src/jackdawhead/node/entry/answer_body.py
@@ -59,6 +59,11 @@
         """The complete body if it arrived with the head, else nothing."""
         return self._chunk if self._last else None
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that have arrived and that the caller has not taken."""
+        return len(self._chunk) + self._attempt.held_bytes
+
     def await_first(self) -> None:
         """Wait for the first chunk if none arrived with the head.
 
--- a/src/jackdawhead/node/entry/attempts.py
+++ b/src/jackdawhead/node/entry/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from itertools import count
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from gevent.queue import Empty, SimpleQueue
 
@@ -43,6 +43,28 @@
         """Send a message to the home."""
 
 
+class _Inbox:
+    """Messages from a home, and how many bytes of an answer they have."""
+
+    def __init__(self) -> None:
+        self._messages: SimpleQueue = SimpleQueue()
+        self.held_bytes = 0
+
+    def put(self, message: Message) -> None:
+        """Add a message."""
+        self.held_bytes += _chunk_bytes(message)
+        self._messages.put(message)
+
+    def get(self, timeout_ms: float) -> Any:
+        """Return the next message, or nothing on timeout."""
+        try:
+            message = self._messages.get(timeout=max(0, seconds(timeout_ms)))
+        except Empty:
+            return None
+        self.held_bytes -= _chunk_bytes(message)
+        return message
+
+
 class Attempt:
     """One request sent to one home.
 
@@ -61,7 +83,12 @@
         self.channel = channel
         self.body_credit = CreditGate()
         self.pump: Greenlet | None = None
-        self._inbox: SimpleQueue = hedged._inbox if hedged else SimpleQueue()
+        self._inbox: _Inbox = hedged._inbox if hedged else _Inbox()
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the answer that have arrived and are not yet sent."""
+        return self._inbox.held_bytes
 
     def deliver(self, message: Message) -> None:
         """Accept a message from the home.
@@ -92,12 +119,7 @@
         :param timeout_ms: longest wait.
         :returns: the message, or nothing on timeout.
         """
-        try:
-            message: Head | Refusal = self._inbox.get(
-                timeout=max(0, seconds(timeout_ms)),
-            )
-        except Empty:
-            return None
+        message: Head | Refusal | None = self._inbox.get(timeout_ms)
         return message
 
 
@@ -189,6 +211,10 @@
             _fail(attempt, Reason.NODE_LEAVING)
 
 
+def _chunk_bytes(message: Message) -> int:
+    return len(message.chunk) if isinstance(message, Head | Body) else 0
+
+
 def _fail(attempt: Attempt, reason: Reason) -> None:
     attempt.deliver(
         Refusal(attempt.request_id, Outcome.UNKNOWN.value, reason.value, 0)
--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -13,7 +13,7 @@
 from ...logs import log_event
 from ...outcome import Outcome
 from ...reasons import Reason
-from ..http_server import READ_KEY, SOCKET_KEY
+from ..http_keys import ANSWER_KEY, FULL_KEY, READ_KEY, SOCKET_KEY
 from ..tickets.store import TICKET_LIFETIME_MS
 from .body_reads import BodyReads, NodeStopsError
 from .caller_watch import WatchedBody, watch_caller
@@ -30,6 +30,8 @@
     from .request_stats import RequestStats
 
 _MS_PER_S: Final = 1000
+# Time in which callers that don't read on are disconnected.
+_FULL_RETRY_MS: Final = 1000
 _UNKNOWN_LENGTH: Final = -1
 _STATUS_OF_REASON: Final = {
     Reason.NO_ROUTE: 404,
@@ -117,6 +119,7 @@
             self._fill(response, answer, names)
             if answer.body.buffered is None:
                 sock = request.env[SOCKET_KEY]
+                request.env[ANSWER_KEY] = answer.body
                 body = WatchedBody(answer.body, sock, note_disconnect)
                 _stream(response, body, answer.body_bytes)
         else:
@@ -156,9 +159,9 @@
     ) -> Answer:
         environ = request.env
         length = request.content_length
-        max_bytes = self._caller_policy().max_body_bytes
-        if (length or 0) > (max_bytes or self._settings.max_body_bytes):
-            return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
+        refused = self._early_refusal(environ, length or 0)
+        if refused is not None:
+            return refused
         idle_ms = self._settings.caller_idle_ms
         try:
             with self._reads.track(header_of(environ, names.request_id)):
@@ -177,6 +180,17 @@
         with watch_caller(environ[SOCKET_KEY], on_disconnect):
             return self._dispatcher.dispatch(call)
 
+    def _early_refusal(
+        self, environ: dict[str, Any], length: int
+    ) -> Refused | None:
+        """Refuse a request whose body the node can't hold."""
+        max_bytes = self._caller_policy().max_body_bytes
+        if length > (max_bytes or self._settings.max_body_bytes):
+            return Refused(Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
+        if environ[FULL_KEY]:
+            return Refused(Outcome.NOT_RUN, Reason.OVERLOADED, _FULL_RETRY_MS)
+        return None
+
     def _fill(
         self,
         response: Response,
--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -10,7 +10,7 @@
 from ...clock import monotonic_ms, seconds
 from ...wire.header_numbers import deadline_ms
 from ..home.request_head import HOP_BY_HOP
-from ..http_server import CONNECTED_KEY, HEADERS_KEY
+from ..http_keys import CONNECTED_KEY, HEADERS_KEY
 from .requests import CallerRequest
 
 if TYPE_CHECKING:
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -59,6 +59,7 @@
             'Caller requests refused as malformed or ambiguous.',
             node.malformed_requests,
         )
+        yield from self._caller_metrics()
         yield CounterMetricFamily(
             'jackdawhead_late_answers',
             'Answers dropped because no attempt was waiting for them.',
@@ -71,6 +72,22 @@
             node.http.request_stats.caller_disconnects,
         )
 
+    def _caller_metrics(self) -> Iterator[Metric]:
+        gate = self._node.http.callers.gate
+        yield GaugeMetricFamily(
+            'jackdawhead_caller_connections',
+            'Open connections of callers.',
+            len(gate),
+        )
+        closed = CounterMetricFamily(
+            'jackdawhead_callers_closed',
+            'Connections of callers closed at a bound or as late, by reason.',
+            labels=['reason'],
+        )
+        for reason, count in sorted(gate.closed.items()):
+            closed.add_metric([reason], count)
+        yield closed
+
     def _fleet_metrics(self) -> Iterator[Metric]:
         node = self._node
         yield GaugeMetricFamily(
--- a/src/jackdawhead/node/request_headers.py
+++ b/src/jackdawhead/node/request_headers.py
@@ -14,13 +14,26 @@
 
     from ..wire.messages import HeaderPairs
 
-MAX_LINE_BYTES: Final = 8192
-MAX_HEADERS: Final = 100
+# More fit into no head of the size that is allowed by default, unless most of
+# them are empty.
+_MAX_HEADERS: Final = 1000
+_HEADERS_TOO_LARGE: Final = 431
 _CONTENT_LENGTH: Final = 'content-length'
 _FIELD_NAME: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CONTROL_CHARACTER: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
 
+class HeadTooLargeError(ValueError):
+    """A part of a request's head is too large.
+
+    :param status: HTTP status of the refusal.
+    """
+
+    def __init__(self, status: int, cause: str) -> None:
+        super().__init__(cause)
+        self.status = status
+
+
 class RequestHeaders:
     """Headers with the interface :class:`gevent.pywsgi.WSGIHandler` needs.
 
@@ -31,15 +44,23 @@
     a hyphen.
 
     :param rfile: buffered reader, positioned after the request line.
+    :param max_bytes: maximum size of all headers.
+    :raises HeadTooLargeError: if they are larger.
     """
 
-    def __init__(self, rfile: BinaryIO, *_: object) -> None:
+    def __init__(self, rfile: BinaryIO, max_bytes: int) -> None:
         self.status = ''
         self.headers: list[str] = []
         self.pairs: HeaderPairs = []
         self._by_name: dict[str, str] = {}
+        left_bytes = max_bytes
         while not self.status:
-            line = rfile.readline(MAX_LINE_BYTES + 1)
+            line = rfile.readline(left_bytes + 1)
+            left_bytes -= len(line)
+            if left_bytes < 0 or len(self.pairs) > _MAX_HEADERS:
+                raise HeadTooLargeError(
+                    _HEADERS_TOO_LARGE, f'headers exceed {max_bytes} bytes'
+                )
             if line in {b'\r\n', b'\n'}:
                 break
             if line:
@@ -103,8 +124,6 @@
             self.headers.append(text)
 
     def _problem_of(self, line: bytes, name: str, field: str) -> str:
-        if len(line) > MAX_LINE_BYTES or len(self.pairs) >= MAX_HEADERS:
-            return 'headers too large'
         is_complete = b':' in line and line.endswith(b'\n')
         if not is_complete or not _FIELD_NAME.fullmatch(name):
             return 'malformed header'
@@ -115,4 +134,4 @@
         return ''
 
 
-__all__ = ('MAX_HEADERS', 'MAX_LINE_BYTES', 'RequestHeaders')
+__all__ = ('HeadTooLargeError', 'RequestHeaders')
--- a/src/jackdawhead/platform/config_document.py
+++ b/src/jackdawhead/platform/config_document.py
@@ -58,11 +58,16 @@
     """Limits for callers.
 
     :param body_bytes: largest request body, 0 for the default.
+    :param head_bytes: largest head of a request, 0 for the default.
+    :param head: longest time for a head, for example ``5000ms``; empty for the
+        default.
     :param idle: idle timeout of a connection, for example ``15000ms``; empty
         for the default.
     """
 
     body_bytes: int = msgspec.field(name='maxBodyBytes', default=0)
+    head_bytes: int = msgspec.field(name='maxHeaderBytes', default=0)
+    head: str = msgspec.field(name='headerTimeout', default='')
     idle: str = msgspec.field(name='idleTimeout', default='')
 
 
--- a/src/jackdawhead/platform/config_translation.py
+++ b/src/jackdawhead/platform/config_translation.py
@@ -4,7 +4,6 @@
 
 import re
 from abc import ABC, abstractmethod
-from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, Final
 
@@ -36,6 +35,8 @@
 _MAX_CONNECTIONS: Final = 100_000
 _MAX_WEIGHT: Final = 1_000_000
 _MAX_BODY_BYTES: Final = 1_099_511_627_776
+_MIN_HEAD_BYTES: Final = 1024
+_MAX_HEAD_BYTES: Final = 1_048_576
 _NAME: Final = re.compile(NAME_PATTERN)
 _HOST: Final = re.compile(HOST_PATTERN)
 # Settings that the platform's operators cannot change; see
@@ -188,14 +189,24 @@
         limits: dict[str, int | None] = {}
         if spec.body_bytes:
             limits['max_body_bytes'] = _clamp(spec.body_bytes, _MAX_BODY_BYTES)
-        if spec.idle:
-            limits['idle_ms'] = None
-            with suppress(ValueError):
-                idle_ms = parse_duration_ms(spec.idle)
-                limits['idle_ms'] = _clamp(idle_ms, _MAX_DURATION_MS)
+        if spec.head_bytes:
+            limits['max_head_bytes'] = min(
+                max(_MIN_HEAD_BYTES, spec.head_bytes), _MAX_HEAD_BYTES
+            )
+        for name, text_of in (('head_ms', spec.head), ('idle_ms', spec.idle)):
+            if text_of:
+                limits[name] = _duration_or_none(text_of)
         return limits
 
 
+def _duration_or_none(text: str) -> int | None:
+    try:
+        duration_ms = parse_duration_ms(text)
+    except ValueError:
+        return None
+    return _clamp(duration_ms, _MAX_DURATION_MS)
+
+
 def _operation_of(spec: RouteSpec) -> Operation:
     target_ms = _clamp(parse_duration_ms(spec.target), _MAX_DURATION_MS)
     is_known = isinstance(spec.kind, str) and spec.kind in _KNOWN_KINDS
--- a/src/jackdawhead/platform/document_loader.py
+++ b/src/jackdawhead/platform/document_loader.py
@@ -27,7 +27,12 @@
 _MAX_DOCUMENT_BYTES: Final = 1_150_000
 # Status that callers accept as proof that the work has not run.
 _STATUS_NOT_RUN: Final = 503
-_LIMITS: Final = ('max_body_bytes', 'idle_ms')
+_LIMITS: Final = (
+    'max_body_bytes',
+    'idle_ms',
+    'max_head_bytes',
+    'head_ms',
+)
 
 
 def decode_document(body: bytes) -> Result[PublishedValue, str]:
--- a/src/jackdawhead/platform/settings_file.py
+++ b/src/jackdawhead/platform/settings_file.py
@@ -14,6 +14,7 @@
 from ..logs import log_event
 from ..node.upstream_list import vm_name
 from .formats import parse_duration_ms
+from .machine_limits import caller_connections, caller_memory_bytes
 from .names import SETTINGS_FILE_VARIABLE, STREAM_KEY_VARIABLE
 
 if TYPE_CHECKING:
@@ -112,6 +113,8 @@
         ),
         stream_keys=(os.environ[STREAM_KEY_VARIABLE],),
         seed_addresses=tuple(_seeds(fields)),
+        caller_connections=caller_connections(fields),
+        caller_memory_bytes=caller_memory_bytes(fields),
         drain_ms=grace_ms - grace_ms // _CLOSING_DIVISOR + _DRAIN_MARGIN_MS,
         ready_address=_address('listen.readyAddr', fields['listen.readyAddr']),
         service=fields.get('service', ''),
--- a/src/jackdawhead/sockets.py
+++ b/src/jackdawhead/sockets.py
@@ -6,7 +6,7 @@
 from select import POLLERR, POLLHUP, POLLRDHUP, poll
 from typing import TYPE_CHECKING, Final
 
-from gevent import Timeout, socket
+from gevent import Timeout, sleep, socket
 from gevent.select import select
 
 from .clock import seconds
@@ -17,6 +17,7 @@
     from gevent.socket import socket as Socket
 
 _DROPPED_BYTES: Final = 65_536
+_DROP_PAUSE_S: Final = 0.0005
 _CLOSED_EVENTS: Final = POLLRDHUP | POLLHUP | POLLERR
 
 
@@ -87,9 +88,9 @@
     """
     with suppress(OSError), Timeout(seconds(timeout_ms), TimeoutError):
         sock.shutdown(socket.SHUT_WR)
-        is_open = True
-        while is_open:
-            is_open = bool(sock.recv(_DROPPED_BYTES))
+        while sock.recv(_DROPPED_BYTES):
+            # A fast sender would let no timer fire, not even the timeout.
+            sleep(_DROP_PAUSE_S)
 
 
 def _peek(sock: Socket) -> bytes | None:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -21,7 +21,8 @@
 
 from jackdawhead.config.settings import Address
 from jackdawhead.memory import freeze_startup_objects
-from jackdawhead.node.http_server import SOCKET_KEY, HttpServer
+from jackdawhead.node.http_keys import SOCKET_KEY
+from jackdawhead.node.http_server import HttpServer
 from jackdawhead.sockets import has_hung_up
 
 from .behaviour import Behaviour
