--- a/features/steps/uncontrolled_steps.py
+++ b/features/steps/uncontrolled_steps.py
@@ -244,9 +244,13 @@
 
 
 def _is_answered(context: Context) -> bool:
-    with suppress(ConnectionError, HTTPConnectionClosed):
-        return bool(call(context.node.caller_port, 'GET', _ORDINARY).status)
-    return False
+    try:
+        reply = call(context.node.caller_port, 'GET', _ORDINARY)
+    except TimeoutError:
+        raise AssertionError('the node does not answer') from None
+    except (ConnectionError, HTTPConnectionClosed):
+        return False
+    return bool(reply.status)
 
 
 @then(
--- a/src/jackdawhead/node/caller_gate.py
+++ b/src/jackdawhead/node/caller_gate.py
@@ -108,6 +108,8 @@
         self.closed[reason] += 1
         self._unlogged[reason] += 1
         self._log()
+        if self._unlogged:
+            self._check_later()
 
     @property
     def _may_exceed(self) -> bool:
