--- a/src/jackdawhead/node/entry/passed_headers.py
+++ b/src/jackdawhead/node/entry/passed_headers.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..home.request_head import HOP_BY_HOP
-from ..http_server import HEADERS_KEY
+from ..http_keys import HEADERS_KEY
 
 if TYPE_CHECKING:
     from ...wire.messages import HeaderPairs
--- a/src/jackdawhead/node/entry/request_reader.py
+++ b/src/jackdawhead/node/entry/request_reader.py
@@ -9,7 +9,7 @@
 
 from ...clock import monotonic_ms, seconds
 from ...wire.header_numbers import deadline_ms
-from ..http_server import CONNECTED_KEY
+from ..http_keys import CONNECTED_KEY
 from .passed_headers import passed_headers
 from .request_fields import environ_key, header_of, host_of, path_of
 from .requests import CallerRequest
