--- a/features/policy/giving_way.feature
+++ b/features/policy/giving_way.feature
@@ -128,6 +128,13 @@
     Then requests of priority 2 go to the one that takes all
     And requests of priority 1 go to all of them
 
+  # It has free slots because its runs fail at once.
+  Scenario: Work that healthy upstreams refuse does not go to one that fails
+    Given an entry with 6 upstreams that take the priorities below 2
+    And 1 upstream that takes all
+    And the one that takes all is likely failing
+    Then requests of priority 2 that were refused by one go to none
+
   Scenario: What no upstream takes is refused at once, urgent work comes back first
     Given an entry with 20 upstreams that take the priorities below 1
     Then at least 70 % of the requests of priority 2 are refused at once
--- a/features/steps/level_steps.py
+++ b/features/steps/level_steps.py
@@ -71,6 +71,29 @@
     make_entry(context, number, ALL_PRIORITIES)
 
 
+@given('the one that takes all is likely failing')
+def fail_open(context: Context) -> None:
+    """Raise its risk."""
+    load = context.router.find(context.open[0])
+    load.note_risk(0.95, context.now_ms)
+
+
+@then('requests of priority {priority:d} that were refused by one go to none')
+def check_none_failing(context: Context, priority: int) -> None:
+    """Check the next attempt of refused requests."""
+    tried = frozenset(context.names[:1])
+    for _ in range(_DRAWS):
+        query = routing_query(
+            context.router,
+            context.router.service.operations['once'],
+            tried,
+            context.now_ms,
+            may_repeat=False,
+        )
+        placed = by_level(query, context.router, priority, context.rng)
+        assert placed is None, placed
+
+
 def replace_members(context: Context) -> None:
     """List all upstreams."""
     context.router.replace_members(
--- a/src/jackdawhead/policy/levels.py
+++ b/src/jackdawhead/policy/levels.py
@@ -17,6 +17,7 @@
 
 from ..outcome import Outcome
 from ..reasons import Reason
+from .spell_estimate import SUSPECT_RISK
 from .value_admission import VALUE_ADMISSION
 
 if TYPE_CHECKING:
@@ -63,8 +64,9 @@
         for load, weight in zip(closed, weights, strict=True)
         if rng.random() < weight
     )
-    if len(avoided) >= router.member_count:
-        return query
+    if not _has_healthy(router.loads, query, avoided):
+        # What is left is idle as it fails.
+        return None if query.tried else query
     return replace(query, refusing=query.refusing | avoided)
 
 
@@ -132,6 +134,17 @@
     ]
 
 
+def _has_healthy(
+    loads: Iterable[UpstreamLoad], query: RoutingQuery, avoided: frozenset[str]
+) -> bool:
+    return any(
+        each.upstream not in query.excluded | avoided
+        and each.risk_now(query.now_ms) <= SUSPECT_RISK
+        and not each.is_avoided(query.now_ms)
+        for each in loads
+    )
+
+
 def _weight(load: UpstreamLoad, now_ms: float) -> float:
     age_ms = now_ms - load.reported_at_ms
     left_share = (_LIFE_MS - age_ms) / (_LIFE_MS - _FRESH_MS)
