--- a/src/jackdawhead/node/entry/http.py
+++ b/src/jackdawhead/node/entry/http.py
@@ -5,7 +5,6 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
-import falcon
 from falcon import App, Request, Response
 
 from ...clock import monotonic_ms
@@ -18,6 +17,7 @@
 from .body_reads import BodyReads, NodeStopsError
 from .caller_watch import WatchedBody, watch_caller
 from .key_check import Caller, KeyCheck
+from .refusals import fill_refusal, set_optional_header
 from .request_fields import header_of
 from .request_reader import read_request, with_caller
 from .requests import Answer, Refused, UpstreamAnswer
@@ -31,24 +31,11 @@
     from .request_stats import RequestStats
     from .requests import CallerRequest
 
-_MS_PER_S: Final = 1000
 # Time in which callers that don't read on are disconnected.
 _FULL_RETRY_MS: Final = 1000
 _UNKNOWN_LENGTH: Final = -1
-_STATUS_OF_REASON: Final = {
-    Reason.NO_ROUTE: 404,
-    Reason.UNKNOWN_KEY: 401,
-    Reason.OVER_QUOTA: 429,
-    Reason.BODY_TOO_LARGE: 413,
-    Reason.BODY_CUT: 400,
-    Reason.DEADLINE: 504,
-    Reason.TICKET_GONE: 409,
-    Reason.TICKET_REFUSED: 400,
-}
-_STATUS_NOT_RUN: Final = 503
 _CREATED: Final = 201
 _NEW_TICKET: Final = 'new'
-_STATUS_UNKNOWN: Final = 502
 _DEFAULT_HEADER_NAMES: Final = HeaderNames()
 _DEFAULT_CALLER_POLICY: Final = CallerPolicy()
 
@@ -101,10 +88,10 @@
     ) -> None:
         caller = self._keys.identify(request.env)
         if isinstance(caller, Refused):
-            _fill_refusal(response, caller, names, self._caller_policy())
+            fill_refusal(response, caller, names, self._caller_policy())
         elif self._board.leaving:
             # Its answer would be gone with this process.
-            _fill_refusal(response, STOP_REFUSAL, names, self._caller_policy())
+            fill_refusal(response, STOP_REFUSAL, names, self._caller_policy())
         else:
             _fill_ticket(response, self._tickets.issue(), names)
 
@@ -129,7 +116,7 @@
                 body = WatchedBody(answer.body, sock, note_disconnect)
                 _stream(response, body, answer.body_bytes)
         else:
-            _fill_refusal(response, answer, names, self._caller_policy())
+            fill_refusal(response, answer, names, self._caller_policy())
 
     def _note_disconnect(
         self,
@@ -243,8 +230,8 @@
         response.status = answer.status
         for name, text in answer.headers:
             response.append_header(name, text)
-        _set_header(response, names.outcome, Outcome.RAN.value)
-        _set_header(response, names.node, self._settings.vm)
+        set_optional_header(response, names.outcome, Outcome.RAN.value)
+        set_optional_header(response, names.node, self._settings.vm)
         response.data = answer.body.buffered
 
 
@@ -266,44 +253,4 @@
         response.set_stream(body, body_bytes)
 
 
-def _fill_refusal(
-    response: Response,
-    refused: Refused,
-    names: HeaderNames,
-    policy: CallerPolicy,
-) -> None:
-    response.status = _status_of(refused, policy)
-    response.content_type = falcon.MEDIA_JSON
-    if refused.reason is Reason.UNKNOWN_KEY:
-        _set_header(response, 'WWW-Authenticate', names.credential_scheme)
-    _set_header(response, names.outcome, refused.outcome.value)
-    after_ms = refused.retry_after_ms
-    if after_ms:
-        whole_s = -(-after_ms // _MS_PER_S)
-        is_exact = policy.fractional_retry_after
-        after_s = after_ms / _MS_PER_S if is_exact else whole_s
-        response.set_header('Retry-After', str(after_s))
-        _set_header(response, names.retry_after_ms, str(after_ms))
-    response.media = {
-        'outcome': refused.outcome.value,
-        'reason': refused.reason.value,
-        'retry_after_ms': after_ms,
-    }
-
-
-def _status_of(refused: Refused, policy: CallerPolicy) -> int:
-    is_not_run = refused.outcome is Outcome.NOT_RUN
-    if is_not_run and refused.reason is Reason.QUARANTINED:
-        return policy.quarantined_status
-    if is_not_run and refused.reason is Reason.DEADLINE:
-        return policy.expired_status
-    default = _STATUS_NOT_RUN if is_not_run else _STATUS_UNKNOWN
-    return _STATUS_OF_REASON.get(refused.reason, default)
-
-
-def _set_header(response: Response, name: str, text: str) -> None:
-    if name:
-        response.set_header(name, text)
-
-
 __all__ = ('CallerApi',)
