Quotas of the whole fleet: a mandate by the votes of five electors, credit, reserves

Organisations with a quota were not limited at all. An elector with the votes of most of the five grants credit to entries; fixed reserves serve while nobody has the mandate.

--- a/src/jackdawhead/node/acceptor.py
+++ b/src/jackdawhead/node/acceptor.py
@@ -51,6 +51,20 @@
         """Links with a completed handshake."""
         return tuple(link for link in self._sessions if link.is_ready)
 
+    def link_from(self, vm: str) -> Link | None:
+        """Return a link that a node has dialled, if there is one.
+
+        :param vm: VM of the node.
+        """
+        return next(
+            (
+                link
+                for link in self._sessions
+                if link.vm == vm and link.is_ready
+            ),
+            None,
+        )
+
     def start(self) -> None:
         """Start listening.
 
--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -15,6 +15,7 @@
 from .membership import MembershipController
 from .parts import NodeParts
 from .pause_watch import PauseWatch
+from .quota_controller import QuotaController
 from .reader_controller import ReaderController
 from .tickets.store import TicketStore
 from .trace_recorder import TraceRecorder
@@ -67,6 +68,7 @@
         tickets=TicketStore(identity),
         pauses=PauseWatch(settings.vm, audit),
         readers=ReaderController(identity, settings.zone, board),
+        quotas=QuotaController(settings.vm, board),
     )
 
 
--- a/src/jackdawhead/node/channels.py
+++ b/src/jackdawhead/node/channels.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from contextlib import ExitStack
 
+    from ..wire.messages import Message
     from .entry.attempts import Channel
     from .links import Link
     from .parts import NodeParts
@@ -42,6 +43,8 @@
         self._acceptor = Acceptor(
             parts, self.gossip, self._dialler.note_peer_linked
         )
+        self._quotas = parts.quotas
+        self._quotas.send = self.send_to
         self.readiness = HomeReadiness(
             parts.board, parts.home, self.send_heartbeats
         )
@@ -66,6 +69,21 @@
             return self._local
         return self._dialler.link_to(vm)
 
+    def send_to(self, vm: str, message: Message) -> None:
+        """Send a message to a node by any link, or dial the node.
+
+        The message is dropped if the node can't be reached.
+
+        :param vm: VM of the node.
+        :param message: any registered message.
+        """
+        link = self._dialler.usable_link(vm) or self._acceptor.link_from(vm)
+        if link is None:
+            gevent.spawn(self._dial_and_send, vm, message)
+            return
+        link.last_request_at_ms = monotonic_ms()
+        link.send(message)
+
     def is_linked(self, vm: str) -> bool:
         """Return whether requests can be sent to a node without dialling it.
 
@@ -141,6 +159,13 @@
         for link in self.links():
             link.send(heartbeat)
 
+    def _dial_and_send(self, vm: str, message: Message) -> None:
+        link = self._dialler.link_to(vm)
+        if link is None:
+            self._quotas.note_unreachable(vm)
+        else:
+            link.send(message)
+
     def _keep_alive(self, now_ms: float) -> None:
         """Close links whose peer is silent; send heartbeats on the others.
 
--- a/src/jackdawhead/node/dialler.py
+++ b/src/jackdawhead/node/dialler.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Final
 
 import gevent
-from gevent import socket
 from gevent.event import Event
 
 from ..audit import AuditKind
@@ -14,16 +13,16 @@
 from ..logs import log_event
 from ..policy.gossip import gossip_peers
 from ..policy.redial import DialFailure, RedialSchedule
-from .links import DialledLink, Link
+from .dialling import open_link
 from .local_channel import receive_answer
 
 if TYPE_CHECKING:
     from ..blackboard import VmList
     from ..wire.messages import Message
     from .gossip_controller import GossipController
+    from .links import DialledLink, Link
     from .parts import NodeParts
 
-_CONNECT_TIMEOUT_MS: Final = 800
 _MAX_DIAL_WAIT_MS: Final = 250
 _REDIAL_POLL_MS: Final = 50
 # Renewed until the home is linked again.
@@ -246,22 +245,11 @@
         :param name: VM of the node, empty if any node is expected.
         :returns: the only link to that node, or why there is none.
         """
-        target = (address.ip, address.port)
-        try:
-            sock = socket.create_connection(
-                target, seconds(_CONNECT_TIMEOUT_MS)
-            )
-        except (ConnectionRefusedError, ConnectionResetError):
-            return DialFailure.REFUSED
-        except OSError:
-            return DialFailure.SILENT
-        sock.settimeout(None)
-        link = DialledLink(
-            self._parts.identity, sock, self._receive, self._on_link_closed
+        link = open_link(
+            self._parts.identity, address, self._receive, self._on_link_closed
         )
-        if not link.ready.get():
-            is_silent = link.has_timed_out
-            return DialFailure.SILENT if is_silent else DialFailure.REFUSED
+        if isinstance(link, DialFailure):
+            return link
         if name and link.vm != name:
             link.close('another node has the address')
             return DialFailure.REFUSED
@@ -294,6 +282,7 @@
             self._parts.routing.avoid(link.vm, _AVOID_ABSENT_MS)
             self._schedule.note_lost(link.vm, monotonic_ms())
             self._has_absent.set()
+            self._parts.quotas.note_link_lost(link.vm)
         self._parts.audit.record(AuditKind.PEER_LOST, link.vm, reason)
 
 
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -48,6 +48,7 @@
         self._board = parts.board
         self._routing = parts.routing
         self._pauses = parts.pauses
+        self._quotas = parts.quotas
         self._limits = StopLimits(parts.board, parts.home.may_have_called)
         self._exchanges = Exchanges(parts, channels, self._limits)
         self._windows = ServiceWindows(parts.routing)
@@ -61,7 +62,7 @@
             case Refused() as refused:
                 return refused
             case call:
-                answer = self._send(call)
+                answer = self._send_within_quota(call)
                 log_answer(call, answer, self._board)
                 self._windows.note(call, answer)
                 if isinstance(answer, Refused):
@@ -111,6 +112,17 @@
             request.request_id,
         )
 
+    def _send_within_quota(self, call: Call) -> Answer:
+        organisation = call.request.organisation
+        admission = self._quotas.admit(organisation, call.request_id)
+        if isinstance(admission, Refused):
+            return admission
+        answer = self._send(call)
+        has_run = _attempt_end(answer).outcome is not Outcome.NOT_RUN
+        if admission is not None and not has_run:
+            self._quotas.give_back(organisation, admission)
+        return answer
+
     def _send(self, call: Call) -> Answer:
         call.router.budget.note_first_attempt()
         attempt_number = 1
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..audit import AuditKind
+from ..policy.quota_gate import QuotaMessage
 from ..wire.messages import (
     ConfigRequest,
     ConfigUpdate,
@@ -106,6 +107,9 @@
         :param message: any message.
         :returns: whether the message was a gossip message.
         """
+        if isinstance(message, QuotaMessage):
+            self._parts.quotas.receive(link.vm, message)
+            return True
         match message:
             case Heartbeat():
                 self._handle_heartbeat(link, message)
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -11,6 +11,7 @@
 
 from ..clock import seconds
 from ..policy.detection import Health
+from .quota_metrics import quota_metrics
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -37,6 +38,7 @@
         yield from self._request_metrics()
         yield from self._fleet_metrics()
         yield from self._home_metrics()
+        yield from quota_metrics(self._node.parts.quotas)
         yield from _process_metrics()
 
     def _request_metrics(self) -> Iterator[Metric]:
--- a/src/jackdawhead/node/parts.py
+++ b/src/jackdawhead/node/parts.py
@@ -17,6 +17,7 @@
     from .identity import Identity
     from .membership import MembershipController
     from .pause_watch import PauseWatch
+    from .quota_controller import QuotaController
     from .reader_controller import ReaderController
     from .tickets.store import TicketStore
     from .trace_recorder import TraceRecorder
@@ -40,6 +41,7 @@
     tickets: TicketStore
     pauses: PauseWatch
     readers: ReaderController
+    quotas: QuotaController
 
 
 __all__ = ('NodeParts',)
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -161,6 +161,7 @@
             self.parts.routing.run,
             self.parts.pauses.run,
             self.parts.readers.run,
+            self.parts.quotas.run,
         ]
         for loop in loops:
             self._spawn(stack, loop)
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -13,6 +13,7 @@
     Pong,
     Welcome,
 )
+from .quota_messages import QuotaAsk, QuotaClaim, QuotaGrant, QuotaVote
 from .update_messages import (
     ConfigRequest,
     ConfigUpdate,
@@ -56,6 +57,10 @@
     'Message',
     'Ping',
     'Pong',
+    'QuotaAsk',
+    'QuotaClaim',
+    'QuotaGrant',
+    'QuotaVote',
     'Refusal',
     'Submit',
     'TicketSubmit',
