--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -15,6 +15,7 @@
 from .membership import MembershipController
 from .parts import NodeParts
 from .pause_watch import PauseWatch
+from .quota_controller import QuotaController
 from .reader_controller import ReaderController
 from .tickets.store import TicketStore
 from .trace_recorder import TraceRecorder
@@ -50,6 +51,9 @@
     recorder = TraceRecorder(settings, board)
     routing = RoutingController(settings.vm, settings.zone, board, audit, rng)
     identity = new_identity(settings.vm, settings.stream_keys)
+    readers = ReaderController(identity, settings.zone, board)
+    quotas = QuotaController(settings.vm, board)
+    quotas.is_list_current = lambda: readers.is_in_touch
     return NodeParts(
         settings=settings,
         identity=identity,
@@ -66,7 +70,8 @@
         membership=MembershipController(board, audit),
         tickets=TicketStore(identity),
         pauses=PauseWatch(settings.vm, audit),
-        readers=ReaderController(identity, settings.zone, board),
+        readers=readers,
+        quotas=quotas,
     )
 
 
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -12,6 +12,7 @@
 from ..clock import seconds
 from ..policy.detection import Health
 from .level_metrics import level_metrics
+from .quota_metrics import quota_metrics
 from .way_metrics import way_metrics
 
 if TYPE_CHECKING:
@@ -42,6 +43,7 @@
         yield from self._fleet_metrics()
         yield from way_metrics(self._node.parts.routing.ways)
         yield from self._home_metrics()
+        yield from quota_metrics(self._node.parts.quotas)
         yield from _process_metrics()
 
     def _request_metrics(self) -> Iterator[Metric]:
--- a/src/jackdawhead/wire/messages.py
+++ b/src/jackdawhead/wire/messages.py
@@ -13,6 +13,7 @@
     Pong,
     Welcome,
 )
+from .quota_messages import QuotaAsk, QuotaGrant
 from .update_messages import (
     ALL_PRIORITIES,
     ConfigRequest,
@@ -58,6 +59,8 @@
     'Message',
     'Ping',
     'Pong',
+    'QuotaAsk',
+    'QuotaGrant',
     'Refusal',
     'Submit',
     'TicketSubmit',
