--- a/src/jackdawhead/node/acceptor.py
+++ b/src/jackdawhead/node/acceptor.py
@@ -110,6 +110,7 @@
         if session is not None:
             session.close()
         if link.vm:
+            self._parts.quotas.note_link_lost(link.vm)
             self._parts.audit.record(AuditKind.PEER_LOST, link.vm, reason)
 
 
--- a/src/jackdawhead/node/caller_gate.py
+++ b/src/jackdawhead/node/caller_gate.py
@@ -138,7 +138,7 @@
             [each.view for each in self._connections]
         )
         self._log()
-        if self._may_exceed or self._unlogged:
+        if self.is_full or self._may_exceed or self._unlogged:
             self._check_later()
 
     def _check_later(self) -> None:
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -111,7 +111,9 @@
 
     def _send_within_quota(self, call: Call) -> Answer:
         organisation = call.request.organisation
-        admission = self._quotas.admit(organisation, call.request_id)
+        admission = self._quotas.admit(
+            organisation, call.request_id, call.left_ms()
+        )
         if isinstance(admission, Refused):
             return admission
         answer = self._send(call)
--- a/src/jackdawhead/node/gated_handler.py
+++ b/src/jackdawhead/node/gated_handler.py
@@ -94,6 +94,8 @@
             self.is_shed = True
             self._greenlet.throw(CallerClosedError('answer not read'))
             return True
+        # The reader ends at once, and must not linger.
+        self.is_shed = True
         self.is_shed = self.stream.interrupt()
         return self.is_shed
 
--- a/src/jackdawhead/node/quota_controller.py
+++ b/src/jackdawhead/node/quota_controller.py
@@ -56,17 +56,18 @@
         board.vm_list.subscribe(self._follow_list)
 
     def admit(
-        self, organisation: str, request_id: str
+        self, organisation: str, request_id: str, left_ms: float
     ) -> Admission | Refused | None:
         """Admit or refuse a request, after a short wait for credit if need be.
 
         :param organisation: name of its organisation, empty if it has none.
         :param request_id: identity of the request, for the log.
+        :param left_ms: time until its deadline.
         :returns: its credit, or the refusal, or ``None`` without a quota.
         """
         if not self._gate.has_quota(organisation):
             return None
-        verdict = self._await_verdict(organisation)
+        verdict = self._await_verdict(organisation, left_ms)
         if isinstance(verdict, Admission):
             return verdict
         self.refused[organisation] += 1
@@ -143,12 +144,15 @@
         else:
             self._has_work.wait(seconds(self._next_tick_ms - now_ms))
 
-    def _await_verdict(self, organisation: str) -> Admission | QuotaRefusal:
+    def _await_verdict(
+        self, organisation: str, left_ms: float
+    ) -> Admission | QuotaRefusal:
         began_ms = boot_ms()
         self._gate.enter(organisation, began_ms)
         verdict: Admission | QuotaRefusal | None = None
         try:
-            verdict = self._poll_verdict(organisation, began_ms)
+            until_ms = began_ms + min(_MAX_WAIT_MS, left_ms)
+            verdict = self._poll_verdict(organisation, until_ms)
         finally:
             # The caller may leave meanwhile.
             if verdict is None:
@@ -156,13 +160,13 @@
         return verdict or QuotaRefusal(_UNDECIDED_RETRY_AFTER_MS, 0, -1)
 
     def _poll_verdict(
-        self, organisation: str, began_ms: float
+        self, organisation: str, until_ms: float
     ) -> Admission | QuotaRefusal | None:
         while True:
             self._note_list_age()
             verdict = self._gate.decide(organisation, boot_ms())
             self._flush()
-            left_ms = began_ms + _MAX_WAIT_MS - boot_ms()
+            left_ms = until_ms - boot_ms()
             if verdict is not None or left_ms <= 0:
                 return verdict
             change = self._changes.setdefault(organisation, Event())
--- a/src/jackdawhead/node/reader_controller.py
+++ b/src/jackdawhead/node/reader_controller.py
@@ -96,8 +96,11 @@
         :param report: the report.
         :returns: whether it is news, to be passed on.
         """
-        self._heard_at_ms = monotonic_ms()
-        return self._duty.note(report, self._heard_at_ms)
+        now_ms = monotonic_ms()
+        is_news = self._duty.note(report, now_ms)
+        if is_news:
+            self._heard_at_ms = now_ms
+        return is_news
 
     def relay_count(self, linked: int) -> int:
         """Return to how many nodes this node passes a report that is news.
--- a/src/jackdawhead/platform/config_translation.py
+++ b/src/jackdawhead/platform/config_translation.py
@@ -45,6 +45,7 @@
 _MAX_BODY_BYTES: Final = 1_099_511_627_776
 _MIN_HEAD_BYTES: Final = 1024
 _MAX_HEAD_BYTES: Final = 1_048_576
+_ORGANISATIONS: Final = 'tenants'
 _NAME: Final = re.compile(NAME_PATTERN)
 _HOST: Final = re.compile(HOST_PATTERN)
 _MAX_RATE: Final = 1e9
@@ -152,7 +153,9 @@
         try:
             resource = msgspec.json.decode(text, type=Resource)
         except DECODE_ERRORS as error:
-            return Part('', '', cause=str(error))
+            # Callers of an organisation that can't be read have keys, too.
+            kind = _ORGANISATIONS if _ORGANISATIONS.encode() in text else ''
+            return Part(kind, '', cause=str(error))
         kind, name = resource.kind, resource.metadata.name
         translation = self._by_kind.get(kind)
         if translation is None:
@@ -218,7 +221,7 @@
         )
 
 
-@_TRANSLATIONS.register('tenants')
+@_TRANSLATIONS.register(_ORGANISATIONS)
 class _OrganisationTranslation(_Translation):
     """Translates organisations; a key that can't be used is left out."""
 
--- a/src/jackdawhead/policy/quota_gate.py
+++ b/src/jackdawhead/policy/quota_gate.py
@@ -53,7 +53,7 @@
     def __init__(self, own: str, now_ms: float) -> None:
         self.outbox: list[tuple[str, Message]] = []
         self._own = own
-        self._started_at_ms = now_ms
+        self._listed_at_ms = now_ms
         self._ranks = GranterRanks(())
         self._terms: dict[str, QuotaTerms] = {}
         self._ledgers: dict[str, QuotaLedger] = {}
@@ -68,6 +68,7 @@
         :param now_ms: monotonic time.
         """
         if nodes != self._ranks.nodes:
+            self._listed_at_ms = now_ms
             self._ranks = GranterRanks(nodes)
             self._offices.update(self._terms, self._ranks, now_ms, now_ms)
 
@@ -89,8 +90,8 @@
         self._terms = terms
         for gone in self._ledgers.keys() - terms:
             self._ledgers.pop(gone)
-        # Nobody has granted credit of an organisation that is new.
-        self._offices.update(terms, self._ranks, self._started_at_ms, now_ms)
+        # Nodes whose list is older may take themselves for its owner, too.
+        self._offices.update(terms, self._ranks, self._listed_at_ms, now_ms)
 
     def note_list_age(self, *, is_current: bool) -> None:
         """Record whether the VM list is up to date, as far as known.
--- a/src/jackdawhead/policy/quota_ledger.py
+++ b/src/jackdawhead/policy/quota_ledger.py
@@ -78,6 +78,7 @@
         self._round_ends_at_ms = -inf
         self._blocked_until_ms = -inf
         self._turn_at_ms = -inf
+        self._has_granter = True
         self._scarce_until_ms = -inf
 
     def enter(self, now_ms: float) -> None:
@@ -89,8 +90,11 @@
         self._waiting += 1
 
     def leave(self) -> None:
-        """Record that a request no longer waits."""
-        self._waiting -= 1
+        """Record that a request no longer waits.
+
+        A quota may have been withdrawn and given again since it was entered.
+        """
+        self._waiting = max(0, self._waiting - 1)
 
     def decide(
         self, ranks: GranterRanks, now_ms: float
@@ -144,6 +148,7 @@
         if grant.credit and now_ms < expires_at_ms:
             self._credit.append([expires_at_ms, grant.credit])
         self._route.note_answer(source)
+        self._has_granter |= grant.grants
         if (source,) == ranks.granters(self._organisation)[:1]:
             self.used = grant.used
             self.heard_at_ms = now_ms
@@ -153,6 +158,8 @@
         self._open = None
         if grant.credit <= answered.need:
             self._scarce_until_ms = now_ms + _SCARCE_MS
+        else:
+            self._turn_at_ms = now_ms
         if self._waiting <= self._available(now_ms):
             return
         if grant.grants and grant.credit < answered.need:
@@ -231,7 +238,8 @@
         granters = ranks.granters(self._organisation)
         target = self._route.next_target(granters, now_ms)
         if not target or now_ms >= self._round_ends_at_ms:
-            self._block(_UNREACHABLE_WAIT_MS, now_ms)
+            self._has_granter = False
+            self._blocked_until_ms = now_ms + _UNREACHABLE_WAIT_MS
             return
         self._serial += 1
         self._sent_at_ms[self._serial] = now_ms
@@ -253,18 +261,27 @@
         self._turn_at_ms = max(self._turn_at_ms, now_ms + wait_ms)
 
     def _refuse(self, now_ms: float) -> QuotaRefusal:
-        """Refuse until there is room for it and for those refused before."""
+        """Refuse until there is room for it and for those refused before.
+
+        While nobody grants credit, nothing is known of the room.
+        """
+        if not self._has_granter:
+            return QuotaRefusal(
+                int(_UNREACHABLE_WAIT_MS), self.used, self._age_ms(now_ms)
+            )
         latest_ms = now_ms + _MAX_RETRY_AFTER_MS
         retry_at_ms = min(max(self._turn_at_ms, now_ms), latest_ms)
         self._turn_at_ms = retry_at_ms + min(
             self._granted.interval_ms(now_ms), _MAX_SPACING_MS
         )
-        age_ms = now_ms - self.heard_at_ms
         return QuotaRefusal(
-            max(1, int(retry_at_ms - now_ms)),
-            self.used,
-            -1 if age_ms == inf else int(age_ms),
+            max(1, int(retry_at_ms - now_ms)), self.used, self._age_ms(now_ms)
         )
 
+    def _age_ms(self, now_ms: float) -> int:
+        """Return the age of the owner's last answer, -1 without one."""
+        age_ms = now_ms - self.heard_at_ms
+        return -1 if age_ms == inf else int(age_ms)
+
 
 __all__ = ('QuotaLedger',)
--- a/src/jackdawhead/policy/quota_office.py
+++ b/src/jackdawhead/policy/quota_office.py
@@ -36,6 +36,7 @@
         self._owned = TokenBucket(self._owner_from_ms)
         self._spare = TokenBucket(self._deputy_from_ms)
         self._detached: TokenBucket | None = None
+        self._retired_at_ms = inf
 
     def replace_rank(self, rank: int, now_ms: float) -> None:
         """Take another role; a deputy goes on as such until it is the owner.
@@ -48,6 +49,7 @@
         self._rank = rank
         ready_at_ms = now_ms + HANDOVER_MS
         if rank:
+            self._retire(now_ms)
             self._owner_from_ms = inf
             self._deputy_from_ms = ready_at_ms
             self._spare = TokenBucket(ready_at_ms)
@@ -85,7 +87,9 @@
             credit = bucket.take(share, ask.need, ask.ahead, now_ms)
             missing = ask.need - credit
             if missing > 0:
-                wait_ms = bucket.wait_ms(share, missing, now_ms)
+                wait_ms = self._deputy_from_ms - now_ms
+                if share.rate_per_s:
+                    wait_ms = bucket.wait_ms(share, missing, now_ms)
             self._granted.add(credit, now_ms)
         return QuotaGrant(
             ask.organisation,
@@ -96,6 +100,13 @@
             self.used(now_ms),
         )
 
+    def _retire(self, now_ms: float) -> None:
+        """Keep the credit left; the next owner begins without any."""
+        self._retired_at_ms = inf
+        if self.is_owner(now_ms):
+            self._retired_at_ms = now_ms
+            self._owned.take(self.terms.owner, 0, 0, now_ms)
+
     def _source(
         self, now_ms: float, *, is_current: bool
     ) -> tuple[TokenBucket | None, CreditShare]:
@@ -107,8 +118,14 @@
             if self._detached is None:
                 self._detached = TokenBucket(now_ms)
             return self._detached, self.terms.detached
-        is_deputy = is_current and now_ms >= self._deputy_from_ms
-        return (self._spare if is_deputy else None), self.terms.deputy
+        if not is_current:
+            return None, self.terms.deputy
+        if now_ms >= self._deputy_from_ms:
+            return self._spare, self.terms.deputy
+        if now_ms >= self._retired_at_ms:
+            retired_ms = now_ms - self._retired_at_ms
+            return self._owned, self.terms.retired(retired_ms)
+        return None, self.terms.deputy
 
 
 __all__ = ('QuotaOffice',)
--- a/src/jackdawhead/policy/quota_terms.py
+++ b/src/jackdawhead/policy/quota_terms.py
@@ -89,6 +89,14 @@
         """Share of an owner whose VM list may be out of date."""
         return _share(self._beyond_owner * _DETACHED_PART)
 
+    def retired(self, elapsed_ms: float) -> CreditShare:
+        """Return the share of a former owner, beside one that begins empty.
+
+        :param elapsed_ms: time since the list has named another owner.
+        """
+        spent = self.owner.refill(elapsed_ms)
+        return CreditShare(0, max(0, self.owner.capacity - spent))
+
     @property
     def _beyond_owner(self) -> float:
         owner = self.owner
