--- a/features/steps/caller_limit_steps.py
+++ b/features/steps/caller_limit_steps.py
@@ -25,7 +25,9 @@
         'metadata': {'name': 'limits'},
         'spec': json.loads(spec),
     }
-    part = ResourceTranslator({}).translate(json.dumps(fields).encode())
+    part = ResourceTranslator({}, 'target').translate(
+        json.dumps(fields).encode()
+    )
     context.limits = part.entry
 
 
