--- a/src/jackdawhead/platform/config_translation.py
+++ b/src/jackdawhead/platform/config_translation.py
@@ -183,6 +183,7 @@
         _check(_HOST.fullmatch(host), f'{host!r} is not a valid host')
         _check(spec.prefix.startswith('/'), 'the prefix starts with no slash')
         operation = _operation_of(spec)
+        timeout_ms = parse_duration_ms(spec.timeout)
         split = {
             each.service: min(each.weight, _MAX_WEIGHT) for each in spec.split
         }
@@ -192,9 +193,7 @@
             operation.name,
             spec.prefix,
             host=host,
-            timeout_ms=_clamp(
-                parse_duration_ms(spec.timeout), _MAX_DURATION_MS
-            ),
+            timeout_ms=_clamp(timeout_ms, _MAX_DURATION_MS),
             max_attempts=_clamp(spec.attempts, _MAX_ATTEMPTS),
             split=split,
             is_public=bool(spec.public),
--- a/src/jackdawhead/policy/quota_gate.py
+++ b/src/jackdawhead/policy/quota_gate.py
@@ -208,7 +208,7 @@
         :param vm: VM of the node.
         :param now_ms: monotonic time.
         """
-        for name, ledger in self._ledgers.items():
+        for ledger in self._ledgers.values():
             ledger.note_unreachable(vm, self._ranks, now_ms)
         self._drain(now_ms)
 
@@ -218,7 +218,7 @@
         :param vm: VM of the node.
         :param now_ms: monotonic time.
         """
-        for name, ledger in self._ledgers.items():
+        for ledger in self._ledgers.values():
             ledger.note_reset(vm, self._ranks, now_ms)
         self._drain(now_ms)
 
@@ -227,7 +227,7 @@
 
         :param now_ms: monotonic time.
         """
-        for name, ledger in self._ledgers.items():
+        for ledger in self._ledgers.values():
             ledger.tick(self._ranks, now_ms)
         self._drain(now_ms)
 
