--- a/review/world.py
+++ b/review/world.py
@@ -126,6 +126,7 @@
         self.refused: set[str] = set()
         # When each machine has last asked for changes.
         self.watched: dict[str, float] = {}
+        self.watch_counts: dict[str, int] = {}
         self._silenced = 0
         self._servers: list[asyncio.Server] = []
 
@@ -176,6 +177,8 @@
                     answer = self._range(query)
                 elif parts.path == '/kv-watch':
                     self.watched[ip] = self.record.now
+                    count = self.watch_counts.get(ip, 0)
+                    self.watch_counts[ip] = count + 1
                     answer = await self._watch(query)
                 else:
                     answer = self._key(query)
