--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""The store turns the watching machines of a one-zone fleet away."""
+"""A backend leaves just before machines reach the store again."""
 
 from __future__ import annotations
 
@@ -13,32 +13,23 @@
 import world as w  # noqa: E402
 
 HOST = 'ficu95.example'
-SERVICES = ('huvo11a', 'wuno96b')
-MACHINES = 6
-MOST_TURNED_AWAY = 2
-TURNED_AWAY_S = 4.5
-# From the moment at which the store turns machines away.
-CHANGE_AFTER_S = 0.05
-CONFIG_APPLY_S = 2.0
-ROUNDS = 6
-ROUND_S = 13.0
-
-
-class Sent:
-    """A request of a client."""
-
-    def __init__(self, at, machine, request_id) -> None:
-        self.at = at
-        self.machine = machine
-        self.request_id = request_id
-
-
-async def clients(world, machine, ids, sent, stop) -> None:
+SERVICE = 'huvo11a'
+TURNED_AWAY_S = 6.0
+# From the time at which the store turns machines away.
+DRAINING_AFTER_S = 3.0
+# Before the store serves them again.
+LEAVES_BEFORE_S = 0.15
+DRAIN_S = 2.0
+SERVES_ON_S = 8.0
+ROUNDS = 4
+
+
+async def clients(world, machine, ids, taken_by, stop) -> None:
     """Send lookups on new connections until the end."""
     tasks = []
     while not stop.is_set():
         request_id = f'{next(ids):016x}'
-        sent.append(Sent(world.record.now, machine, request_id))
+        taken_by[request_id] = machine
         path = f'/lohu930/{request_id}'
         tasks.append(
             asyncio.create_task(
@@ -52,90 +43,85 @@
             world.record.note(f'{machine.ip} GET -> {answer.text}')
 
 
-def config_of(version: int, service: str) -> bytes:
-    """Return a configuration in which the lookups go to a service."""
-    routes = [w.route('r-1', '/lohu930/', 'idempotent', service)]
-    return w.config(version, list(SERVICES), routes)
-
-
 async def case(record) -> int:
     """Run the case and return its exit code."""
-    placements = [('za', SERVICES[number % 2]) for number in range(MACHINES)]
-    world, folder = await w.build_world(record, placements, 65)
-    world.store.put('op/config', config_of(7, SERVICES[0]))
-    sent, changes = [], []
+    placements = [
+        (zone, SERVICE) for zone in ('za', 'zb', 'zc') for _ in range(2)
+    ]
+    world, folder = await w.build_world(record, placements, 63)
+    routes = [w.route('r-1', '/lohu930/', 'idempotent', SERVICE)]
+    world.store.put('op/config', w.config(7, [SERVICE], routes))
+    for machine in world.machines:
+        machine.backend.run_s = 0.14
+    taken_by, left = {}, []
     try:
         await w.start_all(world, folder)
         ids = itertools.count(random.randrange(16**12))
         stop = asyncio.Event()
         tasks = [
-            asyncio.create_task(clients(world, machine, ids, sent, stop))
+            asyncio.create_task(clients(world, machine, ids, taken_by, stop))
             for machine in world.machines
         ]
-        await asyncio.sleep(12)
+        await asyncio.sleep(10)
         for number in range(ROUNDS):
-            changes.append(await change(world, 8 + 3 * number, number))
-            await asyncio.sleep(ROUND_S)
+            left.append(await leave(world, number))
+            await asyncio.sleep(4)
         stop.set()
         await asyncio.gather(*tasks)
     finally:
         w.end_all(world)
-    return check(world, sent, changes)
+    return check(world, taken_by, left)
 
 
-async def change(world, version: int, number: int):
-    """Turn the watching machines away, and change the routes."""
+async def leave(world, number: int):
+    """Let two backends leave while the machines of a zone lack the store."""
     store, record = world.store, world.record
-    latest = sorted(store.watch_counts, key=store.watch_counts.get)
-    watching = set(latest[-MOST_TURNED_AWAY:])
-    store.watch_counts.clear()
-    service = SERVICES[(number + 1) % 2]
+    away = [each for each in world.machines if each.zone == 'za']
+    calm = [each for each in world.machines if each.zone != 'za']
+    leaver = calm[number % len(calm)].backend
+    drainer = calm[(number + 2) % len(calm)].backend
     if w.TROUBLE:
-        record.note(f'the store turns away {sorted(watching)}')
-        store.silent |= watching
-        loop = asyncio.get_running_loop()
-        loop.call_later(TURNED_AWAY_S, store.silent.clear)
-    else:
-        watching = set()
-    await asyncio.sleep(CHANGE_AFTER_S)
-    store.put('op/config', config_of(version, service))
-    record.note(
-        f'version {version} is acknowledged: /lohu930/ goes to {service}'
-    )
-    return record.now, service, watching
-
-
-def check(world, sent, changes) -> int:
-    """Count the requests that the old service has run too late."""
+        store.refused |= {each.ip for each in away}
+        record.note(f'the store turns away {sorted(store.refused)}')
+    await asyncio.sleep(DRAINING_AFTER_S)
+    drainer.drain()
+    record.note(f'{drainer.id} reports that it is draining')
+    await asyncio.sleep(TURNED_AWAY_S - DRAINING_AFTER_S - LEAVES_BEFORE_S)
+    gone, at = leaver.id, record.now
+    leaver.leave()
+    record.note(f'the entry of {gone} is removed; it serves on')
+    await asyncio.sleep(LEAVES_BEFORE_S)
+    store.refused.clear()
+    record.note('the store serves all machines')
+    await asyncio.sleep(SERVES_ON_S)
+    await asyncio.gather(leaver.replace(), drainer.replace())
+    return gone, at, leaver.machine
+
+
+def check(world, taken_by, left) -> int:
+    """Count the requests that reached a backend too late after it had left."""
     record = world.record
-    services = {}
-    for run in world.runs:
-        services.setdefault(run.request_id, set()).add(run.service)
     late = 0
-    for number, (acknowledged, service, away) in enumerate(changes):
+    for gone, at, _ in left:
         ages = []
-        for each in sent:
-            age = each.at - acknowledged
-            if not CONFIG_APPLY_S < age < ROUND_S - 1:
+        for run in world.runs:
+            machine = taken_by[run.request_id]
+            age = run.at - at
+            if run.backend != gone or age <= DRAIN_S or machine.zone == 'za':
                 continue
-            is_old = services.get(each.request_id, set()) - {service}
-            if is_old and each.machine.ip not in away:
-                ages.append(age)
-                record.note(
-                    f'{each.request_id} was sent to {each.machine.ip} '
-                    f'{age:.3f} s after the acknowledgement of the change '
-                    f'and run by {services[each.request_id]}'
-                )
+            ages.append(age)
+            record.note(
+                f'{run.request_id}, taken by {machine.ip} in {machine.zone}, '
+                f'reached {gone} {age:.3f} s after the removal of its entry'
+            )
         late += len(ages)
         record.note(
-            f'change {number}: {len(ages)} requests run by the old service '
-            f'too late, the last {max(ages, default=0):.3f} s after it'
+            f'{gone}: {len(ages)} requests reached it later than {DRAIN_S} s '
+            f'after its removal, the last {max(ages, default=0):.3f} s'
         )
     done = sum(run.state == 'done' for run in world.runs)
-    record.note(
-        f'{len(sent)} sent, {done} run, {late} by the old service too late'
-    )
-    if not done or len(changes) < ROUNDS:
+    record.note(f'{len(taken_by)} sent, {done} run, {late} too late')
+    if not done or len(left) < ROUNDS:
         return 2
     return int(late > 0)
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Open connections to the store go silent, and a backend leaves."""
+"""A request that crashes backends, on homes with open connections."""
 
 from __future__ import annotations
 
@@ -13,109 +13,119 @@
 import world as w  # noqa: E402
 
 HOST = 'ficu95.example'
-SERVICE = 'huvo11a'
+LOAD_S = 70.0
+POISON_FROM_S = 8.0
+POISON_EVERY_S = 4.0
+BACK_S = 3.0
 STABILITY_S = 3.0
-DRAIN_S = 2.0
-# From the silence to the removal of the entry.
-LEAVES_AFTER_S = 0.3
-SERVES_ON_S = 9.0
-ROUNDS = 4
+MOST_RETRIES = 3
+ORDERS_SHARE = 0.95
+BODY = b'x' * 4000
+RUN_S = 0.14
+POISON_PATH = '/lohu930/crash'
 
 
-async def clients(world, machine, ids, sent, stop) -> None:
-    """Send lookups on new connections until the end."""
-    tasks = []
-    while not stop.is_set():
+async def clients(world, machine, ids, ends, answers) -> None:
+    """Send lookups and orders on new connections."""
+    sent = []
+    while world.record.now < ends:
         request_id = f'{next(ids):016x}'
-        sent[request_id] = (machine, world.record.now)
-        path = f'/lohu930/{request_id}'
-        tasks.append(
-            asyncio.create_task(
-                w.call(machine, 'GET', path, request_id, host=HOST)
-            )
+        sent.append(
+            asyncio.create_task(one(world, machine, request_id, answers))
         )
-        await asyncio.sleep(random.uniform(0.06, 0.14))
-    answers = await asyncio.gather(*tasks)
-    for answer in answers:
-        if answer.status != 200:
-            world.record.note(f'{machine.ip} GET -> {answer.text}')
+        await asyncio.sleep(random.uniform(0.05, 0.12))
+    await asyncio.gather(*sent)
+
+
+async def one(world, machine, request_id, answers) -> None:
+    if random.random() < ORDERS_SHARE:
+        method, path, body = 'POST', f'/pufi791/{request_id}', BODY
+    else:
+        method, path, body = 'GET', f'/lohu930/{request_id}', b''
+    answer = await w.call(
+        machine, method, path, request_id, host=HOST, body=body
+    )
+    answers.append(answer)
+    if answer.status != 200:
+        world.record.note(f'{machine.ip} {method} {path} -> {answer.text}')
+
+
+async def poison(world, ids, ends, sent) -> None:
+    """Send the same request again and again, at any machine."""
+    while world.record.now < ends:
+        request_id = f'{next(ids):016x}'
+        machine = random.choice(world.machines)
+        sent.append(request_id)
+        world.record.note(
+            f'{machine.ip} GET {POISON_PATH} {request_id} is sent'
+        )
+        answer = await w.call(
+            machine, 'GET', POISON_PATH, request_id, host=HOST
+        )
+        world.record.note(
+            f'{machine.ip} GET {POISON_PATH} {request_id} -> {answer.text}'
+        )
+        await asyncio.sleep(POISON_EVERY_S)
 
 
 async def case(record) -> int:
-    """Run the case and return its exit code."""
-    placements = [
-        (zone, SERVICE) for zone in ('za', 'zb', 'zc') for _ in range(2)
+    zones = [zone for zone in ('za', 'zb', 'zc') for _ in range(6)]
+    world, folder = await w.build_world(
+        record, [(zone, 'huvo11a') for zone in zones], 61
+    )
+    routes = [
+        w.route('r-1', '/lohu930/', 'idempotent', 'huvo11a'),
+        w.route('r-2', '/pufi791/', 'non_idempotent', 'huvo11a'),
     ]
-    world, folder = await w.build_world(record, placements, 64)
-    routes = [w.route('r-1', '/lohu930/', 'idempotent', SERVICE)]
-    world.store.put('op/config', w.config(7, [SERVICE], routes))
+    world.store.put('op/config', w.config(7, ['huvo11a'], routes))
+    crashes = []
+
+    def crash_on(backend):
+        def on_run(run, writer) -> bool:
+            if run.path != POISON_PATH:
+                return False
+            crashes.append(record.now)
+            record.note(f'{backend.id} runs {run.request_id} and crashes')
+            run.state = 'crashed'
+            backend.crash(BACK_S)
+            return True
+
+        return on_run
+
     for machine in world.machines:
-        machine.backend.run_s = 0.14
-    sent, left = {}, []
+        machine.backend.run_s = RUN_S
+        machine.backend.on_run = crash_on(machine.backend)
     try:
         await w.start_all(world, folder)
+        await asyncio.sleep(3)
         ids = itertools.count(random.randrange(16**12))
-        stop = asyncio.Event()
+        answers, sent = [], []
+        began = record.now
         tasks = [
-            asyncio.create_task(clients(world, machine, ids, sent, stop))
+            clients(world, machine, ids, began + LOAD_S, answers)
             for machine in world.machines
         ]
-        await asyncio.sleep(12)
-        for number in range(ROUNDS):
-            left.append(await leave(world, number))
-            await asyncio.sleep(6)
-        stop.set()
+        if w.TROUBLE:
+            tasks.append(late_poison(world, ids, began, sent))
         await asyncio.gather(*tasks)
     finally:
         w.end_all(world)
-    return check(world, sent, left)
-
-
-async def leave(world, number: int):
-    """Silence the open connections to the store, and let a backend leave."""
-    record = world.record
-    backend = world.machines[number % len(world.machines)].backend
-    silenced = record.now
-    if w.TROUBLE:
-        world.store.silence_open_connections()
-        record.note('the open connections to the store are silent from now on')
-    await asyncio.sleep(LEAVES_AFTER_S)
-    gone, at = backend.id, record.now
-    backend.leave()
-    record.note(f'the entry of {gone} is removed; it serves on')
-    await asyncio.sleep(SERVES_ON_S)
-    await backend.replace()
-    return gone, at, silenced
-
-
-def check(world, sent, left) -> int:
-    """Count the requests that reached a backend too late after it had left."""
-    record = world.record
-    late = 0
-    for gone, at, silenced in left:
-        ages = []
-        for run in world.runs:
-            machine, sent_at = sent[run.request_id]
-            if run.backend != gone or run.at <= at + DRAIN_S:
-                continue
-            if sent_at <= silenced + STABILITY_S:
-                continue
-            ages.append(run.at - at)
-            record.note(
-                f'{run.request_id}, sent to {machine.ip} '
-                f'{sent_at - silenced:.3f} s after the silence, reached {gone} '
-                f'{run.at - at:.3f} s after the removal of its entry'
-            )
-        late += len(ages)
-        record.note(
-            f'{gone}: {len(ages)} requests reached it too late, the last '
-            f'{max(ages, default=0):.3f} s after its removal'
-        )
-    done = sum(run.state == 'done' for run in world.runs)
-    record.note(f'{len(sent)} sent, {done} run, {late} too late')
-    if not done or len(left) < ROUNDS:
+    served = sum(answer.status == 200 for answer in answers)
+    record.note(f'{served} of {len(answers)} requests were served')
+    if not served:
         return 2
-    return int(late > 0)
+    after = crashes[2] + STABILITY_S if len(crashes) > 2 else None
+    retries = [at for at in crashes if after is not None and at > after]
+    record.note(
+        f'{len(sent)} sent; {len(crashes)} crashes, {len(retries)} of them later '
+        f'than {STABILITY_S} s after the third; {MOST_RETRIES} are allowed'
+    )
+    return int(len(retries) > MOST_RETRIES)
+
+
+async def late_poison(world, ids, began, sent) -> None:
+    await asyncio.sleep(POISON_FROM_S)
+    await poison(world, ids, began + LOAD_S, sent)
 
 
 if __name__ == '__main__':
--- a/review/rig.py
+++ b/review/rig.py
@@ -29,6 +29,8 @@
 HOST = 'office.example'
 GRACE_S = 6.0
 MAX_FDS = 4100
+# What a node with a thousand callers, and these callers, need at least.
+MIN_FDS = 1500
 MAX_PAGE = 500
 MAX_PAGE_BYTES = 1_400_000
 
@@ -691,7 +693,7 @@
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     wanted = 20_000 if hard < 0 else min(20_000, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
-    return hard < 0 or hard >= MAX_FDS
+    return hard < 0 or hard >= MIN_FDS
 
 
 def run_script(main, seconds: float = 110) -> None:
