--- a/src/jackdawhead/node/membership.py
+++ b/src/jackdawhead/node/membership.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from ..audit import AuditKind
+from ..logs import log_event
 from ..wire.codec import MAX_FRAME_BYTES
 from ..wire.messages import VmListRequest, VmListSnapshot
 from .list_history import ListHistory
@@ -128,6 +129,12 @@
         self._audit_differences(previous, vm_list)
         self._history.record(previous, vm_list)
         self._board.vm_list.write(vm_list)
+        log_event(
+            'vm-list-accepted',
+            version=vm_list.version,
+            previous=previous.version,
+            source=source.vm if source else 'platform',
+        )
         if self.announce is not None:
             self.announce(source)
 
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -197,6 +197,13 @@
             is_final = not self._upstreams.grace_period.remaining_ms(now_ms)
             version = _VERSIONS_PER_REVISION * revision + is_final
             self._pending[VMS_KEY] = PublishedValue(version, vms)
+            log_event(
+                'vm-list-read',
+                version=version,
+                revision=revision,
+                complete=is_final,
+                vms=len(vms),
+            )
 
 
 def _next_revision(snapshot: Snapshot, known: int | None) -> int:
