A provisional VM list no longer replaces one that knows of a removal

Cause: a node that was turned away for 3 s or more holds removals back for 2.2 s, and published its provisional list as version 2 x revision. That came after the complete list of any earlier revision, and all nodes took it. Ruled out: nodes of other zones that miss the removal (they have read 471), and homes that accept work late (the entries list the upstream again).

Change: lists are ordered by the revision up to which they are complete (policy/list_order). A provisional list follows the complete list that it is based on and precedes all complete lists of later revisions. On the same path: a node that had just started published a provisional list without the upstreams whose entries had expired; it now keeps those that the list in force has. A list that holds nothing back is complete.

--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -63,6 +63,8 @@
 class ListNode:
     """The part of a node that holds its VM list."""
 
+    vm = 'vm-0'
+
     def __init__(self) -> None:
         self.board = Blackboard()
         self.sent: list[Any] = []
--- a/src/jackdawhead/node/upstream_list.py
+++ b/src/jackdawhead/node/upstream_list.py
@@ -16,6 +16,7 @@
     Revision,
     Slots,
 )
+from .provisional_list import add_unlisted
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -148,7 +149,8 @@
     :param expiry_ms: time within which a live upstream writes its entry again.
 
     The attribute ``list_in_force`` returns the list that this node follows,
-    which may come from other readers.
+    which may come from other readers, and ``is_provisional`` tells whether
+    removals are held back from the list of the last call of `changed_vms`.
     """
 
     def __init__(
@@ -168,6 +170,7 @@
         self._pending_removals: set[str] = set()
         self._vms: list[dict[str, Any]] | None = None
         self._has_changed = True
+        self.is_provisional = False
 
     def put(self, key: str, upstream: ListedUpstream, now: Moment) -> str:
         """Add or replace an entry.
@@ -214,19 +217,28 @@
     def changed_vms(self, now_ms: float) -> list[dict[str, Any]] | None:
         """Apply due removals and return the VM list if it has changed.
 
+        A list is also returned when it is no longer provisional, since other
+        nodes may have kept an earlier complete list.
+
         :param now_ms: monotonic time in milliseconds.
         :returns: the list, or ``None`` if it is unchanged.
         """
+        was_provisional = self.is_provisional
         if self.grace_period.remaining_ms(now_ms):
             self._apply_removals(filter(self._has_left, self._pending_removals))
+            vms = compose_vms(self._entries.values(), self._stream_port)
+            vms, has_unlisted = add_unlisted(vms, self.list_in_force())
+            self.is_provisional = has_unlisted or bool(self._pending_removals)
         else:
             self._apply_removals(self._pending_removals)
             self._apply_earlier_starts(now_ms)
-        if not self._has_changed:
-            return None
+            self.is_provisional = False
+            if not (self._has_changed or was_provisional):
+                return None
+            vms = compose_vms(self._entries.values(), self._stream_port)
         self._has_changed = False
-        vms = compose_vms(self._entries.values(), self._stream_port)
-        if vms == self._vms:
+        is_completed = was_provisional and not self.is_provisional
+        if vms == self._vms and not is_completed:
             return None
         self._vms = vms
         return vms
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -14,6 +14,11 @@
 from ..node.refusal_log import RefusalLog
 from ..node.listing_rules import ListingRules
 from ..node.upstream_list import ListedUpstreams, Moment
+from ..policy.list_order import (
+    complete_revision,
+    complete_version,
+    provisional_version,
+)
 from ..policy.removal_grace_period import (
     DEFAULT_REREGISTRATION_MS,
     RemovalGracePeriod,
@@ -33,7 +38,6 @@
     from ..config.settings import Address
 
 _ALL_KEYS: Final = ''
-_VERSIONS_PER_REVISION: Final = 2
 
 
 class StoreSource(PlatformSource):
@@ -70,6 +74,8 @@
             expiry_ms,
         )
         self._revision: int | None = None
+        # Latest revision at which no removal was held back.
+        self._complete_revision = 0
         self._poll_in_flight: AsyncResult | None = None
         self._pending: dict[str, PublishedValue] = {}
         self._refusals = RefusalLog()
@@ -189,21 +195,32 @@
             self._refusals.note(item.key, item.value, cause)
 
     def _publish_vms(self, revision: int) -> None:
-        now_ms = monotonic_ms()
-        vms = self._upstreams.changed_vms(now_ms)
-        if vms is not None:
-            # While removals are delayed the list is provisional; the final
-            # list of the same revision needs a higher version.
-            is_final = not self._upstreams.grace_period.remaining_ms(now_ms)
-            version = _VERSIONS_PER_REVISION * revision + is_final
-            self._pending[VMS_KEY] = PublishedValue(version, vms)
-            log_event(
-                'vm-list-read',
-                version=version,
-                revision=revision,
-                complete=is_final,
-                vms=len(vms),
-            )
+        vms = self._upstreams.changed_vms(monotonic_ms())
+        is_complete = not self._upstreams.is_provisional
+        if is_complete:
+            self._complete_revision = revision
+            version = complete_version(revision)
+        else:
+            base = self._base_revision()
+            version = provisional_version(base)
+            if revision < base:
+                # What was read is older than the list in force.
+                return
+        if vms is None:
+            return
+        self._pending[VMS_KEY] = PublishedValue(version, vms)
+        log_event(
+            'vm-list-read',
+            version=version,
+            revision=revision,
+            complete=is_complete,
+            vms=len(vms),
+        )
+
+    def _base_revision(self) -> int:
+        """Return the revision of the latest complete list that is known."""
+        in_force = self._upstreams.list_in_force()
+        return max(self._complete_revision, complete_revision(in_force.version))
 
 
 def _next_revision(snapshot: Snapshot, known: int | None) -> int:
--- /dev/null
+++ b/src/jackdawhead/policy/list_order.py
@@ -0,0 +1,48 @@
+"""Order of the VM lists that several nodes read from the platform.
+
+Load pattern: some nodes are cut off from the platform for seconds, and
+upstreams leave meanwhile, or just before these nodes reach the platform again.
+Such a node holds removals back for a moment, since entries may be missing only
+because of the outage. Its provisional list is newer than those of other nodes
+and knows less: it must not replace a list from which an upstream has been
+removed.
+
+A list is therefore ordered by the revision up to which it is known to be
+complete. A provisional list follows the complete list that it is based on, and
+precedes every complete list of a later revision.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+_VERSIONS_PER_REVISION: Final = 2
+
+
+def complete_version(revision: int) -> int:
+    """Return the version of a list that includes all changes.
+
+    :param revision: revision of the platform that the list reflects.
+    """
+    return _VERSIONS_PER_REVISION * revision + 1
+
+
+def provisional_version(base_revision: int) -> int:
+    """Return the version of a list with removals that are held back.
+
+    :param base_revision: revision of the complete list that it is based on,
+        0 if there is none.
+    """
+    return _VERSIONS_PER_REVISION * (base_revision + 1)
+
+
+def complete_revision(version: int) -> int:
+    """Return the revision up to which a list is complete.
+
+    :param version: version of the list, complete or provisional; 0 if there is
+        no list.
+    """
+    return max(0, (version - 1) // _VERSIONS_PER_REVISION)
+
+
+__all__ = ('complete_revision', 'complete_version', 'provisional_version')
--- a/standins/store.py
+++ b/standins/store.py
@@ -66,6 +66,11 @@
         self._server.start()
         return int(self._server.server_port)
 
+    @property
+    def port(self) -> int:
+        """Port that the store listens on."""
+        return int(self._server.server_port)
+
     def stop(self) -> None:
         """Stop listening."""
         self._server.stop(0)
