--- a/src/jackdawhead/node/decision_log.py
+++ b/src/jackdawhead/node/decision_log.py
@@ -9,6 +9,7 @@
 from ..config.credentials import key_id
 from ..logs import log_event
 from ..outcome import Outcome
+from ..wire.messages import Refusal
 from .entry.requests import UpstreamAnswer
 
 if TYPE_CHECKING:
@@ -147,9 +148,18 @@
         run_ms=int(result.run_ms),
         waited_ms=int(job.started_ms - job.work.arrived_at_ms),
         risk=state.risk(monotonic_ms()),
+        resent=result.resent,
+        **_refusal_fields(result),
     )
 
 
+def _refusal_fields(result: ExecutionResult) -> dict[str, object]:
+    final = result.final
+    if not isinstance(final, Refusal):
+        return {}
+    return {'reason': final.reason, 'outcome': final.outcome}
+
+
 def log_cancel(job: Job, state: UpstreamState) -> None:
     """Log that an entry cancelled a request, and its progress until then.
 
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -269,7 +269,11 @@
     def _result(self, ending: RunResult, final: Message) -> ExecutionResult:
         run_ms = monotonic_ms() - self._started_ms - self._blocked_ms
         return ExecutionResult(
-            ending, final, run_ms, found_silent=self._found_silent
+            ending,
+            final,
+            run_ms,
+            found_silent=self._found_silent,
+            resent=self._request_resent,
         )
 
 
--- a/src/jackdawhead/node/home/execution_result.py
+++ b/src/jackdawhead/node/home/execution_result.py
@@ -18,6 +18,7 @@
     :param run_ms: run time, without the time spent waiting for the caller.
     :param avoid_ms: time for which the upstream asked to get no work.
     :param found_silent: whether a pooled connection had gone silent.
+    :param resent: whether the request was sent on a second connection.
     """
 
     ending: RunResult
@@ -25,6 +26,7 @@
     run_ms: float
     avoid_ms: int = 0
     found_silent: bool = False
+    resent: bool = False
 
 
 __all__ = ('ExecutionResult',)
