A crash counts though the work was to be sent once more

Cause: a home whose pooled connection breaks sends repeatable work once more. The upstream no longer listened, and the run ended as upstream-unreachable, which isn't counted. Ruled out: crashes that aren't passed on (the quarantine is logged on all nodes within 25 ms), fingerprints that differ.

Change: a run that lost its connection and is refused a new one has crashed its upstream. An upstream that is leaving ends as planned and hasn't crashed, so that a rolling restart quarantines nobody's request.

--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -82,7 +82,9 @@
                 not self._target.operation.idempotent, self._echoed_id()
             )
         except OSError:
-            return self._unreachable()
+            return self._refused(
+                RunResult.UNREACHABLE, Reason.UPSTREAM_UNREACHABLE
+            )
         try:
             return self._exchange(connection)
         except (OSError, HTTPParseError):
@@ -96,7 +98,8 @@
         try:
             connection = self._target.pool.open_new()
         except OSError:
-            return self._unreachable()
+            # It has lost the first connection with the work in flight.
+            return self._crashed()
         self._request_resent = True
         try:
             return self._exchange(connection)
@@ -249,7 +252,7 @@
             return self._refused(RunResult.FAILED, Reason.ANSWER_CUT)
         if self._accepts_connections():
             return self._refused(RunResult.FAILED, Reason.UPSTREAM_RESET)
-        return self._refused(RunResult.CRASHED, Reason.UPSTREAM_CRASHED)
+        return self._crashed()
 
     def _accepts_connections(self) -> bool:
         """Return whether the upstream is alive, so that it did not crash."""
@@ -259,8 +262,11 @@
             return False
         return True
 
-    def _unreachable(self) -> ExecutionResult:
-        return self._refused(RunResult.UNREACHABLE, Reason.UPSTREAM_UNREACHABLE)
+    def _crashed(self) -> ExecutionResult:
+        if self._target.is_leaving():
+            # It has ended as planned, not because of this request.
+            return self._refused(RunResult.FAILED, Reason.UPSTREAM_RESET)
+        return self._refused(RunResult.CRASHED, Reason.UPSTREAM_CRASHED)
 
     def _refused(self, ending: RunResult, reason: Reason) -> ExecutionResult:
         outcome = Outcome.UNKNOWN if self._request_sent else Outcome.NOT_RUN
