The home of an upstream tells of its crashes itself

Of two copies of a slow request that both crash their upstreams it learned of one, so that a third upstream was crashed; of a run that it had cancelled it learned nothing.

Change: the home, which sees each end of a run and knows the request's fingerprint, counts the crash and tells all linked nodes before it answers. An entry that has heard of it passes nothing on. Entries still count the ends that they see, for homes of earlier builds.

--- a/features/fleet/poison.feature
+++ b/features/fleet/poison.feature
@@ -8,3 +8,11 @@
     And a poison request is sent to node 1 until it is refused
     Then at most 2 upstreams crashed
     And a poison request to node 4 is refused without a crash
+
+  # The entry knows only the end of the copy that it waits for last.
+  Scenario: Both copies of a hedged request crash their upstreams
+    Given a fleet of 6 nodes in front of "registry-desk"
+    When callers send 300 lookups to all nodes
+    And a poison request of 400 ms is sent to node 1 until it is refused
+    Then at most 2 different upstreams ran the poison request
+    And a poison request to node 4 is refused without a crash
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -26,7 +26,12 @@
 from jackdawhead.config.settings import Address
 from jackdawhead.node.vm_list_codec import parse_vm_list
 from jackdawhead.policy.platform_readers import is_platform_reader
-from standins.fleet import call, read_json, wait_until
+from standins.fleet import (
+    call,
+    count_upstreams_that_ran,
+    read_json,
+    wait_until,
+)
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -450,10 +455,27 @@
 @when('a poison request is sent to node {position:d} until it is refused')
 def send_poison(context: Context, position: int) -> None:
     """Repeat a request that crashes upstreams until it is refused."""
+    send_poison_until_refused(context, position, _POISON)
+
+
+@when(
+    'a poison request of {run:d} ms is sent to node {position:d} until it is'
+    ' refused'
+)
+def send_slow_poison(context: Context, run: int, position: int) -> None:
+    """Repeat a request that crashes upstreams after a while."""
+    context.poison = f'{_POISON}?ms={run}'
+    send_poison_until_refused(context, position, context.poison)
+
+
+def send_poison_until_refused(
+    context: Context, position: int, target: str
+) -> None:
+    """Repeat a request until it is refused."""
     port = context.fleet.nodes[node_at(context, position)].caller_port
 
     def is_refused() -> bool:
-        return call(port, 'GET', _POISON).status == _REFUSED_STATUS
+        return call(port, 'GET', target).status == _REFUSED_STATUS
 
     wait_until(is_refused, 'refusal')
 
@@ -474,7 +496,7 @@
     """Send the poison request and compare the crash counts."""
     port = context.fleet.nodes[node_at(context, position)].caller_port
     before = crashes(context)
-    reply = call(port, 'GET', _POISON)
+    reply = call(port, 'GET', getattr(context, 'poison', _POISON))
     assert reply.status == _REFUSED_STATUS, reply
     assert crashes(context) == before
 
@@ -485,6 +507,13 @@
     assert crashes(context) <= count, crashes(context)
 
 
+@then('at most {count:d} different upstreams ran the poison request')
+def check_crashed_upstreams(context: Context, count: int) -> None:
+    """Count upstreams; a home may send a slow request to its own twice."""
+    ran = count_upstreams_that_ran(context.fleet, _POISON)
+    assert 0 < ran <= count, ran
+
+
 def crashes(context: Context) -> int:
     """Return how often an upstream started the poison request."""
     paths = [each['path'] for each in context.fleet.executed_work()]
--- a/src/jackdawhead/node/assembly.py
+++ b/src/jackdawhead/node/assembly.py
@@ -42,7 +42,7 @@
     :param on_drain: called with the upstream and its new state when a drain
         starts or ends.
     :param on_crash: called with service, fingerprint and upstream when an
-        upstream crashes with a request of this node in flight.
+        upstream crashes, and this node is the first to know.
     :param on_status: called with each status of an upstream that all entries
         should receive.
     """
@@ -54,6 +54,11 @@
     readers = ReaderController(identity, settings.zone, board)
     quotas = QuotaController(settings.vm, board)
     quotas.is_list_current = lambda: readers.is_in_touch
+    crashes = CrashTracker(routing, audit, on_crash)
+    home = HomeController(
+        settings.vm, board, audit, rng, recorder, on_drain, on_status
+    )
+    home.on_crash = crashes.note_crash_at_home
     return NodeParts(
         settings=settings,
         identity=identity,
@@ -61,11 +66,9 @@
         audit=audit,
         recorder=recorder,
         attempts=PendingAttempts(),
-        home=HomeController(
-            settings.vm, board, audit, rng, recorder, on_drain, on_status
-        ),
+        home=home,
         routing=routing,
-        crashes=CrashTracker(routing, audit, on_crash),
+        crashes=crashes,
         config=ConfigController(board, audit),
         membership=MembershipController(board, audit),
         tickets=TicketStore(identity),
--- a/src/jackdawhead/node/entry/crash_tracker.py
+++ b/src/jackdawhead/node/entry/crash_tracker.py
@@ -22,8 +22,8 @@
 
     :param routing: routing state of the services.
     :param audit: audit trail that records quarantines.
-    :param on_crash: called with service, fingerprint and upstream when an
-        upstream crashed with a request of this node in flight.
+    :param on_crash: called with service, fingerprint and upstream when this
+        node is the first to know of a crash.
     """
 
     def __init__(
@@ -44,13 +44,31 @@
     ) -> None:
         """Record that a request was in flight when its upstream crashed.
 
+        The home of the upstream has told this node before, unless it is of an
+        earlier build.
+
         :param router: routing state of the service.
         :param fingerprint: fingerprint of the request.
         :param upstream: identity of the upstream that crashed.
         """
+        if router.poison.has_crash(fingerprint, upstream):
+            return
         self._count(router, Crash(fingerprint, upstream, 0))
         self._on_crash(router.service.name, fingerprint, upstream)
 
+    def note_crash_at_home(
+        self, service: str, fingerprint: int, upstream: str
+    ) -> None:
+        """Record a crash of an upstream whose home is this node.
+
+        :param service: service of the upstream.
+        :param fingerprint: fingerprint of the request in flight.
+        :param upstream: identity of the upstream.
+        """
+        if self._routing.has_service(service):
+            router = self._routing.router(service)
+            self.note_crash(router, fingerprint, upstream)
+
     def record_remote_crash(self, report: CrashReport) -> bool:
         """Record a crash that another node has seen.
 
--- a/src/jackdawhead/node/home/controller.py
+++ b/src/jackdawhead/node/home/controller.py
@@ -12,6 +12,7 @@
 from ...config.settings import Address
 from ...policy.home_stop import HomeStop
 from ...policy.homes import HomeMap
+from ...policy.run_result import RunResult
 from ..loop_clock import follow_event_loop
 from .started_runs import StartedRuns
 from .upstream import HomeUpstream
@@ -25,6 +26,7 @@
     from ...audit import AuditTrail
     from ...blackboard import Blackboard, Vm, VmList
     from ...policy.stopping import StopPlan
+    from ...policy.upstream_state import FinishedRun
     from ...wire.messages import UpstreamStatus
     from ..trace_recorder import TraceRecorder
 
@@ -41,6 +43,9 @@
     :param recorder: records finished runs for replay.
     :param on_drain: called when an upstream starts or stops draining.
     :param on_status: called with a report that all entries need at once.
+
+    The attribute ``on_crash`` is called with service, fingerprint and upstream
+    when an upstream has crashed with a request in flight.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         self._recorder = recorder
         self._on_drain = on_drain
         self._on_status = on_status
+        self.on_crash: Callable[[str, int, str], None] | None = None
         self._upstreams: dict[str, HomeUpstream] = {}
         self._work_queued = Event()
         self._removed: tuple[HomeUpstream, ...] = ()
@@ -191,7 +197,7 @@
             HomeEvents(
                 self._on_drain,
                 self._work_queued.set,
-                self._recorder.note_end,
+                self._note_end,
                 self._on_status,
                 self._board.handled_until_ms.read,
                 self._runs,
@@ -202,6 +208,15 @@
         self._upstreams[spec.name] = upstream
         return upstream
 
+    def _note_end(
+        self, upstream: str, fingerprint: int, run: FinishedRun
+    ) -> None:
+        self._recorder.note_end(upstream, fingerprint, run)
+        if run.ending is RunResult.CRASHED and self.on_crash is not None:
+            # The entry may no longer wait for this run.
+            service = upstream.rpartition('/')[2]
+            self.on_crash(service, fingerprint, upstream)
+
     def _specs(self) -> dict[str, UpstreamSpec]:
         loaded = self._board.config.read().loaded
         if loaded is None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -381,6 +381,17 @@
     return {path.name: path.read_text() for path in folder.glob('*.yaml')}
 
 
+def count_upstreams_that_ran(fleet: Fleet, path: str) -> int:
+    """Return how many upstreams have started a request of a path."""
+    return sum(
+        any(
+            each['path'] == path
+            for each in _poll_json(endpoint.port, '/_control/executed')
+        )
+        for endpoint in fleet.upstreams.values()
+    )
+
+
 def read_json(port: int, target: str) -> Any:
     """Send a GET and return the decoded JSON answer."""
     return json.loads(call(port, 'GET', target).body)
@@ -457,6 +468,7 @@
     'NodeProcess',
     'call',
     'config_files',
+    'count_upstreams_that_ran',
     'kill_process',
     'read_json',
     'send_poison_request',
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -157,7 +157,7 @@
                 record.started_at = time.time()
                 self.executed.append(record)
                 if 'poison' in path:
-                    self._crash()
+                    self._crash_after(environ)
                 return self._run(environ, start, record, body)
         finally:
             self._active -= 1
@@ -255,6 +255,11 @@
         gevent.sleep(_IDLE_TIMEOUT_S)
         return []
 
+    def _crash_after(self, environ: dict[str, Any]) -> None:
+        query = parse_qs(environ.get('QUERY_STRING', ''))
+        gevent.sleep(float(query.get('ms', [0])[0]) / _MS_PER_S)
+        self._crash()
+
     def _crash(self) -> None:
         self._incarnation += 1
         assert self._server is not None
