Work that may have run is not sent on without a token

Cause: what reached no upstream goes on for nothing up to five times, and that was read from the reason alone. upstream-unreachable after a lost connection, draining or no-upstream to a second copy have the outcome unknown.

Change: resends for nothing only with the outcome not-run.

--- a/features/policy/budget.feature
+++ b/features/policy/budget.feature
@@ -15,6 +15,23 @@
     And all redirect tokens are spent
     Then a request whose upstream drains may go to 4 others
 
+  # It was sent to up to four other upstreams, whatever the route allows.
+  Scenario Outline: Work that may have run is not resent for free when it ends as <reason>
+    Given a retry budget of 10 of 100 requests
+    When 100 requests that may have run end as "<reason>"
+    Then at most 11 of them may be sent again
+    And a request that has used 2 of 2 runs and ends as "<reason>" may not run again
+
+    Examples:
+      | reason               |
+      | upstream-unreachable |
+      | peer-unreachable     |
+      | node-leaving         |
+      | draining             |
+      | no-upstream          |
+      | busy                 |
+      | risky                |
+
   Scenario: A route's limit counts runs, not refusals
     Given a retry budget of 10 of 100 requests
     Then a request that has used 1 of 1 runs may not run again
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -520,6 +520,25 @@
     count_resends(context, AttemptEnd(Outcome.NOT_RUN, Reason.RISKY))
 
 
+@when('100 requests that may have run end as "{reason}"')
+def end_unknown(context: Context, reason: str) -> None:
+    """Try resends of requests whose outcome is unknown."""
+    count_resends(context, AttemptEnd(Outcome.UNKNOWN, Reason(reason)))
+
+
+@then(
+    'a request that has used {runs:d} of {most:d} runs and ends as "{reason}"'
+    ' may not run again'
+)
+def check_no_more_runs(
+    context: Context, runs: int, most: int, reason: str
+) -> None:
+    """Check that a route's limit holds whatever the last run ended as."""
+    context.budget = RetryBudget(context.policy)
+    end = AttemptEnd(Outcome.UNKNOWN, Reason(reason))
+    assert not context.budget.may_resend(end, runs, runs, most)
+
+
 def count_resends(context: Context, end: AttemptEnd) -> None:
     """Count how many of 100 requests may be sent again."""
     context.resent = 0
--- a/src/jackdawhead/policy/retries.py
+++ b/src/jackdawhead/policy/retries.py
@@ -21,7 +21,7 @@
 _MAX_UNACCEPTED_ATTEMPTS: Final = 5
 # Refusals by homes after which the request goes on to another upstream.
 _REDIRECT_REASONS: Final = frozenset((Reason.BUSY, Reason.RISKY))
-# Reasons that show that the request reached no upstream.
+# Reasons of work that has not run, as it reached no upstream.
 _UNACCEPTED_REASONS: Final = frozenset(
     (
         Reason.PEER_UNREACHABLE,
@@ -128,11 +128,13 @@
         :param runs: number of attempts that may have run, all by default.
         :param max_runs: limit on these, 0 for that of the policy.
         """
-        if end.reason is Reason.BUSY:
+        # An upstream may have run the work before it could not be reached.
+        refusal = end.reason if end.outcome is Outcome.NOT_RUN else None
+        if refusal is Reason.BUSY:
             return attempt <= _MAX_REDIRECTS
-        if end.reason in _REDIRECT_REASONS:
+        if refusal in _REDIRECT_REASONS:
             return True
-        if end.reason in _UNACCEPTED_REASONS:
+        if refusal in _UNACCEPTED_REASONS:
             return attempt < _MAX_UNACCEPTED_ATTEMPTS
         limit = max_runs or self._policy.max_attempts
         counted = attempt if runs is None else runs
