An answer with a status that is none of HTTP ends its run at once

But 000 and 099 counted as interim answers, so that the caller was held until its deadline (504) where the connection stayed open, and 600 and 999 were passed on as answers.

Change: a status below 100 or above 599 is malformed, and the run ends as after any other bytes that are no answer: 502, unknown.

Odd lines that were refused before: 1000, 20, 2x0, -01, +20, two spaces, no version.

--- a/src/jackdawhead/node/home/answer_reader.py
+++ b/src/jackdawhead/node/home/answer_reader.py
@@ -22,7 +22,9 @@
 
     from ...wire.messages import HeaderPairs
 
+_FIRST_STATUS: Final = 100
 _FIRST_FINAL_STATUS: Final = 200
+_LAST_STATUS: Final = 599
 _NO_LENGTH: Final = -1
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 _VERSIONS: Final = frozenset(('HTTP/1.0', 'HTTP/1.1'))
@@ -164,7 +166,7 @@
         :param is_own: returns whether an answer belongs to this request.
         :raises OSError: if the connection is reset.
         :raises HTTPParseError: if the connection is closed, or carries
-            malformed data or too much of other answers.
+            malformed data, an unknown status or too much of other answers.
         """
         while True:
             answer = self._next_final()
@@ -244,11 +246,16 @@
             raise self._failure
 
     def _next_final(self) -> Answer | None:
-        """Return the next final answer, if its head is complete."""
+        """Return the next final answer, if its head is complete.
+
+        :raises HTTPParseError: if a status is none of HTTP.
+        """
         for answer in self._parser.answers[self._seen_answers :]:
             if not answer.has_head:
                 return None
             self._seen_answers += 1
+            if not _FIRST_STATUS <= answer.status <= _LAST_STATUS:
+                raise HTTPParseError(f'status {answer.status}')
             if answer.status >= _FIRST_FINAL_STATUS:
                 return answer
         return None
