Connections with descriptors of 1024 and more are waited for

Cause: waiting for a connection used select(), which takes no descriptor from 1,024 on.

Change: sockets polls. A connection that is closed counts as ready, so that its next call fails with OSError, as all callers expect.

--- a/src/jackdawhead/sockets.py
+++ b/src/jackdawhead/sockets.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from contextlib import suppress
-from select import POLLERR, POLLHUP, POLLRDHUP, poll
+from select import POLLERR, POLLHUP, POLLIN, POLLOUT, POLLRDHUP, poll
 from typing import TYPE_CHECKING, Final
 
 from gevent import Timeout, sleep, socket
-from gevent.select import select
+from gevent.select import poll as cooperative_poll
 
 from .clock import seconds
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from gevent.socket import socket as Socket
 
@@ -61,9 +61,8 @@
     :param timeout_ms: timeout in milliseconds, none to wait without limit.
     :returns: the first such socket, or none if the timeout expires.
     """
-    timeout_s = None if timeout_ms is None else seconds(timeout_ms)
-    readable, _, _ = select(socks, (), (), timeout_s)
-    return readable[0] if readable else None
+    ready = _await_events(socks, POLLIN, timeout_ms)
+    return next((sock for sock in socks if sock.fileno() in ready), None)
 
 
 def wait_writable(sock: Socket) -> bool:
@@ -73,8 +72,8 @@
     :returns: true if it is writable, false if there are bytes to read or the
         peer has closed the connection.
     """
-    readable, _, _ = select((sock,), (sock,), ())
-    return not readable
+    ready = _await_events((sock,), POLLIN | POLLOUT, None)
+    return ready.get(sock.fileno()) == POLLOUT
 
 
 def await_close(sock: Socket, timeout_ms: float) -> None:
@@ -93,6 +92,32 @@
             sleep(_DROP_PAUSE_S)
 
 
+def _await_events(
+    socks: Iterable[Socket], events: int, timeout_ms: float | None
+) -> dict[int, int]:
+    """Wait for events of connections.
+
+    Polls, since select() takes no descriptor from 1024 on.
+
+    :param socks: connected sockets; a closed one is ready at once.
+    :param events: the events, as for ``poll``.
+    :param timeout_ms: timeout in milliseconds, none to wait without limit.
+    :returns: the events that have occurred, by file descriptor.
+    """
+    descriptors = [sock.fileno() for sock in socks]
+    if min(descriptors) < 0:
+        return {fd: POLLHUP for fd in descriptors if fd < 0}
+    at_once = poll()
+    later = cooperative_poll()
+    for fd in descriptors:
+        at_once.register(fd, events)
+        later.register(fd, events)
+    ready = at_once.poll(0)
+    if not ready and timeout_ms != 0:
+        ready = later.poll(timeout_ms)
+    return dict(ready)
+
+
 def _peek(sock: Socket) -> bytes | None:
     """Read the next byte without removing it from the socket buffer.
 
