An answer without an id belongs to a request only if it is the first

Cause: an answer without an id was taken for that of any request. On a connection that has carried an answer it may be behind that one.

Change: there it is dropped, and the own answer waited for. A refusal that says so ends the run, but proves nothing. On a new connection a 408, 421, 429 or 503 without an id or a header that says so is no promise either.

--- a/features/path/extra_answers.feature
+++ b/features/path/extra_answers.feature
@@ -60,3 +60,48 @@
     Given an upstream with a node, answers echo the request id
     When its answer to a GET on a kept connection is "<hang> then HTTP/1.1 503 Full,X-Not-Run: 1,Content-Length: 0,,"
     Then the caller is not told that the request did not run
+
+  # The 503 of another request, or of none, told the caller that its registration
+  # had not run, while it was running.
+  Scenario Outline: <what> in the middle of the next request is not its answer
+    Given an upstream with a node, answers echo the request id
+    When its answer to a POST on a kept connection is "<bytes><pause>HTTP/1.1 200 OK,X-Request-Id: <id>,Content-Length: 2,,ok"
+    Then the caller gets 200 with "ok"
+
+    Examples:
+      | what                    | bytes |
+      | a bare 503              | HTTP/1.1 503 Service Unavailable,Content-Length: 0,, |
+      | a bare 429              | HTTP/1.1 429 Many,Content-Length: 0,, |
+      | a bare 408              | HTTP/1.1 408 Late,Content-Length: 0,, |
+      | a bare error            | HTTP/1.1 500 Error,Content-Length: 2,,no |
+      | a bare success          | HTTP/1.1 200 OK,Content-Length: 2,,no |
+      | a bare 404 in chunks    | HTTP/1.1 404 No,Transfer-Encoding: chunked,,2,no,0,, |
+      | two bare 503            | HTTP/1.1 503 No,Content-Length: 0,,HTTP/1.1 503 No,Content-Length: 0,, |
+
+  Scenario Outline: A refusal without an id proves nothing on a kept connection
+    Given an upstream with a node, answers echo the request id
+    When its answer to a POST on a kept connection is "<refusal>"
+    Then the caller gets 502 with "unknown"
+    And the request arrived 1 times
+
+    Examples:
+      | refusal |
+      | HTTP/1.1 503 Full,X-Not-Run: 1,Content-Length: 0,, |
+      | HTTP/1.1 503 Full,X-Outcome: not-run,Content-Length: 0,, |
+
+  Scenario: A refusal without an id is believed on a new connection
+    Given an upstream with a node, answers echo the request id
+    When its answer to a POST on a new connection is "HTTP/1.1 503 Full,X-Not-Run: 1,Content-Length: 0,,"
+    Then the caller gets 503 with "not-run"
+
+  Scenario Outline: A <status> without an id or a proof is no promise
+    Given an upstream with a node, answers echo the request id
+    When its answer to a POST on a new connection is "HTTP/1.1 <status> No,Content-Length: 0,,"
+    Then the caller is not told that the request did not run
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+      | 421    |
+      | 408    |
--- a/src/jackdawhead/node/home/answer_classifier.py
+++ b/src/jackdawhead/node/home/answer_classifier.py
@@ -17,6 +17,8 @@
 _MISDIRECTED_REQUEST: Final = 421
 _SERVICE_UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
+# Callers take these as a promise that their work has not run.
+_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 _DEFAULT_RETRY_AFTER_MS: Final = 100
 
 
@@ -24,31 +26,54 @@
     """Why an upstream's answer is not passed on to the entry.
 
     ``LATE``: timeout of the upstream at the deadline; ``UNSEALED``: success
-    without the configured seal header; ``OTHER_START``: another instance of
-    the upstream answered; ``DRAINING`` and ``SHED``: the upstream refused.
+    without the configured seal header; ``UNPROVED``: a status by which callers
+    are told that their work did not run, without an id or a header that says
+    so; ``OTHER_START``: another instance of the upstream answered;
+    ``DRAINING`` and ``SHED``: the upstream refused.
     """
 
     NONE = auto()
     LATE = auto()
     UNSEALED = auto()
+    UNPROVED = auto()
     OTHER_START = auto()
     DRAINING = auto()
     SHED = auto()
 
 
-def is_own(answer: Answer, names: HeaderNames, request_id: str | None) -> bool:
+def is_own(
+    answer: Answer,
+    names: HeaderNames,
+    request_id: str | None,
+    *,
+    is_first: bool,
+) -> bool:
     """Return whether an answer belongs to a request, by the echoed id.
 
-    An answer without an id is accepted, since upstreams may refuse work
-    without one. It cannot be a copy of an earlier answer: connections that
-    carried an answer without an id are closed.
+    An answer without an id is accepted as the first one on its connection. On a
+    connection that has carried an answer, the bytes may be behind that one and
+    belong to no request. There only a refusal is accepted, since upstreams may
+    refuse work without an id; it proves nothing, see `is_proof`.
 
-    :param answer: the answer, of which the headers are used.
+    :param answer: the answer, of which status and headers are used.
     :param names: configured names of the headers.
     :param request_id: id of the request, if it has one.
+    :param is_first: whether the connection has carried no answer before.
     """
     echoed = _echoed_id(answer, names)
-    return echoed is None or echoed == request_id
+    if echoed is not None:
+        return echoed == request_id
+    return not request_id or is_first or _is_refusal(answer, names)
+
+
+def is_proof(answer: Answer, names: HeaderNames, *, is_first: bool) -> bool:
+    """Return whether a refusal is surely that of the request.
+
+    :param answer: the refusal, of which the headers are used.
+    :param names: configured names of the headers.
+    :param is_first: whether the connection has carried no answer before.
+    """
+    return is_first or is_identified(answer, names)
 
 
 def is_identified(answer: Answer, names: HeaderNames) -> bool:
@@ -90,9 +115,7 @@
         return Rejection.UNSEALED
     if instance and status == _MISDIRECTED_REQUEST:
         return Rejection.OTHER_START
-    if status == _SERVICE_UNAVAILABLE and _has_header(answer, names.draining):
-        return Rejection.DRAINING
-    return Rejection.SHED if _says_not_run(answer, names) else Rejection.NONE
+    return _refusal_in(answer, names)
 
 
 def retry_after_ms_of(answer: Answer) -> int:
@@ -104,6 +127,28 @@
     return _DEFAULT_RETRY_AFTER_MS if asked_ms is None else asked_ms
 
 
+def _refusal_in(answer: Answer, names: HeaderNames) -> Rejection:
+    if _is_draining(answer, names):
+        return Rejection.DRAINING
+    if _says_not_run(answer, names):
+        return Rejection.SHED
+    is_promise = answer.status in _NOT_RUN_STATUSES
+    if is_promise and not is_identified(answer, names):
+        return Rejection.UNPROVED
+    return Rejection.NONE
+
+
+def _is_refusal(answer: Answer, names: HeaderNames) -> bool:
+    is_misdirected = answer.status == _MISDIRECTED_REQUEST
+    is_draining = _is_draining(answer, names)
+    return is_misdirected or is_draining or _says_not_run(answer, names)
+
+
+def _is_draining(answer: Answer, names: HeaderNames) -> bool:
+    is_unavailable = answer.status == _SERVICE_UNAVAILABLE
+    return is_unavailable and _has_header(answer, names.draining)
+
+
 def _says_not_run(answer: Answer, names: HeaderNames) -> bool:
     if _has_header(answer, names.not_run):
         return True
@@ -124,6 +169,7 @@
     'Rejection',
     'is_identified',
     'is_own',
+    'is_proof',
     'rejection_of',
     'retry_after_ms_of',
 )
--- a/src/jackdawhead/node/home/execution.py
+++ b/src/jackdawhead/node/home/execution.py
@@ -4,6 +4,7 @@
 
 from contextlib import ExitStack
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import gevent
@@ -18,6 +19,7 @@
     Rejection,
     is_identified,
     is_own,
+    is_proof,
     rejection_of,
     retry_after_ms_of,
 )
@@ -55,6 +57,7 @@
         self._blocked_ms: float = 0
         self._request_sent = False
         self._request_resent = False
+        self._may_have_run = False
         self._head_delivered = False
         self._found_silent = False
 
@@ -115,9 +118,10 @@
             answering = self._await_answer(connection, opened)
             method = self._job.submit.method
             reader = AnswerReader(answering.sock, method, CHUNK_BYTES)
-            answer = reader.read_head(self._is_own)
+            is_first = not answering.reused
+            answer = reader.read_head(partial(self._is_own, is_first=is_first))
             self._job.is_connection_live = True
-            refused = self._refusal_of(answer)
+            refused = self._refusal_of(answer, is_first=is_first)
             if refused is not None:
                 return refused
             final = self._stream_answer(reader, answer)
@@ -170,8 +174,10 @@
             # The upstream still expects the rest, which is not sent.
             connection.has_unsent_body = True
 
-    def _is_own(self, answer: Answer) -> bool:
-        return is_own(answer, self._target.names, self._echoed_id())
+    def _is_own(self, answer: Answer, *, is_first: bool) -> bool:
+        return is_own(
+            answer, self._target.names, self._echoed_id(), is_first=is_first
+        )
 
     def _echoed_id(self) -> str | None:
         """Return the id that the answer must echo, if it must echo one."""
@@ -187,15 +193,19 @@
     def _overdue_after_ms(self) -> float:
         return max(_MIN_OVERDUE_MS, _OVERDUE_FACTOR * self._target.expected_ms)
 
-    def _refusal_of(self, answer: Answer) -> ExecutionResult | None:
+    def _refusal_of(
+        self, answer: Answer, *, is_first: bool
+    ) -> ExecutionResult | None:
         """Return the refusal that replaces an answer, if any."""
         target = self._target
+        is_proved = is_proof(answer, target.names, is_first=is_first)
+        self._may_have_run |= not is_proved
         match rejection_of(
             answer, target.names, target.instance, is_late=self._job.is_late
         ):
             case Rejection.LATE:
                 return self._refused(self._late_result(), Reason.DEADLINE)
-            case Rejection.UNSEALED:
+            case Rejection.UNSEALED | Rejection.UNPROVED:
                 return self._refused(RunResult.FAILED, Reason.ANSWER_MALFORMED)
             case Rejection.OTHER_START:
                 return self._not_run(RunResult.DRAINING, Reason.NO_UPSTREAM)
@@ -212,7 +222,8 @@
         self, ending: RunResult, reason: Reason, avoid_ms: int = 0
     ) -> ExecutionResult:
         # An earlier copy, sent on another connection, may have run.
-        outcome = Outcome.UNKNOWN if self._request_resent else Outcome.NOT_RUN
+        is_unknown = self._request_resent or self._may_have_run
+        outcome = Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
         final = self._job.refusal(outcome, reason, avoid_ms)
         return replace(self._result(ending, final), avoid_ms=avoid_ms)
 
