A watch on a connection that went silent is no outage of the platform

Cause: a watch was given up 2 s after its answer was due, and as one call had taken 4 s, removals were held back for 2.2 s more.

Change: once the answer is 0.4 s overdue the call is made on a new connection, too, without a wait; the one that ends first counts.

--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -62,3 +62,19 @@
     And an entry is overwritten with bytes that are not JSON
     And the source is read
     Then 2 upstreams are known
+
+  # The silence counted as an outage: the watch was given up after 4 s, and the
+  # removal was held back for 2.2 s more.
+  Scenario Outline: <what> while open connections to the store are silent
+    Given a store with 3 upstreams and a configuration
+    When the source is read
+    And a watch of 2000 ms begins
+    And open connections to the store go silent
+    And <what>
+    Then the watch ends within 3000 ms
+    And 2 upstreams are known, or a configuration of version 8
+
+    Examples:
+      | what                                      |
+      | an upstream is removed                    |
+      | a configuration of version 8 is published |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+import gevent
 from behave import given, then, when
 from returns.result import Failure, Success
 
@@ -32,6 +33,8 @@
 _EXPIRY_MS = 40.0
 _NODE_PORTS = frozenset((7000, 8147))
 _HOLD_WAIT_S = 2.3
+_BEGIN_S = 0.1
+_MS_PER_S = 1000
 _STREAM_KEY = 'a-shared-key-for-tests-only'
 _SETTINGS = """\
 nodeName=sidecar-basel-a-1
@@ -406,10 +409,15 @@
 def read_source(context: Context) -> None:
     """Read the VM list and the configuration, as a node does."""
     for key in ('vms', 'config'):
-        answered = context.source.read(key, 0, 10)
-        assert isinstance(answered, Success), answered
-        if answered.unwrap() is not None:
-            context.known[key] = answered.unwrap()
+        read_value(context, key, 10)
+
+
+def read_value(context: Context, key: str, wait_ms: int) -> None:
+    """Read one value, waiting for a change."""
+    answered = context.source.read(key, 0, wait_ms)
+    assert isinstance(answered, Success), answered
+    if answered.unwrap() is not None:
+        context.known[key] = answered.unwrap()
 
 
 @then('{count:d} upstreams are known')
@@ -537,3 +545,35 @@
 def overwrite_entry(context: Context) -> None:
     """Write an unreadable entry."""
     context.store.put('servers/i-0', b'\xff{')
+
+
+@when('a watch of {wait:d} ms begins')
+def begin_watch(context: Context, wait: int) -> None:
+    """Read both values in the background, as the watches of a node do."""
+    context.watches = [
+        gevent.spawn(read_value, context, key, wait)
+        for key in ('vms', 'config')
+    ]
+    gevent.sleep(_BEGIN_S)
+
+
+@when('open connections to the store go silent')
+def silence_connections(context: Context) -> None:
+    """Leave the calls in flight without an answer."""
+    context.store.silence_calls()
+    context.silenced_at_ms = monotonic_ms()
+
+
+@then('the watch ends within {most:d} ms')
+def check_watch_end(context: Context, most: int) -> None:
+    """Count from the silence; the watch must have been answered."""
+    left_ms = context.silenced_at_ms + most - monotonic_ms()
+    gevent.joinall(context.watches, left_ms / _MS_PER_S)
+    assert all(each.successful() for each in context.watches)
+
+
+@then('{count:d} upstreams are known, or a configuration of version {number:d}')
+def check_change(context: Context, count: int, number: int) -> None:
+    """Check that the change is known."""
+    has_list = len(context.known['vms'].content) == count
+    assert has_list or context.known['config'].version == number
--- a/src/jackdawhead/platform/store.py
+++ b/src/jackdawhead/platform/store.py
@@ -13,6 +13,8 @@
 from returns.result import Failure, Result, Success
 
 from ..clock import seconds
+from ..policy.platform_readers import OVERDUE_ANSWER_MS
+from .hedged_call import call_hedged
 from .store_pages import Pages, decode_answer
 from .store_types import Snapshot, StoreFailure, WatchEvents, read_item
 
@@ -107,9 +109,15 @@
         :param after: latest revision that is already known.
         :param wait_ms: longest wait for a change in milliseconds.
         """
-        watch_path = f'/kv-watch?prefix={quote(prefix, safe="")}'
-        target = f'{watch_path}&after={after}&waitMs={max(1, wait_ms)}'
-        return self._call(target, wait_ms).bind(_decode_changes)
+        watch_path = f'/kv-watch?prefix={quote(prefix, safe="")}&after={after}'
+        result = call_hedged(
+            lambda: self._call(
+                f'{watch_path}&waitMs={max(1, wait_ms)}', wait_ms
+            ),
+            lambda: self._call(f'{watch_path}&waitMs=1', 1),
+            wait_ms + OVERDUE_ANSWER_MS,
+        )
+        return result.bind(_decode_changes)
 
     def _call(
         self,
--- a/src/jackdawhead/policy/platform_readers.py
+++ b/src/jackdawhead/policy/platform_readers.py
@@ -16,6 +16,9 @@
     from ..blackboard import VmList
 
 READERS_PER_ZONE: Final = 2
+# An answer that takes longer may never come, as its connection may have gone
+# silent; the call is then made on another one, too.
+OVERDUE_ANSWER_MS: Final = 400
 _MIN_FALLBACK_MS: Final = 20_000
 _FALLBACK_PER_NODE_MS: Final = 1000
 _FIRST_RETRY_MS: Final = 200
@@ -93,6 +96,7 @@
 
 
 __all__ = (
+    'OVERDUE_ANSWER_MS',
     'READERS_PER_ZONE',
     'fallback_poll_interval_ms',
     'is_platform_reader',
--- a/standins/store.py
+++ b/standins/store.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import parse_qs
 
+import gevent
 from gevent.event import Event
 
 from jackdawhead.config.settings import Address
@@ -23,6 +24,7 @@
 _IDLE_TIMEOUT_S: Final = 600
 _MS_PER_S: Final = 1000
 _ITEMS_PER_PAGE: Final = 50
+_SILENCE_S: Final = 60
 
 Alter = Callable[[str, dict[str, Any]], Any]
 
@@ -57,6 +59,7 @@
         self._stored: dict[str, _Change] = {}
         self._history: list[_Change] = []
         self._changed = Event()
+        self._silenced_calls = 0
         self._server = HttpServer(
             Address('127.0.0.1', 0), self.serve, _IDLE_TIMEOUT_S
         )
@@ -92,6 +95,10 @@
         self._revision += 1
         self._record_change(_Change(self._revision, key, None, 0))
 
+    def silence_calls(self) -> None:
+        """Answer no call that is in flight; later ones are answered."""
+        self._silenced_calls = len(self.calls)
+
     def wake_watches(self) -> None:
         """Wake blocked watches, so that they see a changed mode."""
         self._changed.set()
@@ -108,6 +115,16 @@
             ).items()
         }
         self.calls.append(path)
+        number = len(self.calls)
+        try:
+            return self._serve(path, query, start_response)
+        finally:
+            if number <= self._silenced_calls:
+                gevent.sleep(_SILENCE_S)
+
+    def _serve(
+        self, path: str, query: dict[str, str], start_response: Any
+    ) -> Iterable[bytes]:
         if self.mode == 'down':
             return send_json(start_response, '503 Down', {})
         if path == '/kv-range':
