A reader compares what it has read with the list in force

Cause: a node that takes over as a reader compared its list with its own last one. Both lacked the upstream, so nothing was published, and the list in force, from readers that were lost, kept it.

Change: it is compared with the list in force, too, when entries have changed or all items have been read. The content of lists has a module of its own.

--- a/features/platform/list_order.feature
+++ b/features/platform/list_order.feature
@@ -42,3 +42,19 @@
     When an upstream starts to drain
     And the reader passes on what it reads
     Then the node lists 3 upstreams, one of them leaving
+
+  # It compared what it had read with its own last list, not with that in force.
+  Scenario Outline: An upstream that joined and left unseen by the next reader goes out of use
+    Given a store with 3 upstreams and a configuration
+    And a reader that has read all and follows the store, and a node of another zone
+    When an upstream joins, and another reader tells both before it is lost
+    Then the node lists 4 upstreams
+    When that upstream leaves the store
+    And <history>
+    And the reader passes on what it reads
+    Then the node lists 3 upstreams
+
+    Examples:
+      | history                        |
+      | the store keeps its history    |
+      | the store has lost its history |
--- a/features/steps/list_order_steps.py
+++ b/features/steps/list_order_steps.py
@@ -99,6 +99,24 @@
     assert len(upstreams_of(context.other)) == 2
 
 
+@when('an upstream joins, and another reader tells both before it is lost')
+def join_seen(context: Context) -> None:
+    """Write the entry of a fourth upstream; only another reader reads it."""
+    context.store.put('servers/i-3', upstream_entry(4))
+    give_list(context)
+
+
+@when('that upstream leaves the store')
+def leave_unseen(context: Context) -> None:
+    """Remove the entry again; nobody reads the store."""
+    context.store.remove('servers/i-3')
+
+
+@when('the store keeps its history')
+def keep_history(context: Context) -> None:
+    """Do nothing."""
+
+
 @when('the store serves the reader again, and an upstream is changed')
 def change_one(context: Context) -> None:
     """Write an entry, so that the revision is later than all known ones."""
--- a/features/steps/reader_loss_steps.py
+++ b/features/steps/reader_loss_steps.py
@@ -10,7 +10,7 @@
 
 from features.steps.odd_fleet_steps import PlatformNode, entry_beside, status_of
 from features.steps.platform_steps import config_document, upstream_entry
-from jackdawhead.node.upstream_list import vm_name
+from jackdawhead.node.listed_content import vm_name
 from jackdawhead.policy.platform_readers import nodes_before
 
 if TYPE_CHECKING:
--- a/src/jackdawhead/node/upstream_list.py
+++ b/src/jackdawhead/node/upstream_list.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from ..blackboard import VmList
+from .listed_content import add_unlisted, compose_vms, vm_name, vms_in
 from .listed_types import (
     BornMs,
     ColdMs,
@@ -16,7 +17,6 @@
     Revision,
     Slots,
 )
-from .provisional_list import add_unlisted
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -69,14 +69,6 @@
     unix_ms: float
 
 
-def vm_name(ip: str) -> str:
-    """Return a name for a VM that is known only by its address.
-
-    :param ip: IP address of the VM.
-    """
-    return ip.replace('.', '-')
-
-
 @dataclass(frozen=True, slots=True)
 class _Entry:
     """A listed upstream.
@@ -107,39 +99,6 @@
     since_ms: float
 
 
-def compose_vms(
-    entries: Iterable[_Entry],
-    stream_port: int,
-) -> list[dict[str, Any]]:
-    """Build the VM list in jackdawhead's own format.
-
-    :param entries: all listed upstreams, in any order.
-    :param stream_port: stream port of the node on each VM.
-    """
-    vms: dict[str, dict[str, Any]] = {}
-    for each in sorted(entries, key=lambda entry: entry.order):
-        upstream = each.upstream
-        vm = vms.setdefault(
-            upstream.ip,
-            {
-                'name': vm_name(upstream.ip),
-                'ip': upstream.ip,
-                'stream_port': stream_port,
-                'upstream_ports': {},
-                'details': {},
-            },
-        )
-        vm['zone'] = upstream.zone
-        vm['upstream_ports'][upstream.service] = upstream.port
-        vm['details'][upstream.service] = {
-            'instance': upstream.instance,
-            'born_ms': upstream.born_ms,
-            'slots': upstream.slots,
-            'leaving': upstream.leaving,
-        }
-    return [vms[ip] for ip in sorted(vms)]
-
-
 class ListedUpstreams:
     """All listed upstreams by the key of their entry.
 
@@ -213,12 +172,14 @@
         :param keys: keys of the entries to keep.
         """
         self._pending_removals.update(self._entries.keys() - keys)
+        self._has_changed = True
 
     def changed_vms(self, now_ms: float) -> list[dict[str, Any]] | None:
         """Apply due removals and return the VM list if it has changed.
 
         A list is also returned when it is no longer provisional, since other
-        nodes may have kept an earlier complete list.
+        nodes may have kept an earlier complete list, and when entries have
+        changed and the list in force is another one.
 
         :param now_ms: monotonic time in milliseconds.
         :returns: the list, or ``None`` if it is unchanged.
@@ -226,7 +187,7 @@
         was_provisional = self.is_provisional
         if self.grace_period.remaining_ms(now_ms):
             self._apply_removals(filter(self._has_left, self._pending_removals))
-            vms = compose_vms(self._entries.values(), self._stream_port)
+            vms = self._listed_vms()
             vms, has_unlisted = add_unlisted(vms, self.list_in_force())
             self.is_provisional = has_unlisted or bool(self._pending_removals)
         else:
@@ -235,14 +196,29 @@
             self.is_provisional = False
             if not (self._has_changed or was_provisional):
                 return None
-            vms = compose_vms(self._entries.values(), self._stream_port)
+            vms = self._listed_vms()
         self._has_changed = False
         is_completed = was_provisional and not self.is_provisional
-        if vms == self._vms and not is_completed:
+        if self._is_known(vms) and not is_completed:
             return None
         self._vms = vms
         return vms
 
+    def _listed_vms(self) -> list[dict[str, Any]]:
+        entries = sorted(self._entries.values(), key=lambda each: each.order)
+        listed = (entry.upstream for entry in entries)
+        return compose_vms(listed, self._stream_port)
+
+    def _is_known(self, vms: list[dict[str, Any]]) -> bool:
+        """Return whether a list is the last one and that in force.
+
+        The one in force may come from a reader that was lost before it could
+        tell that an upstream has left again.
+        """
+        in_force = self.list_in_force()
+        is_in_force = not in_force.version or vms == vms_in(in_force)
+        return is_in_force and vms == self._vms
+
     def _replace(self, key: str, entry: _Entry) -> None:
         self._has_changed = self._has_changed or entry != self._entries.get(key)
         self._entries[key] = entry
@@ -287,6 +263,4 @@
     'ListedUpstream',
     'ListedUpstreams',
     'Moment',
-    'compose_vms',
-    'vm_name',
 )
--- a/src/jackdawhead/platform/settings_file.py
+++ b/src/jackdawhead/platform/settings_file.py
@@ -12,7 +12,7 @@
 from ..config.problems import Place, Problem
 from ..config.settings import Address, NodeSettings
 from ..logs import log_event
-from ..node.upstream_list import vm_name
+from ..node.listed_content import vm_name
 from .formats import parse_duration_ms
 from .machine_limits import caller_connections, caller_memory_bytes
 from .names import (
