A reader that the platform refuses says so after two calls

Change: two failed calls in a row end it. This mends refusals.

Test: features/policy/reader_duty, a reader that is turned away says so at once, failed before.

--- a/features/policy/reader_duty.feature
+++ b/features/policy/reader_duty.feature
@@ -75,3 +75,14 @@
       | 35    | 80     | 94      | 3        |
       | 35    | 50     | 90      | 4        |
       | 150   | 30     | 90      | 4        |
+
+  # It reported for 2.7 s more that it read, so that nobody took over in time.
+  Scenario: A reader that the platform turns away says so at once
+    Given a node that ranks first and has read the platform at its start
+    When it begins to watch
+    And 1 calls of it fail
+    Then it reports in turn "True"
+    When 1 calls of it fail
+    Then it reports in turn "True, False"
+    When the platform answers it again
+    Then it reports in turn "True, False, True"
--- a/features/steps/reader_duty_steps.py
+++ b/features/steps/reader_duty_steps.py
@@ -5,12 +5,13 @@
 from itertools import combinations
 from random import Random
 from types import SimpleNamespace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import gevent
 from behave import given, then, when
-from returns.result import Success
+from returns.result import Failure, Success
 
+from jackdawhead.audit import AuditTrail
 from jackdawhead.blackboard import Blackboard, Vm, VmList
 from jackdawhead.node.identity import new_identity
 from jackdawhead.node.platform_watch import VMS_KEY, PlatformWatch
@@ -199,6 +200,36 @@
     assert [each.is_reading for each in context.reports] == [True]
 
 
+@when('{count:d} calls of it fail')
+def fail_calls(context: Context, count: int) -> None:
+    """Let the watch of the node make calls that the platform refuses."""
+    for _ in range(count):
+        call_platform(context, Failure('status 503'))
+
+
+@when('the platform answers it again')
+def answer_again(context: Context) -> None:
+    """Let the watch of the node make a call that is answered."""
+    call_platform(context, Success(None))
+
+
+def call_platform(context: Context, answer: Any) -> None:
+    """Make one call as the watch of the VM list does."""
+    parts = SimpleNamespace(
+        board=Blackboard(), readers=context.controller, audit=AuditTrail()
+    )
+    client = SimpleNamespace(read=lambda *_: answer)
+    PlatformWatch(VMS_KEY, client, parts, NoDelay()).read_once()
+
+
+@then('it reports in turn "{reports}"')
+def check_reports(context: Context, reports: str) -> None:
+    """Check all reports so far; one that is changed is sent at once."""
+    context.controller.check()
+    found = [str(each.is_reading) for each in context.reports]
+    assert found == reports.split(', '), found
+
+
 class NoDelay:
     """Counts the delays that are drawn, one a round, and draws none.
 
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -126,6 +126,8 @@
             )
 
     def _note_failure(self, message: str) -> None:
+        if self._key == VMS_KEY:
+            self._parts.readers.note_failure()
         if not self._consecutive_failures:
             self._parts.audit.record(
                 AuditKind.PLATFORM_LOST,
--- a/src/jackdawhead/node/reader_controller.py
+++ b/src/jackdawhead/node/reader_controller.py
@@ -21,6 +21,9 @@
 LONG_POLL_MS: Final = 2000
 # Time for that answer to arrive.
 _ANSWER_DELAY_MS: Final = 700
+# Consecutive calls without an answer after which a reader reports that it
+# doesn't read; one may have been lost on the way.
+_MAX_FAILED_CALLS: Final = 2
 # Several reports may be lost.
 _IN_TOUCH_MS: Final = 3000
 
@@ -44,6 +47,7 @@
         self._is_due = Event()
         self._is_watching = False
         self._answered_at_ms: float | None = None
+        self._failed_calls = 0
         self._reported_at_ms: float = 0
         self._heard_at_ms = monotonic_ms()
         self._report = ReaderReport(identity.vm, identity.incarnation, 0, False)
@@ -67,17 +71,14 @@
 
     @property
     def is_reading(self) -> bool:
-        """Whether the platform has answered this node lately."""
-        if self._answered_at_ms is None:
-            return False
-        age_ms = monotonic_ms() - self._answered_at_ms
-        return age_ms <= LONG_POLL_MS + _ANSWER_DELAY_MS
+        """Whether the platform answers this node."""
+        return self._is_answered and self._failed_calls < _MAX_FAILED_CALLS
 
     @property
     def is_in_touch(self) -> bool:
         """Whether this node reads the platform or hears of one that tries."""
         age_ms = monotonic_ms() - self._heard_at_ms
-        return self.is_reading or age_ms <= _IN_TOUCH_MS
+        return self._is_answered or age_ms <= _IN_TOUCH_MS
 
     def begin(self) -> None:
         """Record that the watches have begun; no report is sent before.
@@ -89,6 +90,11 @@
     def note_answer(self) -> None:
         """Record that the platform has answered with all changes so far."""
         self._answered_at_ms = monotonic_ms()
+        self._failed_calls = 0
+
+    def note_failure(self) -> None:
+        """Record that a call to the platform has failed."""
+        self._failed_calls += 1
 
     def note_report(self, report: ReaderReport) -> bool:
         """Record a report of another node.
@@ -127,6 +133,14 @@
         if is_due and self._is_watching and not self._board.leaving:
             self._report_if_due()
 
+    @property
+    def _is_answered(self) -> bool:
+        """Whether the platform has answered this node lately."""
+        if self._answered_at_ms is None:
+            return False
+        age_ms = monotonic_ms() - self._answered_at_ms
+        return age_ms <= LONG_POLL_MS + _ANSWER_DELAY_MS
+
     def _report_if_due(self) -> None:
         now_ms = monotonic_ms()
         is_changed = self.is_reading is not self._report.is_reading
