A service that changes in the settings counts for the next request

Cause: the file was looked at once a second.

Change: it is looked at before a request is served, once in 10 ms at most.

Test: features/platform/odd_fleet, a service that changes, failed before.

--- a/features/platform/odd_fleet.feature
+++ b/features/platform/odd_fleet.feature
@@ -29,3 +29,10 @@
     And upstream 2 is in the store again
     Then all nodes list 3 upstreams and serve requests
     And all nodes run as at the start
+
+  # Requests ran under the former service for up to a second.
+  Scenario: A service that changes in the settings counts for the next request
+    Given 2 nodes that read a store, each beside an upstream of "desk"
+    When the settings of node 1 name the service "ledger", without a signal
+    And 100 ms later node 1 gets requests
+    Then upstreams are told that they come from "ledger"
--- a/features/steps/odd_fleet_steps.py
+++ b/features/steps/odd_fleet_steps.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
+import gevent
 from behave import given, then, when
 from geventhttpclient.response import HTTPParseError
 
@@ -28,6 +29,7 @@
 _STREAM_KEY: Final = 'a-shared-key-for-tests-only'
 _REQUESTS: Final = 6
 _OK: Final = 200
+_MS_PER_S: Final = 1000
 _ODD_KEY: Final = 'servers/odd'
 _FAR_FUTURE_MS: Final = 9007199254740991
 _BROADCAST: Final = '255.255.255.255:70000'
@@ -103,6 +105,7 @@
     """Start a store and a fleet on addresses of its own."""
     fleet = Fleet()
     context.stack.callback(fleet.close)
+    context.folder = fleet.folder
     ports = fleet.reserve_ports(5)
     context.upstream_port = ports[0]
     context.node_ports = ports[1:]
@@ -192,6 +195,42 @@
     context.store.put(key, payload)
 
 
+@when(
+    'the settings of node {number:d} name the service "{service}", without a'
+    ' signal'
+)
+def change_service(context: Context, number: int, service: str) -> None:
+    """Rename a changed file over the settings of a node."""
+    path = context.folder / f'{number}.conf'
+    changed = path.with_suffix('.new')
+    changed.write_text(
+        path.read_text().replace('service=desk', f'service={service}')
+    )
+    changed.rename(path)
+
+
+@when('{after:d} ms later node {number:d} gets requests')
+def send_after(context: Context, after: int, number: int) -> None:
+    """Send a few requests to one node, and keep those that arrive."""
+    gevent.sleep(after / _MS_PER_S)
+    node = context.platform_nodes[number - 1]
+    for each in context.platform_nodes:
+        each.upstream.requests.clear()
+    for _ in range(_REQUESTS):
+        assert status_of(node.ip, node.caller_port, '/d/1') == _OK
+
+
+@then('upstreams are told that they come from "{service}"')
+def check_service(context: Context, service: str) -> None:
+    """Check the header that names the service of the caller."""
+    told = {
+        environ['HTTP_CALLER_SERVICE']
+        for node in context.platform_nodes
+        for environ in node.upstream.requests
+    }
+    assert told == {service}, told
+
+
 @when('the odd entry goes')
 def remove_odd(context: Context) -> None:
     """Remove the odd entry."""
--- a/src/jackdawhead/blackboard.py
+++ b/src/jackdawhead/blackboard.py
@@ -176,6 +176,7 @@
         the events of its sockets.
     :param own_service: service of the upstream on the same VM, to which the
         callers of this node belong; empty if the settings do not name it.
+    :param refresh_settings: applies settings that have changed, if they have.
     """
 
     config: Topic[ActiveConfig] = field(
@@ -186,12 +187,18 @@
     handled_until_ms: Topic[float] = field(default_factory=lambda: Topic(inf))
     last_pause: Topic[Pause] = field(default_factory=lambda: Topic(Pause()))
     own_service: Topic[str] = field(default_factory=lambda: Topic(''))
+    refresh_settings: Callable[[], None] = field(default=lambda: None)
 
     @property
     def leaving(self) -> bool:
         """Whether this node is shutting down."""
         return self.stop.read() is not None
 
+    def current_service(self) -> str:
+        """Return the service of this VM's upstream, as the settings name it."""
+        self.refresh_settings()
+        return self.own_service.read()
+
     @property
     def knows_upstreams(self) -> bool:
         """Whether this node has a configuration and a VM list."""
--- a/src/jackdawhead/node/entry/dispatcher.py
+++ b/src/jackdawhead/node/entry/dispatcher.py
@@ -103,7 +103,7 @@
             fingerprint,
             monotonic_ms() + deadline_ms,
             TriedUpstreams(router.poison.crashed_upstreams(fingerprint)),
-            self._board.own_service.read(),
+            self._board.current_service(),
             route.max_attempts,
             request.request_id,
             priority=priority_of(request.organisation, self._board),
--- a/src/jackdawhead/node/settings_watch.py
+++ b/src/jackdawhead/node/settings_watch.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from ..audit import AuditKind
+from ..clock import monotonic_ms
 from ..config.problems import Problem
 from ..config.settings import NodeSettings
 
@@ -22,6 +23,8 @@
 
 # Changed files are detected within this time, even without a signal.
 _FILE_POLL_S: Final = 1.0
+# Before a request is served they are looked at, unless that was just done.
+_LOOK_INTERVAL_MS: Final = 10.0
 _RELOADABLE: Final = frozenset(('service',))
 
 ReadSettings = Callable[[], Result[NodeSettings, tuple[Problem, ...]]]
@@ -30,7 +33,8 @@
 class SettingsWatch:
     """Reloads the settings on SIGHUP and when their files change.
 
-    A changed service of the VM's upstream takes effect at once. All other
+    A changed service of the VM's upstream takes effect with the next request,
+    since upstreams are told the service that a request comes from. All other
     changes take effect after a restart, as the audit trail records.
 
     :param settings: settings that the node was started with.
@@ -49,6 +53,7 @@
         self._read = read
         self._reload_requested = Event()
         self._file_state = _file_state_of(path)
+        self._looked_at_ms = monotonic_ms()
 
     def run(self, board: Blackboard, audit: AuditTrail) -> None:
         """Watch for changes, forever.
@@ -57,14 +62,25 @@
         :param audit: audit trail.
         """
         gevent.signal_handler(signal.SIGHUP, self._reload_requested.set)
+        board.refresh_settings = lambda: self._refresh(board, audit)
         while True:
             is_requested = self._reload_requested.wait(_FILE_POLL_S)
             self._reload_requested.clear()
-            file_state = _file_state_of(self._path)
-            if is_requested or file_state != self._file_state:
-                self._file_state = file_state
+            if self._has_changed() or is_requested:
                 self._reload(board, audit)
 
+    def _refresh(self, board: Blackboard, audit: AuditTrail) -> None:
+        age_ms = monotonic_ms() - self._looked_at_ms
+        if age_ms >= _LOOK_INTERVAL_MS and self._has_changed():
+            self._reload(board, audit)
+
+    def _has_changed(self) -> bool:
+        """Return whether the files differ from those that were read last."""
+        self._looked_at_ms = monotonic_ms()
+        known = self._file_state
+        self._file_state = _file_state_of(self._path)
+        return bool(self._file_state != known)
+
     def _reload(self, board: Blackboard, audit: AuditTrail) -> None:
         match self._read():
             case Success(settings):
