--- a/features/platform/list_order.feature
+++ b/features/platform/list_order.feature
@@ -58,3 +58,10 @@
       | history                        |
       | the store keeps its history    |
       | the store has lost its history |
+
+  # Two nodes that come back at different moments base their lists on one.
+  Scenario: A change from a provisional list isn't applied to another one of its version
+    Given two nodes with provisional lists of version 4, one of which has an upstream more
+    When the other one gets a complete list of version 7 without it
+    And it passes the list on
+    Then both nodes list the same
--- a/features/steps/list_order_steps.py
+++ b/features/steps/list_order_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from returns.result import Success
 
-from features.steps.odd_entry_steps import ListNode
+from features.steps.odd_entry_steps import ListNode, list_text_of
 from features.steps.platform_steps import (
     bring_store_up,
     take_store_down,
@@ -139,6 +139,30 @@
     read_and_pass_on(context)
 
 
+@given(
+    'two nodes with provisional lists of version {version:d}, one of which has'
+    ' an upstream more'
+)
+def make_provisional(context: Context, version: int) -> None:
+    """Offer lists as two readers read them."""
+    context.reader = ListNode()
+    context.other = ListNode()
+    for node, count in ((context.reader, 1), (context.other, 2)):
+        node.membership.offer(version, list_text_of(count))
+
+
+@when('the other one gets a complete list of version {version:d} without it')
+def complete(context: Context, version: int) -> None:
+    """Offer a list that is like the shorter one."""
+    context.reader.membership.offer(version, list_text_of(1))
+
+
+@when('it passes the list on')
+def pass_list_on(context: Context) -> None:
+    """Answer the node that has an earlier version."""
+    pass_on(context.reader, context.other)
+
+
 @then('the node lists {count:d} upstreams')
 def check_count(context: Context, count: int) -> None:
     """Count the upstreams that the node of the other zone lists."""
@@ -167,6 +191,7 @@
 
 
 @then('the reader lists the same')
+@then('both nodes list the same')
 def check_same(context: Context) -> None:
     """Compare both lists."""
     reader, other = context.reader.vm_list, context.other.vm_list
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -15,6 +15,7 @@
 from jackdawhead.blackboard import Blackboard, VmList
 from jackdawhead.node.membership import MembershipController
 from jackdawhead.node.refusal_log import RefusalLog
+from jackdawhead.policy.list_order import is_provisional
 from jackdawhead.wire.codec import MAX_FRAME_BYTES, decode, encode
 from jackdawhead.wire.messages import (
     Heartbeat,
@@ -69,6 +70,7 @@
         self.board = Blackboard()
         self.sent: list[Any] = []
         self.membership = MembershipController(self.board, AuditTrail())
+        self.membership.is_provisional = is_provisional
 
     @property
     def vm_list(self) -> VmList:
--- a/src/jackdawhead/node/membership.py
+++ b/src/jackdawhead/node/membership.py
@@ -33,6 +33,9 @@
 
     :param board: shared state that holds the current list.
     :param audit: audit trail.
+
+    The attribute ``is_provisional`` tells whether lists of a version may
+    differ, so that no change from it is sent.
     """
 
     def __init__(self, board: Blackboard, audit: AuditTrail) -> None:
@@ -40,6 +43,7 @@
         self._audit = audit
         self._history = ListHistory()
         self._refusals = RefusalLog()
+        self.is_provisional: Callable[[int], bool] = lambda _: False
         self.announce: Callable[[Link | None], None] | None = None
 
     def offer(
@@ -115,8 +119,9 @@
         current = self._board.vm_list.read()
         if request.version >= current.version:
             return
-        change = self._history.change_since(request.version, current)
-        update = change or VmListSnapshot(current.version, list_text(current))
+        update = self._change_since(request.version, current) or VmListSnapshot(
+            current.version, list_text(current)
+        )
         size = len(update.text.encode())
         if size <= _MAX_TEXT_BYTES:
             link.send(update)
@@ -124,6 +129,13 @@
             subject = f'VM list {current.version}'
             self._refusals.note(subject, b'', f'{size} bytes are too many')
 
+    def _change_since(
+        self, version: int, current: VmList
+    ) -> VmListDelta | None:
+        if self.is_provisional(version):
+            return None
+        return self._history.change_since(version, current)
+
     def _accept(self, vm_list: VmList, source: Link | None) -> None:
         previous = self._board.vm_list.read()
         self._audit_differences(previous, vm_list)
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -61,6 +61,13 @@
         :param list_in_force: returns that list.
         """
 
+    def is_provisional(self, version: int) -> bool:
+        """Return whether VM lists of a version may differ; none by default.
+
+        :param version: version of a VM list that this source gives.
+        """
+        return False
+
     def config_loader(self) -> SourceLoader:
         """Return a loader for the configurations that this source gives."""
         return ConfigLoader()
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -74,6 +74,7 @@
         self._platform = platform or PlatformClient(settings.platform_address)
         self.parts.config.loader = self._platform.config_loader()
         self._platform.follow(self.parts.board.vm_list.read)
+        self.parts.membership.is_provisional = self._platform.is_provisional
         self.parts.board.own_service.write(settings.service)
         self._dispatchers = build_dispatchers(self.parts, self._channels)
         self._http_started = Event()
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -17,6 +17,7 @@
 from ..policy.list_order import (
     complete_revision,
     complete_version,
+    is_provisional,
     provisional_version,
 )
 from ..policy.removal_grace_period import (
@@ -88,6 +89,9 @@
     def follow(self, list_in_force: Callable[[], VmList]) -> None:
         self._upstreams.list_in_force = list_in_force
 
+    def is_provisional(self, version: int) -> bool:
+        return is_provisional(version)
+
     def config_loader(self) -> SourceLoader:
         return DocumentLoader(self._zones, self._admission)
 
--- a/src/jackdawhead/policy/list_order.py
+++ b/src/jackdawhead/policy/list_order.py
@@ -45,4 +45,21 @@
     return max(0, (version - 1) // _VERSIONS_PER_REVISION)
 
 
-__all__ = ('complete_revision', 'complete_version', 'provisional_version')
+def is_provisional(version: int) -> bool:
+    """Return whether a list may differ from others of its version.
+
+    Two nodes that come back at different moments base their provisional lists
+    on one complete list. A change from such a version must not be applied to
+    another list of this version.
+
+    :param version: version of the list, 0 if there is no list.
+    """
+    return version > 0 and version % _VERSIONS_PER_REVISION == 0
+
+
+__all__ = (
+    'complete_revision',
+    'complete_version',
+    'is_provisional',
+    'provisional_version',
+)
