--- a/review/rig3.py
+++ b/review/rig3.py
@@ -610,12 +610,84 @@
     is_inner: bool | None
 
 
+class StoreGate:
+    """The way of one machine to the store, which can be turned away.
+
+    A machine that is turned away gets no response: what it has asked stays
+    open, and so does each new connection.
+    """
+
+    def __init__(self, record: Record, target: tuple[str, int]) -> None:
+        self.watched_at_s = float('-inf')
+        self._record = record
+        self._target = target
+        self._is_silent = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, ip, port)
+
+    def turn_away(self) -> None:
+        self._is_silent = True
+
+    def admit(self) -> None:
+        self._is_silent = False
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        was_silent = self._is_silent
+        try:
+            to_reader, to_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.close()
+            return
+        try:
+            await asyncio.gather(
+                self._ask(reader, to_writer, was_silent=was_silent),
+                self._answer(to_reader, writer, was_silent=was_silent),
+            )
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+            to_writer.close()
+
+    async def _ask(self, reader, writer, *, was_silent: bool) -> None:
+        while data := await reader.read(65_536):
+            if was_silent:
+                continue
+            found = re.search(rb'waitMs=(\d+)', data)
+            if found and int(found.group(1)) > 1000:
+                self.watched_at_s = self._record.now()
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    async def _answer(self, reader, writer, *, was_silent: bool) -> None:
+        is_lost = was_silent
+        while data := await reader.read(65_536):
+            # A connection on which an answer is lost returns nothing further.
+            is_lost = is_lost or self._is_silent
+            if not is_lost:
+                writer.write(data)
+                await writer.drain()
+        if not is_lost:
+            writer.close()
+
+
 @dataclass
 class Machine:
     """One machine: its address, its zone and its node.
 
     :param listen_ip: address of the node's own listener for other nodes, where
         a proxy listens at that of the machine.
+    :param has_store_gate: whether a proxy at the machine's address is its way
+        to the store.
     """
 
     ip: str
@@ -623,6 +695,7 @@
     service: str
     region: str = 'here'
     listen_ip: str = ''
+    has_store_gate: bool = False
     process: subprocess.Popen[bytes] | None = None
 
 
@@ -709,7 +782,7 @@
         zones = sorted({(each.zone, each.region) for each in self.machines})
         listen_ip = machine.listen_ip or machine.ip
         store = f'{self._store_ip}:{self.store_port}'
-        if machine.listen_ip:
+        if machine.listen_ip or machine.has_store_gate:
             store = f'{machine.ip}:{self.ports["store"]}'
         ip, ports = machine.ip, self.ports
         bounds = (
