--- a/review/rig3.py
+++ b/review/rig3.py
@@ -110,9 +110,16 @@
 class Listener:
     """HTTP server of a stand-in; ``abort`` ends it with its connections."""
 
-    def __init__(self, ip: str, port: int, respond: Respond) -> None:
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        respond: Respond,
+        on_written: Callable[[Head], None] = lambda _: None,
+    ) -> None:
         self._address = (ip, port)
         self._respond = respond
+        self._on_written = on_written
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -133,6 +140,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        # An answer counts as written when the kernel has all of it.
+        writer.transport.set_write_buffer_limits(0)
         try:
             while head := await read_head(reader):
                 reply = await self._respond(head, await read_body(reader, head))
@@ -140,6 +149,7 @@
                     return
                 writer.write(reply)
                 await writer.drain()
+                self._on_written(head)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
@@ -374,7 +384,9 @@
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self._listener = Listener(self.ip, self.port, self._respond)
+        self._listener = Listener(
+            self.ip, self.port, self._respond, self.on_written
+        )
         self._slots = asyncio.Semaphore(self.slots)
         self._waiting = 0
 
@@ -384,6 +396,9 @@
         self.is_running = True
         self.tasks.append(asyncio.create_task(self._beat()))
 
+    def on_written(self, head: Head) -> None:
+        """Note that an answer has been handed over; ignored by default."""
+
     async def drain(self) -> float:
         """Report ``draining``; return the time of the acknowledgement."""
         self.state = 'draining'
