Views of the platform are ordered by generation before revision

Cause: lists were ordered by the store's revision, which goes back, so that all nodes kept the list of before; and a reader watched on from a revision that had been given out again, which no 410 tells. One question, which of two views is the newer one.

Change: the platform's answers name the generation of its data. It goes before the version in what readers accept, in lists and changes passed between nodes, and in what is asked for; a rise means that all items are read again. What was not ready before is held out of use until its entry has outlived its expiry. Builds that do not know generations get none.

--- a/features/steps/list_order_steps.py
+++ b/features/steps/list_order_steps.py
@@ -43,13 +43,16 @@
     published = answered.unwrap()
     if published is not None:
         text = json.dumps(published.content)
-        node.membership.offer(published.version, text)
+        node.membership.offer(
+            published.version, text, generation=published.generation
+        )
 
 
 def pass_on(sender: ListNode, receiver: ListNode) -> None:
-    """Send a node the list of another one if its version is later."""
-    if sender.vm_list.version > receiver.vm_list.version:
-        receiver.receive(sender.answer(receiver.vm_list.version))
+    """Send a node the list of another one if it is later."""
+    known = receiver.vm_list.order
+    if sender.vm_list.order > known:
+        receiver.receive(sender.answer(known.version, known.generation))
 
 
 def upstreams_of(node: ListNode) -> list[UpstreamDetails]:
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -83,16 +83,16 @@
         assert len(frame) <= MAX_FRAME_BYTES, len(frame)
         self.sent.append(decode(frame[4:]).unwrap())
 
-    def answer(self, version: int) -> Any:
+    def answer(self, version: int, generation: int = 0) -> Any:
         """Return the answer to a node that has a version of the list."""
-        self.ask(version)
+        self.ask(version, generation)
         return self.sent.pop()
 
-    def ask(self, version: int) -> None:
+    def ask(self, version: int, generation: int = 0) -> None:
         """Ask for the list as a node that has a version of it."""
         self.sent.clear()
         link: Any = self
-        self.membership.answer(VmListRequest(version), link)
+        self.membership.answer(VmListRequest(version, generation), link)
 
     def receive(self, message: Any) -> None:
         """Receive a list or a change from another node."""
--- a/features/steps/odd_fleet_steps.py
+++ b/features/steps/odd_fleet_steps.py
@@ -19,9 +19,12 @@
 from jackdawhead.config.settings import Address
 from jackdawhead.node.http_server import HttpServer
 from standins.fleet import Fleet, kill_process, wait_until
+from standins.relay import Relay
 from standins.store import StandInStore
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from behave.runner import Context
 
 _CALL_TIMEOUT_S: Final = 10
@@ -57,8 +60,13 @@
     return upstream_entry(number, address=address)
 
 
-def start_node(context: Context, fleet: Fleet, number: int) -> PlatformNode:
-    """Start an upstream and the node beside it."""
+def start_node(
+    context: Context, fleet: Fleet, number: int, store_port: int
+) -> PlatformNode:
+    """Start an upstream and the node beside it.
+
+    :param store_port: port at which the node reaches the store.
+    """
     ip = f'127.0.0.{number}'
     inbound, outbound, ready, admin = context.node_ports
     fields = (
@@ -71,7 +79,7 @@
         f'portRange={admin},{admin}',
         'bounds=grace=6s',
         'service=desk',
-        f'platform.address=127.0.0.1:{context.store_port}',
+        f'platform.address=127.0.0.1:{store_port}',
     )
     path = fleet.folder / f'{number}.conf'
     path.write_text('\n'.join(fields))
@@ -103,6 +111,35 @@
 @given('{count:d} nodes that read a store, each beside an upstream of "desk"')
 def start_fleet(context: Context, count: int) -> None:
     """Start a store and a fleet on addresses of its own."""
+    start_reading_fleet(context, count, lambda port: port)
+
+
+@given(
+    '{count:d} nodes that read a store by relays, each beside an upstream of'
+    ' "desk"'
+)
+def start_relayed_fleet(context: Context, count: int) -> None:
+    """Start the same with a relay between each node and the store."""
+    context.relays = []
+
+    def start_relay(store_port: int) -> int:
+        relay = Relay(store_port)
+        relay.start()
+        context.stack.callback(relay.stop)
+        context.relays.append(relay)
+        return relay.port
+
+    start_reading_fleet(context, count, start_relay)
+
+
+def start_reading_fleet(
+    context: Context, count: int, way_to_store: Callable[[int], int]
+) -> None:
+    """Start a store and a fleet.
+
+    :param way_to_store: returns the port at which the next node reaches the
+        store, which listens on a given port.
+    """
     fleet = Fleet()
     context.stack.callback(fleet.close)
     context.folder = fleet.folder
@@ -117,7 +154,8 @@
     for number in numbers:
         context.store.put(f'servers/i-{number}', entry_beside(context, number))
     context.platform_nodes = [
-        start_node(context, fleet, each) for each in numbers
+        start_node(context, fleet, each, way_to_store(context.store_port))
+        for each in numbers
     ]
     wait_until(lambda: all_answer(context, 'ready'), 'all nodes are ready')
     wait_until(lambda: all_answer(context, 'serve'), 'all nodes serve')
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -8,6 +8,7 @@
 import sys
 from typing import TYPE_CHECKING, Any, Final
 
+import gevent
 from behave import given, then, when
 from geventhttpclient.response import HTTPParseError
 
@@ -48,11 +49,13 @@
     def __init__(self) -> None:
         self.requests: list[dict[str, Any]] = []
         self.status = _OK
+        self.run_s: float = 0
         self.headers = {'Request-Id': 'r1', 'Response-Seal': 'seal'}
 
     def serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         """Serve one WSGI request."""
         self.requests.append(environ)
+        gevent.sleep(self.run_s)
         body = b'bytes'
         headers = {**self.headers, 'Content-Length': str(len(body))}
         start(self.status, list(headers.items()))
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -557,6 +557,39 @@
     gevent.sleep(_BEGIN_S)
 
 
+@when('the store no longer answers calls')
+def silence_store(context: Context) -> None:
+    """Leave all calls without an answer, and note whether the source tells."""
+    context.told = []
+    context.source.on_silence(lambda: context.told.append('silent'))
+    context.silenced_at_ms = monotonic_ms()
+    context.store.mode = 'silent'
+
+
+@when('the next call is not answered')
+def silence_one_call(context: Context) -> None:
+    """Leave one call that is yet to come without an answer."""
+    context.told = []
+    context.source.on_silence(lambda: context.told.append('silent'))
+    context.store.lose_next_answer()
+    context.silenced_at_ms = monotonic_ms()
+
+
+@then('the watch fails within {most:d} ms, and the silence has been told')
+def check_silence_told(context: Context, most: int) -> None:
+    """Wait for the end of the watch."""
+    left_ms = context.silenced_at_ms + most - monotonic_ms()
+    gevent.joinall(context.watches, left_ms / _MS_PER_S)
+    assert all(each.ready() for each in context.watches)
+    assert context.told == ['silent'], context.told
+
+
+@then('no silence has been told')
+def check_silence_untold(context: Context) -> None:
+    """Check that a lost answer was not taken for silence."""
+    assert context.told == [], context.told
+
+
 @when('open connections to the store go silent')
 def silence_connections(context: Context) -> None:
     """Leave the calls in flight without an answer."""
--- a/features/steps/reader_loss_steps.py
+++ b/features/steps/reader_loss_steps.py
@@ -25,6 +25,9 @@
 _LEAST_WATCHES: Final = 4
 _SIGNALS: Final = {'killed': signal.SIGKILL, 'suspended': signal.SIGSTOP}
 _ROUNDS: Final = 8
+# Requests that a node gets at once, so that they go to several upstreams.
+_PARALLEL: Final = 6
+_RUN_S: Final = 0.05
 _ADDRESSES: Final = 255
 
 
@@ -43,6 +46,10 @@
     )
     context.readers = ranked[:2]
     context.going_on = ranked[2:]
+    for node in nodes:
+        node.upstream.run_s = _RUN_S
+    for _ in range(_ROUNDS):
+        get_all(nodes, _OK)
 
 
 @given(
@@ -86,6 +93,11 @@
 def move_route(context: Context, after: int) -> None:
     """Send the requests of a route to a service without upstreams."""
     gevent.sleep(after / _MS_PER_S)
+    publish_moved_route(context)
+
+
+def publish_moved_route(context: Context) -> None:
+    """Write a version that moves a route."""
     document = config_document('00000008')
     for part in document['resources']:
         if part['metadata']['name'] == 'd':
@@ -94,7 +106,10 @@
 
 
 def _leaving_number(context: Context) -> int:
-    context.leaving = context.going_on[-1]
+    # Nodes tend to go on with the upstreams that they have used.
+    context.leaving = max(
+        context.going_on, key=lambda node: len(node.upstream.requests)
+    )
     return int(context.leaving.ip.rpartition('.')[2])
 
 
@@ -120,10 +135,11 @@
 
 
 def get_all(nodes: list[PlatformNode], status: int) -> list[bool]:
-    """Return for each node whether a request has a status."""
+    """Return for requests to all nodes whether they have a status."""
     calls = [
         gevent.spawn(status_of, node.ip, node.caller_port, '/d/1')
         for node in nodes
+        for _ in range(_PARALLEL)
     ]
     gevent.joinall(calls, raise_error=True)
     return [each.value == status for each in calls]
--- a/src/jackdawhead/blackboard.py
+++ b/src/jackdawhead/blackboard.py
@@ -7,6 +7,8 @@
 from math import inf
 from typing import TYPE_CHECKING, Final, Generic, TypeVar
 
+from .policy.list_order import ListOrder
+
 if TYPE_CHECKING:
     from .config.load import LoadedConfig
     from .config.sources import SourceFile
@@ -161,10 +163,20 @@
 
 @dataclass(frozen=True, slots=True)
 class VmList:
-    """The platform's list of VMs, which may be out of date."""
+    """The platform's list of VMs, which may be out of date.
+
+    :param version: orders the lists of one generation, 0 before the first.
+    :param generation: generation of the platform's data, 0 if unknown.
+    """
 
     version: int = 0
     vms: dict[str, Vm] = field(default_factory=dict)
+    generation: int = 0
+
+    @property
+    def order(self) -> ListOrder:
+        """Place among all lists."""
+        return ListOrder(self.generation, self.version)
 
 
 @dataclass(slots=True)
--- a/src/jackdawhead/node/admin.py
+++ b/src/jackdawhead/node/admin.py
@@ -117,6 +117,7 @@
             else []
         ),
         'vm_list_version': parts.board.vm_list.read().version,
+        'vm_list_generation': parts.board.vm_list.read().generation,
         'links': sorted({link.vm for link in node.links()}),
         'dialled_links': node.dialled_links,
         'resident_bytes': resident_bytes(),
--- a/src/jackdawhead/node/gossip_controller.py
+++ b/src/jackdawhead/node/gossip_controller.py
@@ -6,6 +6,7 @@
 
 from ..audit import AuditKind
 from ..policy.quota_gate import QuotaMessage
+from ..wire.generations import GENERATIONS_KNOWN, with_generation
 from ..wire.messages import (
     ConfigRequest,
     ConfigUpdate,
@@ -78,11 +79,13 @@
         """Return a heartbeat with the current versions of this node."""
         board = self._parts.board
         config_id = board.config.read().config_id
+        vm_list = board.vm_list.read()
         return Heartbeat(
             config_id.version,
             config_id.digest,
             board.leaving,
-            board.vm_list.read().version,
+            vm_list.version,
+            vm_list.generation,
         )
 
     def on_link_ready(self, link: Link) -> None:
@@ -94,6 +97,7 @@
             AuditKind.PEER_JOINED, link.vm, f'incarnation {link.incarnation}'
         )
         self._parts.routing.leaving.note_linked(link.vm, link.incarnation)
+        link.send(GENERATIONS_KNOWN)
         link.send(self.heartbeat())
         for status in self._parts.home.refusals():
             link.send(status)
@@ -110,6 +114,11 @@
         if isinstance(message, QuotaMessage):
             self._parts.quotas.receive(link.vm, message)
             return True
+        if not link.knows_generations:
+            # A node of an earlier build has lists of an unknown generation,
+            # which are compared with the own one by their versions alone.
+            generation = self._parts.board.vm_list.read().generation
+            message = with_generation(message, generation)
         match message:
             case Heartbeat():
                 self._handle_heartbeat(link, message)
@@ -140,7 +149,10 @@
             self._parts.routing.leaving.note_leaving(link.vm, link.incarnation)
 
     def _handle_delta(self, change: VmListDelta, link: Link) -> None:
-        if change.base == change.version:
+        if change.text == GENERATIONS_KNOWN.text:
+            link.knows_generations = True
+            link.send(self.heartbeat())
+        elif change.base == change.version:
             self._readers.receive(change, link)
         else:
             self._parts.membership.receive_change(change, link)
--- a/src/jackdawhead/node/links.py
+++ b/src/jackdawhead/node/links.py
@@ -12,6 +12,8 @@
 
 from ..blackboard import ConfigId
 from ..clock import monotonic_ms, seconds
+from ..policy.list_order import ListOrder
+from ..wire.generations import with_generation
 from ..wire.handshake import new_nonce, sign, verify
 from ..wire.messages import (
     PROTOCOL_VERSION,
@@ -66,7 +68,8 @@
         self.vm = ''
         self.incarnation = 0
         self.config_id = ConfigId()
-        self.vm_list_version = 0
+        self.vm_list_order = ListOrder()
+        self.knows_generations = False
         self.is_leaving = False
         self.has_timed_out = False
         self.last_received_at_ms = monotonic_ms()
@@ -112,6 +115,8 @@
         :param message: any registered message.
         """
         self._last_sent_at_ms = monotonic_ms()
+        if not self.knows_generations:
+            message = with_generation(message, 0)
         self._stream.send(message)
 
     def needs_heartbeat(self, now_ms: float) -> bool:
--- a/src/jackdawhead/node/list_history.py
+++ b/src/jackdawhead/node/list_history.py
@@ -28,13 +28,15 @@
         """Record a change.
 
         A change of more than 1000 VMs clears the history, so that nodes
-        receive the complete list instead.
+        receive the complete list instead. So does a new generation: the same
+        version may have been another list in the one before.
 
         :param before: the list before the change.
         :param after: the list after the change.
         """
         names = changed_vm_names(before, after)
-        if len(names) > _MAX_VMS_PER_CHANGE:
+        is_comparable = before.generation == after.generation
+        if not is_comparable or len(names) > _MAX_VMS_PER_CHANGE:
             self._changes.clear()
         else:
             self._changes.append((before.version, names))
--- a/src/jackdawhead/node/metrics.py
+++ b/src/jackdawhead/node/metrics.py
@@ -103,6 +103,16 @@
             'Version of the active configuration.',
             node.parts.board.config.read().version,
         )
+        yield GaugeMetricFamily(
+            'jackdawhead_vm_list_generation',
+            "Generation of the platform's data, 0 if unknown.",
+            node.parts.board.vm_list.read().generation,
+        )
+        yield GaugeMetricFamily(
+            'jackdawhead_upstreams_unproven',
+            'Upstreams that only an older copy of that data names as ready.',
+            node.parts.membership.unproven_count,
+        )
         yield CounterMetricFamily(
             'jackdawhead_config_entries_refused',
             'Invalid entries skipped in accepted configurations.',
--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -41,19 +41,25 @@
 
     :param version: version, which increases with each change.
     :param content: the decoded JSON value.
+    :param generation: generation that the version of a VM list belongs to, 0
+        if unknown.
     """
 
     version: int
     content: Any
+    generation: int = 0
 
 
 class PlatformSource(ABC):
     """Source of the configuration and the VM list.
 
-    The attribute ``call_count`` counts the calls to the platform.
+    The attribute ``call_count`` counts the calls to the platform. The attribute
+    ``proof_ms`` is the time within which the entry of an upstream that no
+    longer reports is gone, after a return of the platform.
     """
 
     call_count: int = 0
+    proof_ms: float = 0
 
     def follow(self, list_in_force: Callable[[], VmList]) -> None:
         """Use the VM list that the node follows; ignored by default.
--- a/src/jackdawhead/node/platform_watch.py
+++ b/src/jackdawhead/node/platform_watch.py
@@ -112,7 +112,9 @@
             self._parts.config.offer(published.version, sources, 'platform')
         else:
             text = json.dumps(published.content)
-            self._parts.membership.offer(published.version, text)
+            self._parts.membership.offer(
+                published.version, text, generation=published.generation
+            )
 
     def _note_answer(self) -> None:
         if self._key == VMS_KEY:
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -73,8 +73,10 @@
         self.parts.pauses.refresh = self._channels.catch_up
         self._platform = platform or PlatformClient(settings.platform_address)
         self.parts.config.loader = self._platform.config_loader()
-        self._platform.follow(self.parts.board.vm_list.read)
-        self.parts.membership.is_provisional = self._platform.is_provisional
+        membership = self.parts.membership
+        self._platform.follow(lambda: membership.listed)
+        membership.is_provisional = self._platform.is_provisional
+        membership.proof_ms = self._platform.proof_ms
         self.parts.board.own_service.write(settings.service)
         self._dispatchers = build_dispatchers(self.parts, self._channels)
         self._http_started = Event()
--- a/src/jackdawhead/node/update_puller.py
+++ b/src/jackdawhead/node/update_puller.py
@@ -8,6 +8,7 @@
 
 from ..blackboard import ConfigId
 from ..clock import monotonic_ms, seconds
+from ..policy.list_order import ListOrder
 from ..policy.pull_schedule import PullSchedule
 from ..wire.messages import ConfigRequest, VmListRequest
 
@@ -51,7 +52,9 @@
         :param beat: its heartbeat.
         """
         link.config_id = ConfigId(beat.config_version, beat.config_digest)
-        link.vm_list_version = beat.vm_list_version
+        link.vm_list_order = ListOrder(
+            beat.vm_list_generation, beat.vm_list_version
+        )
         link.is_leaving = beat.leaving
         if beat.config_version and beat.vm_list_version:
             link.knows_upstreams.set()
@@ -79,7 +82,7 @@
         return self._board.config.read().config_id < link.config_id
 
     def _is_vm_list_behind(self, link: Link) -> bool:
-        return self._board.vm_list.read().version < link.vm_list_version
+        return self._board.vm_list.read().order < link.vm_list_order
 
     def _request_config(self, link: Link) -> None:
         if not self._is_config_behind(link):
@@ -92,7 +95,8 @@
         if not self._is_vm_list_behind(link):
             return
         if link.is_ready and self._vm_list.try_begin_pull(monotonic_ms()):
-            link.send(VmListRequest(self._board.vm_list.read().version))
+            order = self._board.vm_list.read().order
+            link.send(VmListRequest(order.version, order.generation))
 
 
 __all__ = ('UpdatePuller',)
--- a/src/jackdawhead/node/vm_list_codec.py
+++ b/src/jackdawhead/node/vm_list_codec.py
@@ -23,13 +23,17 @@
 
 
 def parse_vm_list(
-    version: int, text: str, on_refused: OnRefused = _ignore
+    version: int,
+    text: str,
+    on_refused: OnRefused = _ignore,
+    generation: int = 0,
 ) -> Result[VmList, str]:
     """Decode and validate a VM list, each entry on its own.
 
     :param version: version assigned by the platform.
     :param text: JSON text published by the platform.
     :param on_refused: called with each entry that is left out.
+    :param generation: generation that the version belongs to, 0 if unknown.
     :returns: the list, or why the text is invalid. A list without any valid
         entry is invalid, unless it is empty.
     """
@@ -40,7 +44,7 @@
     vms = read_vms(entries, on_refused)
     if entries and not vms:
         return Failure(f'none of {len(entries)} entries is valid')
-    return Success(VmList(version, vms))
+    return Success(VmList(version, vms, generation))
 
 
 def list_text(vm_list: VmList) -> str:
@@ -76,7 +80,7 @@
     changed = [vms[name] for name in sorted(names) if name in vms]
     gone = sorted(names - vms.keys())
     text = msgspec.json.encode({'changed': changed, 'gone': gone}).decode()
-    return VmListDelta(base, current.version, text)
+    return VmListDelta(base, current.version, text, current.generation)
 
 
 def apply_change(
@@ -103,7 +107,7 @@
     gone = {*decoded.gone, *(vm.name for vm in refused)}
     vms = {name: vm for name, vm in before.vms.items() if name not in gone}
     vms.update(changed)
-    return Success(VmList(change.version, vms))
+    return Success(VmList(change.version, vms, change.generation))
 
 
 __all__ = (
--- a/src/jackdawhead/platform/formats.py
+++ b/src/jackdawhead/platform/formats.py
@@ -11,6 +11,7 @@
 _MS_PER_UNIT: Final = {'ms': 1, 's': 1000}
 _VERSION_PATTERN: Final = re.compile('[0-9a-f]{8}')
 _HEX_BASE: Final = 16
+_GENERATION_PATTERN: Final = re.compile(r'\d{1,15}', re.ASCII)
 
 
 def parse_duration_ms(text: str) -> int:
@@ -36,4 +37,15 @@
     return int(text, _HEX_BASE)
 
 
-__all__ = ('parse_duration_ms', 'parse_version')
+def parse_generation(header: object) -> int:
+    """Parse the generation of the store's data, as its answers name it.
+
+    :param header: value of the header, a list if it was repeated.
+    :returns: the generation, 0 if the answer names none.
+    """
+    if not isinstance(header, str):
+        return 0
+    return int(header) if _GENERATION_PATTERN.fullmatch(header) else 0
+
+
+__all__ = ('parse_duration_ms', 'parse_generation', 'parse_version')
--- a/src/jackdawhead/platform/names.py
+++ b/src/jackdawhead/platform/names.py
@@ -36,11 +36,14 @@
 # Names in the settings' list `contracts` of which one asks for the latter.
 VALUE_CONTRACTS: Final = frozenset(('pressure', 'tenants'))
 
+# Rises each time the store comes back from an older copy of its data.
+GENERATION_HEADER: Final = 'Store-Era'
 CONFIG_ITEM_KEY: Final = 'op/config'
 UPSTREAM_KEY_PREFIX: Final = 'servers/'
 
 __all__ = (
     'CONFIG_ITEM_KEY',
+    'GENERATION_HEADER',
     'HEADER_NAMES',
     'SETTINGS_FILE_VARIABLE',
     'STREAM_KEY_VARIABLE',
--- a/src/jackdawhead/platform/store.py
+++ b/src/jackdawhead/platform/store.py
@@ -14,9 +14,17 @@
 
 from ..clock import seconds
 from ..policy.platform_readers import OVERDUE_ANSWER_MS
+from .formats import parse_generation
 from .hedged_call import call_hedged
+from .names import GENERATION_HEADER
 from .store_pages import Pages, decode_answer
-from .store_types import Snapshot, StoreFailure, WatchEvents, read_item
+from .store_types import (
+    Snapshot,
+    StoreAnswer,
+    StoreFailure,
+    WatchEvents,
+    read_item,
+)
 
 if TYPE_CHECKING:
     from gevent.socket import socket as Socket
@@ -123,7 +131,7 @@
         self,
         target: str,
         wait_ms: int,
-    ) -> Result[bytes, StoreFailure]:
+    ) -> Result[StoreAnswer, StoreFailure]:
         self.call_count += 1
         client = _KeepAliveClient(self._address, wait_ms)
         limit_s = seconds(_MAX_CALL_MS + wait_ms)
@@ -139,19 +147,28 @@
 def _send_get(
     client: HTTPClient,
     target: str,
-) -> Result[bytes, StoreFailure]:
+) -> Result[StoreAnswer, StoreFailure]:
     response = client.get(target)
     body: bytes = response.read(_MAX_BODY_BYTES)
     status = response.status_code
+    generation = parse_generation(response.get(GENERATION_HEADER, ''))
     if status == _HTTP_OK:
-        return Success(body)
-    return Failure(StoreFailure(f'status {status}', status == _HTTP_GONE))
+        return Success(StoreAnswer(body, generation))
+    return Failure(
+        StoreFailure(
+            f'status {status}', status == _HTTP_GONE, generation=generation
+        )
+    )
 
 
-def _decode_changes(body: bytes) -> Result[Snapshot, StoreFailure]:
-    found = decode_answer(body, WatchEvents)
+def _decode_changes(answer: StoreAnswer) -> Result[Snapshot, StoreFailure]:
+    found = decode_answer(answer.body, WatchEvents)
     return found.map(
-        lambda each: Snapshot(each.at, tuple(map(read_item, each.events)))
+        lambda each: Snapshot(
+            each.at,
+            tuple(map(read_item, each.events)),
+            generation=answer.generation,
+        )
     )
 
 
--- a/src/jackdawhead/platform/store_pages.py
+++ b/src/jackdawhead/platform/store_pages.py
@@ -7,7 +7,14 @@
 from returns.result import Failure, Result, Success
 
 from ..json_parts import DECODE_ERRORS, decode_parts
-from .store_types import Page, Snapshot, StoredItem, StoreFailure, read_item
+from .store_types import (
+    Page,
+    Snapshot,
+    StoreAnswer,
+    StoredItem,
+    StoreFailure,
+    read_item,
+)
 
 _MAX_PAGES: Final = 1000
 _MAX_TOTAL_BYTES: Final = 128_000_000
@@ -22,6 +29,7 @@
         self.last_key = ''
         self.may_continue = True
         self._revision = 0
+        self._generation = 0
         self._stored_items: list[StoredItem] = []
         self._continued_after: set[str] = set()
         self._has_more = False
@@ -31,23 +39,37 @@
     def snapshot(self) -> Snapshot:
         """All items so far, with the revision of the first page."""
         return Snapshot(
-            self._revision, tuple(self._stored_items), not self._has_more
+            self._revision,
+            tuple(self._stored_items),
+            not self._has_more,
+            self._generation,
         )
 
-    def add(self, body: bytes) -> Result[Page, StoreFailure]:
+    def add(self, answer: StoreAnswer) -> Result[Page, StoreFailure]:
         """Add the next page.
 
-        :param body: the page as answered.
+        Pages of two generations don't belong together.
+
+        :param answer: the page as answered.
         """
-        result = decode_answer(body, Page)
-        if isinstance(result, Success):
-            self._bytes += len(body)
-            self._add(result.unwrap())
+        result = decode_answer(answer.body, Page)
+        if isinstance(result, Failure):
+            return result
+        if not self._continued_after:
+            self._revision = result.unwrap().at
+            self._generation = answer.generation
+        elif self._generation != answer.generation:
+            cause = f'a page of generation {answer.generation} follows one of'
+            return Failure(
+                StoreFailure(
+                    f'{cause} {self._generation}', generation=answer.generation
+                )
+            )
+        self._bytes += len(answer.body)
+        self._add(result.unwrap())
         return result
 
     def _add(self, page: Page) -> None:
-        if not self._continued_after:
-            self._revision = page.at
         found = tuple(map(read_item, page.found))
         self._stored_items.extend(found)
         self._continued_after.add(self.last_key)
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -27,6 +27,7 @@
 from .document_loader import DocumentLoader, decode_document
 from .names import CONFIG_ITEM_KEY, TARGET_ADMISSION, UPSTREAM_KEY_PREFIX
 from .store import StoreClient
+from .store_position import StorePosition
 from .store_types import Snapshot, StoredItem, StoreFailure
 from .upstream_entries import decode_record
 
@@ -67,6 +68,8 @@
     ) -> None:
         self._admission = admission
         self._client = StoreClient(address)
+        # The entry expires, and its removal is passed on.
+        self.proof_ms = expiry_ms + DEFAULT_REREGISTRATION_MS
         self._zones = zones
         self._upstreams = ListedUpstreams(
             stream_port,
@@ -74,8 +77,10 @@
             RemovalGracePeriod(expiry_ms, DEFAULT_REREGISTRATION_MS),
             expiry_ms,
         )
-        self._revision: int | None = None
-        # Latest revision at which no removal was held back.
+        self._position = StorePosition(
+            lambda: self._upstreams.list_in_force().generation
+        )
+        # Latest revision of the generation at which no removal was held back.
         self._complete_revision = 0
         self._poll_in_flight: AsyncResult | None = None
         self._pending: dict[str, PublishedValue] = {}
@@ -133,9 +138,10 @@
         start_ms = monotonic_ms()
         grace_period = self._upstreams.grace_period
         result = self._call(grace_period.bounded_wait_ms(wait_ms, start_ms))
-        if _is_history_lost(result):
-            self._revision = None
+        if self._position.is_outdated(result):
+            self._position.revision = None
             result = self._call(0)
+        result = result.bind(self._position.refuse_earlier)
         match result:
             case Success(snapshot):
                 grace_period.note_answer(monotonic_ms())
@@ -144,14 +150,33 @@
                 grace_period.note_failure(start_ms)
                 if failure.is_unreadable:
                     # The next watch would have the same answer.
-                    self._revision = None
+                    self._position.revision = None
                 return str(failure.cause)
         raise AssertionError('a result is a success or a failure')
 
     def _call(self, wait_ms: int) -> Result[Snapshot, StoreFailure]:
-        if self._revision is None:
+        revision = self._position.revision
+        if revision is None:
             return self._client.range(_ALL_KEYS)
-        return self._client.watch(_ALL_KEYS, self._revision, wait_ms)
+        return self._client.watch(_ALL_KEYS, revision, wait_ms)
+
+    def _begin_generation(self, previous: int) -> None:
+        """Start anew after the store has come back from an older copy.
+
+        What the copy lacks is written again, and is kept until then, unless
+        other readers have waited for that already.
+
+        :param previous: latest generation that was known before.
+        """
+        self._complete_revision = 0
+        generation = self._position.known_generation
+        in_force = self._upstreams.list_in_force()
+        is_complete = not is_provisional(in_force.version)
+        if generation > in_force.generation or not is_complete:
+            self._upstreams.grace_period.begin(monotonic_ms())
+        log_event(
+            'platform-generation', generation=generation, previous=previous
+        )
 
     def _apply(self, snapshot: Snapshot) -> str:
         """Apply an answer.
@@ -159,8 +184,12 @@
         :returns: why the same call would have the same answer, empty if it
             would not.
         """
-        known = self._revision
-        self._revision = _next_revision(snapshot, known)
+        known = self._position.revision
+        previous = self._position.known_generation
+        is_later = self._position.is_later(snapshot)
+        revision = self._position.advance(snapshot)
+        if previous and is_later:
+            self._begin_generation(previous)
         if known is None and snapshot.is_complete:
             present = {each.key for each in snapshot.stored_items}
             self._upstreams.keep_only(present)
@@ -169,8 +198,8 @@
                 self._apply_config(each)
             elif each.key.startswith(UPSTREAM_KEY_PREFIX):
                 self._apply_upstream(each)
-        self._publish_vms(self._revision)
-        if snapshot.stored_items and self._revision == known:
+        self._publish_vms(revision)
+        if snapshot.stored_items and revision == known:
             return f'changes of no revision after {known}'
         return ''
 
@@ -212,48 +241,26 @@
                 return
         if vms is None:
             return
-        self._pending[VMS_KEY] = PublishedValue(version, vms)
+        generation = self._position.known_generation
+        self._pending[VMS_KEY] = PublishedValue(version, vms, generation)
         log_event(
             'vm-list-read',
             version=version,
+            generation=generation,
             revision=revision,
             complete=is_complete,
             vms=len(vms),
         )
 
     def _base_revision(self) -> int:
-        """Return the revision of the latest complete list that is known."""
+        """Return the revision of the latest complete list that is known.
+
+        :returns: a revision of the store's generation, 0 if none is known.
+        """
         in_force = self._upstreams.list_in_force()
+        if in_force.generation < self._position.known_generation:
+            return self._complete_revision
         return max(self._complete_revision, complete_revision(in_force.version))
 
 
-def _next_revision(snapshot: Snapshot, known: int | None) -> int:
-    """Return the revision from which to watch after an answer.
-
-    An answer without changes does not advance it: the store may have withheld
-    changes and report them later. A change of a revision that the store has
-    not reached says nothing about others.
-
-    :param snapshot: the answer.
-    :param known: revision of the watch, ``None`` if all items were read.
-    """
-    if known is None:
-        return snapshot.revision
-    if not snapshot.stored_items:
-        return known
-    reached = (
-        each.revision
-        for each in snapshot.stored_items
-        if each.revision <= snapshot.revision
-    )
-    latest = max(reached, default=0)
-    return latest if latest > known else max(known, snapshot.revision)
-
-
-def _is_history_lost(result: Result[Snapshot, StoreFailure]) -> bool:
-    if isinstance(result, Success):
-        return False
-    return result.failure().is_history_lost
-
-
 __all__ = ('StoreSource',)
--- a/src/jackdawhead/platform/store_types.py
+++ b/src/jackdawhead/platform/store_types.py
@@ -85,11 +85,14 @@
     :param revision: store revision up to which all changes are included;
         later ones may be missing.
     :param is_complete: whether items that are not included do not exist.
+    :param generation: generation of the store's data that the revision belongs
+        to, 0 if the store names none.
     """
 
     revision: int
     stored_items: tuple[StoredItem, ...]
     is_complete: bool = True
+    generation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,16 +103,30 @@
         changes, so that all items have to be read again.
     :param is_unreadable: whether the store has answered, with something else
         than the call is for.
+    :param generation: generation that the answer names, 0 if there is none.
     """
 
     cause: str
     is_history_lost: bool = False
     is_unreadable: bool = False
+    generation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """A successful answer, not yet decoded.
+
+    :param generation: generation that it names, 0 if none.
+    """
+
+    body: bytes
+    generation: int
 
 
 __all__ = (
     'Page',
     'Snapshot',
+    'StoreAnswer',
     'StoreFailure',
     'StoredItem',
     'WatchEvents',
--- a/src/jackdawhead/policy/list_order.py
+++ b/src/jackdawhead/policy/list_order.py
@@ -10,15 +10,33 @@
 A list is therefore ordered by the revision up to which it is known to be
 complete. A provisional list follows the complete list that it is based on, and
 precedes every complete list of a later revision.
+
+The platform may come back from an older copy of its data, and then gives
+revisions out again. Revisions are therefore compared only within one
+generation of that data; a later generation goes before all earlier ones.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Final
 
 _VERSIONS_PER_REVISION: Final = 2
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class ListOrder:
+    """Place of a VM list among all lists; the largest is the newest.
+
+    :param generation: generation of the platform's data, which rises with
+        each return from an older copy; 0 if it is unknown.
+    :param version: version of the list within the generation.
+    """
+
+    generation: int = 0
+    version: int = 0
+
+
 def complete_version(revision: int) -> int:
     """Return the version of a list that includes all changes.
 
@@ -58,6 +76,7 @@
 
 
 __all__ = (
+    'ListOrder',
     'complete_revision',
     'complete_version',
     'is_provisional',
--- a/src/jackdawhead/policy/removal_grace_period.py
+++ b/src/jackdawhead/policy/removal_grace_period.py
@@ -1,9 +1,10 @@
 """Grace period before upstreams missing from the platform's list are removed.
 
 Load pattern: an outage of the platform outlasts the time for which it lists
-upstreams without hearing from them. When the platform is back, their entries
-are missing until they register again a moment later. A fleet that trusted such
-a list would have no upstreams to send work to.
+upstreams without hearing from them, or the platform comes back from an older
+copy of its data. Entries of live upstreams are missing then until they register
+again a moment later. A fleet that trusted such a list would have no upstreams
+to send work to.
 """
 
 from __future__ import annotations
@@ -42,7 +43,14 @@
         since_ms = self._failing_since_ms
         self._failing_since_ms = None
         if since_ms is not None and now_ms - since_ms >= self._expiry_ms:
-            self._until_ms = now_ms + self._reregistration_ms
+            self.begin(now_ms)
+
+    def begin(self, now_ms: float) -> None:
+        """Delay removals from now on.
+
+        :param now_ms: monotonic time at which the platform is back.
+        """
+        self._until_ms = now_ms + self._reregistration_ms
 
     def bounded_wait_ms(self, wait_ms: int, now_ms: float) -> int:
         """Return the wait for changes, limited to the end of the grace period.
--- a/src/jackdawhead/wire/field_bounds.py
+++ b/src/jackdawhead/wire/field_bounds.py
@@ -47,6 +47,7 @@
     'credit': _CREDIT,
     # Negative while more requests run than there are slots.
     'free': Bounds(-MAX_SLOTS, MAX_SLOTS),
+    'generation': _VERSION,
     'need': _CREDIT,
     # -1 for the priority of the operation.
     'priority': Bounds(least=-1),
@@ -55,6 +56,7 @@
     'status': Bounds(_MIN_STATUS, _MAX_STATUS),
     'used': _CREDIT,
     'version': _VERSION,
+    'vm_list_generation': _VERSION,
     'vm_list_version': _VERSION,
 }
 
--- a/src/jackdawhead/wire/link_messages.py
+++ b/src/jackdawhead/wire/link_messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from .base import Message, message
+from .base import Message, message, optional_field
 
 
 @message(1)
@@ -64,12 +64,15 @@
     :param leaving: whether the sender is shutting down; its home accepts only
         work that it can finish.
     :param vm_list_version: version of the sender's VM list.
+    :param vm_list_generation: generation that the version belongs to, 0 if
+        unknown.
     """
 
     config_version: int
     config_digest: int
     leaving: bool
     vm_list_version: int = 0
+    vm_list_generation: int = optional_field(0)
 
 
 @message(17)
--- a/src/jackdawhead/wire/update_messages.py
+++ b/src/jackdawhead/wire/update_messages.py
@@ -103,10 +103,12 @@
 
     :param version: version assigned by the platform.
     :param text: the list in the JSON format of the platform.
+    :param generation: generation that the version belongs to, 0 if unknown.
     """
 
     version: int
     text: str
+    generation: int = optional_field(0)
 
 
 @message(19)
@@ -117,11 +119,13 @@
     :param base: version of the earlier list.
     :param version: version of the later list.
     :param text: changed VMs and names of removed VMs, as JSON.
+    :param generation: generation that both versions belong to, 0 if unknown.
     """
 
     base: int
     version: int
     text: str
+    generation: int = optional_field(0)
 
 
 @message(20)
@@ -130,9 +134,11 @@
     """Requests the VM list, complete or as a difference.
 
     :param version: version of the sender's own list.
+    :param generation: generation that the version belongs to, 0 if unknown.
     """
 
     version: int
+    generation: int = optional_field(0)
 
 
 @message(21)
--- a/standins/store.py
+++ b/standins/store.py
@@ -15,6 +15,7 @@
 
 from jackdawhead.config.settings import Address
 from jackdawhead.node.http_server import HttpServer
+from jackdawhead.platform.names import GENERATION_HEADER
 
 from .wsgi import send_json
 
@@ -42,16 +43,29 @@
     made: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The store's data at one moment."""
+
+    revision: int
+    stored: dict[str, _Change]
+    history: tuple[_Change, ...]
+
+
 class StandInStore:
     """Keeps items with revisions and answers reads and watches.
 
+    A store of no generation does not name one in its answers.
+
     The attribute ``mode`` is ``up``, ``down``, ``lost`` (the next watch is
-    told that the history is no longer kept) or ``mute`` (watches are not told
-    of changes). The attribute ``alter`` is called with the path of a call and
-    its answer, and returns the answer to send, as plain data or as bytes.
+    told that the history is no longer kept), ``mute`` (watches are not told
+    of changes) or ``silent`` (later calls are not answered). The attribute
+    ``alter`` is called with the path of a call and its answer, and returns the
+    answer to send, as plain data or as bytes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, generation: int = 0) -> None:
+        self.generation = generation
         self.mode = 'up'
         self.alter: Alter = _unaltered
         self.calls: list[str] = []
@@ -60,6 +74,7 @@
         self._history: list[_Change] = []
         self._changed = Event()
         self._silenced_calls = 0
+        self._lost_call = 0
         self._server = HttpServer(
             Address('127.0.0.1', 0), self.serve, _IDLE_TIMEOUT_S
         )
@@ -95,10 +110,28 @@
         self._revision += 1
         self._record_change(_Change(self._revision, key, None, 0))
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all data."""
+        return StoreCopy(
+            self._revision, dict(self._stored), tuple(self._history)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy; its revisions are given out again."""
+        self._revision = copy.revision
+        self._stored = dict(copy.stored)
+        self._history = list(copy.history)
+        self.generation += 1
+        self._changed.set()
+
     def silence_calls(self) -> None:
         """Answer no call that is in flight; later ones are answered."""
         self._silenced_calls = len(self.calls)
 
+    def lose_next_answer(self) -> None:
+        """Answer all calls but the next one."""
+        self._lost_call = len(self.calls) + 1
+
     def wake_watches(self) -> None:
         """Wake blocked watches, so that they see a changed mode."""
         self._changed.set()
@@ -119,18 +152,33 @@
         try:
             return self._serve(path, query, start_response)
         finally:
-            if number <= self._silenced_calls:
+            is_silenced = number <= self._silenced_calls
+            if is_silenced or number == self._lost_call:
                 gevent.sleep(_SILENCE_S)
 
     def _serve(
         self, path: str, query: dict[str, str], start_response: Any
     ) -> Iterable[bytes]:
+        if self.generation:
+            start_response = self._naming_generation(start_response)
+        if self.mode == 'silent':
+            gevent.sleep(_SILENCE_S)
         if self.mode == 'down':
             return send_json(start_response, '503 Down', {})
         if path == '/kv-range':
             return self._range(query, start_response)
         return self._watch(query, start_response)
 
+    def _naming_generation(self, start_response: Any) -> Any:
+        generation = str(self.generation)
+
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            return start_response(
+                status, [*headers, (GENERATION_HEADER, generation)]
+            )
+
+        return start
+
     def _record_change(self, change: _Change) -> None:
         if change.value is None:
             self._stored.pop(change.key, None)
@@ -162,7 +210,7 @@
         after = int(query['after'])
         end = time.monotonic() + int(query['waitMs']) / _MS_PER_S
         while True:
-            if self.mode == 'lost':
+            if self.mode == 'lost' or after > self._revision:
                 self.mode = 'up'
                 return send_json(
                     start_response, '410 Gone', {'atRev': self._revision}
@@ -210,4 +258,4 @@
     }
 
 
-__all__ = ('StandInStore',)
+__all__ = ('StandInStore', 'StoreCopy')
