A stopping node takes a large answer only if its bound fits

Cause: until the listener closes a request is taken by the estimate of its time, which is that of callers that read fast. An answer that is larger than the buffers of a connection is complete only when this caller has read it.

Change: a node learns the size of the largest recent answers of an operation. Where one may exceed the buffers, the bound decides from the signal on; the request is refused at once as not run otherwise. What fits into the buffers is taken as before: the kernel delivers it.

What it refuses in a calm roll is to be measured.

--- a/features/policy/stopping.feature
+++ b/features/policy/stopping.feature
@@ -33,6 +33,30 @@
       | 3060 | 9000     | 900   | is passed on        | 3060  |
       | 4600 | 60       | 1     | is not              | 4600  |
 
+  # Downloads that were read slowly were cut at the end of the node: the estimate
+  # was that of callers who read fast.
+  Scenario Outline: A request for a large answer, at most <bound> ms, read after <read> ms, <verdict>
+    Given a planned stop that ends 5100 ms after its signal
+    Then a request read <read> ms after the signal, estimated at 300 ms, with a large answer and bounded by <bound> ms <verdict>
+
+    Examples: its caller may read until the deadline
+      | read | bound | verdict      |
+      | 400  | 5378  | is not       |
+      | 1600 | 5378  | is not       |
+      | 0    | 4500  | is passed on |
+      | 1600 | 2500  | is passed on |
+
+  Scenario: One large answer among small ones is remembered for some time
+    Given an operation whose answers have 2000 bytes
+    Then an answer may be left to the kernel
+    When 1 answers of 540000 bytes follow
+    And 100 answers of 2000 bytes follow
+    Then an answer may not be left to the kernel
+    When 100 answers of 2000 bytes follow
+    Then an answer may be left to the kernel
+    When an answer of unknown length follows
+    Then an answer may not be left to the kernel
+
   # A call that is cut at the end of the node may have run.
   Scenario Outline: A call of <estimate> ms, at most <bound> ms, read after <read> ms, <verdict>
     Given a planned stop that ends 5100 ms after its signal
--- a/features/steps/stopping_policy_steps.py
+++ b/features/steps/stopping_policy_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from jackdawhead.config.model import Operation, WorkClass
+from jackdawhead.policy.answer_sizes import UNKNOWN_LENGTH, AnswerSizes
 from jackdawhead.policy.completion_times import CompletionTimes
 from jackdawhead.policy.stopping import (
     Offer,
@@ -76,6 +77,46 @@
     assert is_passed_on is (verdict == 'is passed on')
 
 
+@then(
+    'a request read {read:d} ms after the signal, estimated at'
+    ' {estimate:d} ms, with a large answer and bounded by {bound:d} ms'
+    ' {verdict}'
+)
+def check_large_answer(
+    context: Context, read: int, estimate: int, bound: int, verdict: str
+) -> None:
+    """Check whether an entry passes on a request for a large answer."""
+    read_ms = _SIGNAL_MS + read
+    offer = Offer(read_ms, estimate, bound, may_be_read_slowly=True)
+    is_passed_on = may_pass_on(context.plan, offer, read_ms)
+    assert is_passed_on is (verdict == 'is passed on')
+
+
+@given('an operation whose answers have {first:d} bytes')
+@when('{count:d} answers of {size:d} bytes follow')
+def note_answers(
+    context: Context, first: int = 0, count: int = 1, size: int = 0
+) -> None:
+    """Note the sizes of answers."""
+    if not hasattr(context, 'sizes'):
+        context.sizes = AnswerSizes()
+    for _ in range(count):
+        context.sizes.note('pdf', size or first)
+
+
+@when('an answer of unknown length follows')
+def note_unknown_answer(context: Context) -> None:
+    """Note an answer in chunks."""
+    context.sizes.note('pdf', UNKNOWN_LENGTH)
+
+
+@then('an answer {verdict} be left to the kernel')
+def check_buffers(context: Context, verdict: str) -> None:
+    """Check whether the buffers of a connection hold an answer."""
+    is_left = not context.sizes.may_exceed_buffers('pdf')
+    assert is_left is (verdict == 'may')
+
+
 @then(
     'a call of work beside the node read {read:d} ms after the signal,'
     ' estimated at {estimate:d} ms and bounded by {bound:d} ms {verdict}'
--- a/src/jackdawhead/node/entry/stop_limits.py
+++ b/src/jackdawhead/node/entry/stop_limits.py
@@ -53,8 +53,9 @@
         plan = self._board.stop.read()
         if plan is None:
             return True
-        has_time = self.has_time_for(call)
-        log_stop_decision(call, plan, _estimate_ms(call), is_taken=has_time)
+        offer = self._offer(call, plan)
+        has_time = may_pass_on(plan, offer, monotonic_ms())
+        log_stop_decision(call, plan, offer, is_taken=has_time)
         return has_time
 
     def has_time_for(self, call: Call) -> bool:
@@ -65,13 +66,7 @@
         plan = self._board.stop.read()
         if plan is None:
             return True
-        offer = Offer(
-            call.arrived_at_ms,
-            _estimate_ms(call),
-            call.bound_ms(),
-            may_be_call=self._may_be_call(call, plan),
-        )
-        return may_pass_on(plan, offer, monotonic_ms())
+        return may_pass_on(plan, self._offer(call, plan), monotonic_ms())
 
     def may_wait(self, call: Call) -> bool:
         """Return whether a home may queue the request.
@@ -96,6 +91,18 @@
             return answer
         return replace(answer, retry_after_ms=_RETRY_AFTER_MS)
 
+    def _offer(self, call: Call, plan: StopPlan) -> Offer:
+        router, operation = call.router, call.operation
+        return Offer(
+            call.arrived_at_ms,
+            router.completion_times.high_ms(operation),
+            call.bound_ms(),
+            may_be_call=self._may_be_call(call, plan),
+            may_be_read_slowly=router.answer_sizes.may_exceed_buffers(
+                operation.name
+            ),
+        )
+
     def _may_be_call(self, call: Call, plan: StopPlan) -> bool:
         """Return whether work at the upstream beside this node may need it.
 
@@ -107,8 +114,4 @@
         return is_new and self._is_call(expires_at_ms)
 
 
-def _estimate_ms(call: Call) -> float:
-    return call.router.completion_times.high_ms(call.operation)
-
-
 __all__ = ('STOP_REFUSAL', 'TICKET_STOP_REFUSAL', 'StopLimits')
--- a/src/jackdawhead/node/entry/way_notes.py
+++ b/src/jackdawhead/node/entry/way_notes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ...policy.answer_sizes import UNKNOWN_LENGTH
 from ...policy.way_traffic import WayLabel
 
 if TYPE_CHECKING:
@@ -30,6 +31,10 @@
     """
     answer_bytes = max(head.body_bytes, len(head.chunk))
     router = call.router
+    is_known = head.last or head.body_bytes >= 0
+    router.answer_sizes.note(
+        call.operation.name, answer_bytes if is_known else UNKNOWN_LENGTH
+    )
     router.transfer_sizes.note(
         call.operation.name, call.request.body_bytes + answer_bytes
     )
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -9,6 +9,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 
+from ..policy.answer_sizes import SOCKET_BUFFER_BYTES
 from ..policy.caller_bounds import CallerBounds, CallerUse
 from .caller_gate import CallerGate
 from .caller_stream import HeadLimits
@@ -24,8 +25,6 @@
 _BACKLOG: Final = 1024
 # Connections accepted at once; the bounds are checked after these.
 _MAX_ACCEPTED: Final = 16
-# The kernel doubles it. What it holds counts toward the memory of the VM.
-_SOCKET_BUFFER_BYTES: Final = 32_768
 _NO_BOUNDS: Final = CallerUse(sys.maxsize, sys.maxsize)
 _MS_PER_S: Final = 1000
 _WHOLE_PERCENT: Final = 100
@@ -116,7 +115,7 @@
         with suppress(OSError):
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 self.socket.setsockopt(
-                    socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
+                    socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
                 )
 
 
--- a/src/jackdawhead/node/stop_log.py
+++ b/src/jackdawhead/node/stop_log.py
@@ -8,19 +8,19 @@
 from ..logs import log_event
 
 if TYPE_CHECKING:
-    from ..policy.stopping import StopPlan
+    from ..policy.stopping import Offer, StopPlan
     from .entry.call_state import Call
     from .http_server import RequestInProgress
 
 
 def log_stop_decision(
-    call: Call, plan: StopPlan, estimate_ms: float, *, is_taken: bool
+    call: Call, plan: StopPlan, offer: Offer, *, is_taken: bool
 ) -> None:
     """Log whether an attempt is made while this node stops.
 
     :param call: the request.
     :param plan: schedule of the stop.
-    :param estimate_ms: high estimate of the time that the request takes.
+    :param offer: what is known of the time that the request takes.
     :param is_taken: whether the attempt is made.
     """
     now_ms = monotonic_ms()
@@ -31,8 +31,9 @@
         runs=call.runs,
         arrived_ms=int(plan.elapsed_ms(call.arrived_at_ms)),
         since_signal_ms=int(plan.elapsed_ms(now_ms)),
-        estimate_ms=int(estimate_ms),
-        bound_ms=int(call.bound_ms()),
+        estimate_ms=int(offer.estimate_ms),
+        large=offer.may_be_read_slowly,
+        bound_ms=int(offer.bound_ms),
         stop_left_ms=int(plan.remaining_ms(now_ms)),
     )
 
--- a/src/jackdawhead/policy/service_router.py
+++ b/src/jackdawhead/policy/service_router.py
@@ -7,6 +7,7 @@
 
 from ..reasons import Reason
 from .balancers import BALANCERS
+from .answer_sizes import AnswerSizes
 from .completion_times import CompletionTimes
 from .detection import Health, HealthChange
 from .detectors import detector_of
@@ -53,6 +54,7 @@
         self.budget = RetryBudget(service.retry)
         self.poison = PoisonTable(service.poison)
         self.transfer_sizes = TransferSizes()
+        self.answer_sizes = AnswerSizes()
         self.completion_times = CompletionTimes()
         self.shortage = Shortage()
         self._rng = rng
--- a/src/jackdawhead/policy/stopping.py
+++ b/src/jackdawhead/policy/stopping.py
@@ -110,12 +110,15 @@
     :param bound_ms: time after which it is given up in any case.
     :param may_be_call: whether it may come from work that runs at the upstream
         beside this node.
+    :param may_be_read_slowly: whether its answer may be too large to be left to
+        the kernel, so that its caller decides when it is complete.
     """
 
     arrived_at_ms: float
     estimate_ms: float
     bound_ms: float
     may_be_call: bool = False
+    may_be_read_slowly: bool = False
 
 
 def may_pass_on(plan: StopPlan | None, offer: Offer, now_ms: float) -> bool:
@@ -129,6 +132,9 @@
     estimate suffices for them a little longer. After that, they are refused as
     well: a call that is cut while its upstream is at work can't be repeated.
 
+    The estimate is that of all callers, and says nothing about how fast this
+    one reads a large answer. Such a request is sent only if its bound fits.
+
     :param plan: schedule of the planned stop, none while the node runs.
     :param offer: times of the request.
     :param now_ms: monotonic time.
@@ -139,7 +145,8 @@
     if offer.may_be_call:
         estimates_until_ms = plan.calls_by_estimate_until_ms
     needed_ms = offer.bound_ms
-    if offer.arrived_at_ms <= estimates_until_ms:
+    is_early = offer.arrived_at_ms <= estimates_until_ms
+    if is_early and not offer.may_be_read_slowly:
         needed_ms = min(needed_ms, offer.estimate_ms)
     return plan.has_time_for(needed_ms, now_ms)
 
