Readers notice within a second that the platform is silent to them

Cause: a watch without a change is answered after 2 s, and a reader counted as answered for 2.7 s, so that silence looked like calm for longer than the 2 s that a leaving upstream serves on.

Change: beside a watch that waits the reader makes a cheap read every 0.4 s (a prefix without keys, marked as one that may be old). If two of them on two connections get no answer within 0.5 s the watch ends and the reader reports at once; who hears that checks its duty at once. The reads name the generation of the platform's data, too, so that a return from an older copy during which no call failed is noticed in time.

--- a/src/jackdawhead/node/platform_client.py
+++ b/src/jackdawhead/node/platform_client.py
@@ -67,6 +67,14 @@
         :param list_in_force: returns that list.
         """
 
+    def on_silence(self, note_silence: Callable[[], None]) -> None:
+        """Tell when the platform falls silent while it is watched.
+
+        A source that can't tell it early ignores this.
+
+        :param note_silence: is called then.
+        """
+
     def is_provisional(self, version: int) -> bool:
         """Return whether VM lists of a version may differ; none by default.
 
--- a/src/jackdawhead/node/reader_controller.py
+++ b/src/jackdawhead/node/reader_controller.py
@@ -96,6 +96,11 @@
         """Record that a call to the platform has failed."""
         self._failed_calls += 1
 
+    def note_silence(self) -> None:
+        """Record that the platform no longer answers, and report it."""
+        self._failed_calls = _MAX_FAILED_CALLS
+        self.check()
+
     def note_report(self, report: ReaderReport) -> bool:
         """Record a report of another node.
 
@@ -106,6 +111,9 @@
         is_news = self._duty.note(report, now_ms)
         if is_news:
             self._heard_at_ms = now_ms
+        if is_news and not report.is_reading:
+            # Whoever takes over begins at once.
+            self.check()
         return is_news
 
     def relay_count(self, linked: int) -> int:
--- a/src/jackdawhead/node/runtime.py
+++ b/src/jackdawhead/node/runtime.py
@@ -73,6 +73,7 @@
         self.parts.pauses.refresh = self._channels.catch_up
         self._platform = platform or PlatformClient(settings.platform_address)
         self.parts.config.loader = self._platform.config_loader()
+        self._platform.on_silence(self.parts.readers.note_silence)
         membership = self.parts.membership
         self._platform.follow(lambda: membership.listed)
         membership.is_provisional = self._platform.is_provisional
--- a/src/jackdawhead/platform/hedged_call.py
+++ b/src/jackdawhead/platform/hedged_call.py
@@ -44,4 +44,19 @@
     return result
 
 
-__all__ = ('call_hedged',)
+def first_result(
+    *calls: Callable[[], Result[_BodyT, StoreFailure]],
+) -> Result[_BodyT, StoreFailure]:
+    """Return the result of the call that ends first, and end the others.
+
+    :param calls: calls that are made at the same time.
+    """
+    with ExitStack() as stack:
+        running = [gevent.spawn(call) for call in calls]
+        stack.callback(gevent.killall, running, block=False)
+        ended = next(gevent.iwait(running))
+        result: Result[_BodyT, StoreFailure] = ended.get()
+    return result
+
+
+__all__ = ('call_hedged', 'first_result')
--- a/src/jackdawhead/platform/store.py
+++ b/src/jackdawhead/platform/store.py
@@ -15,8 +15,9 @@
 from ..clock import seconds
 from ..policy.platform_readers import OVERDUE_ANSWER_MS
 from .formats import parse_generation
-from .hedged_call import call_hedged
+from .hedged_call import call_hedged, first_result
 from .names import GENERATION_HEADER
+from .reach_check import CHECK_INTERVAL_MS, ReachCheck
 from .store_pages import Pages, decode_answer
 from .store_types import (
     Snapshot,
@@ -43,6 +44,8 @@
 _PROBE_COUNT: Final = 2
 # A page holds about a megabyte of items, encoded as base64.
 _MAX_BODY_BYTES: Final = 8_000_000
+# No key has this prefix. A read that may be old costs a tenth of another.
+_CHECK_TARGET: Final = '/kv-range?prefix=op%2Fconfig%2F&serializable=1'
 _CALL_ERRORS: Final = (OSError, HTTPParseError, msgspec.DecodeError, ValueError)
 
 
@@ -87,6 +90,7 @@
     def __init__(self, address: Address) -> None:
         self._address = address
         self.call_count = 0
+        self.check = ReachCheck(lambda: self._call(_CHECK_TARGET, 0))
 
     def range(self, prefix: str) -> Result[Snapshot, StoreFailure]:
         """Return all items whose keys start with a prefix, page by page.
@@ -110,22 +114,31 @@
         prefix: str,
         after: int,
         wait_ms: int,
+        generation: int = 0,
     ) -> Result[Snapshot, StoreFailure]:
         """Return the changes after a revision, waiting until there is one.
 
+        The wait ends early if the store falls silent, or comes back from an
+        older copy of its data.
+
         :param prefix: key prefix, empty for all items.
         :param after: latest revision that is already known.
         :param wait_ms: longest wait for a change in milliseconds.
+        :param generation: generation that the revision belongs to, 0 if
+            unknown.
         """
-        watch_path = f'/kv-watch?prefix={quote(prefix, safe="")}&after={after}'
-        result = call_hedged(
-            lambda: self._call(
-                f'{watch_path}&waitMs={max(1, wait_ms)}', wait_ms
-            ),
-            lambda: self._call(f'{watch_path}&waitMs=1', 1),
-            wait_ms + OVERDUE_ANSWER_MS,
-        )
-        return result.bind(_decode_changes)
+
+        def watch() -> Result[Snapshot, StoreFailure]:
+            path = f'/kv-watch?prefix={quote(prefix, safe="")}&after={after}'
+            return call_hedged(
+                lambda: self._call(f'{path}&waitMs={max(1, wait_ms)}', wait_ms),
+                lambda: self._call(f'{path}&waitMs=1', 1),
+                wait_ms + OVERDUE_ANSWER_MS,
+            ).bind(_decode_changes)
+
+        if wait_ms <= CHECK_INTERVAL_MS:
+            return watch()
+        return first_result(watch, lambda: self.check.run(generation))
 
     def _call(
         self,
--- a/src/jackdawhead/platform/store_source.py
+++ b/src/jackdawhead/platform/store_source.py
@@ -97,6 +97,9 @@
     def is_provisional(self, version: int) -> bool:
         return is_provisional(version)
 
+    def on_silence(self, note_silence: Callable[[], None]) -> None:
+        self._client.check.on_silence = note_silence
+
     def config_loader(self) -> SourceLoader:
         return DocumentLoader(self._zones, self._admission)
 
@@ -155,10 +158,12 @@
         raise AssertionError('a result is a success or a failure')
 
     def _call(self, wait_ms: int) -> Result[Snapshot, StoreFailure]:
-        revision = self._position.revision
-        if revision is None:
+        position = self._position
+        if position.revision is None:
             return self._client.range(_ALL_KEYS)
-        return self._client.watch(_ALL_KEYS, revision, wait_ms)
+        return self._client.watch(
+            _ALL_KEYS, position.revision, wait_ms, position.generation
+        )
 
     def _begin_generation(self, previous: int) -> None:
         """Start anew after the store has come back from an older copy.
