The end of a stop leaves what is left of large answers to the kernel

What callers saw: a download that was read before SIGTERM and that its caller reads slowly is cut at the end of the stop, though its upstream had answered long before.

Change: at the end of a stop the buffers of connections with an answer in progress are widened, and the homes get 0.1 s to hand over the rest. The kernel delivers it when the process has ended.

Evidence: features/fleet/stopping_elsewhere, "A download that is read on after the stop is delivered by the kernel", failed on the commit before and passes; all other scenarios of the feature pass.

--- a/features/fleet/stopping_elsewhere.feature
+++ b/features/fleet/stopping_elsewhere.feature
@@ -53,6 +53,14 @@
     And process entry-0 gets SIGTERM
     Then request "reader" gets the whole download
 
+  # It was cut at the end of the stop, though its upstream had answered long before.
+  Scenario: A download that is read on after the stop is delivered by the kernel
+    Given 1 nodes and an entry whose stops take 2500 ms, 600 ms of them with an open listener
+    And a connection "reader" to entry-0
+    When a download of 400000 bytes is sent on connection "reader" and read 4000 ms later
+    And process entry-0 gets SIGTERM
+    Then request "reader" gets the whole download
+
   Scenario: A second copy and a second attempt are finished in a stop
     Given 2 nodes and an entry whose stops take 3000 ms, 600 ms of them with an open listener
     And a connection "hedged" to entry-0
--- a/src/jackdawhead/node/http_server.py
+++ b/src/jackdawhead/node/http_server.py
@@ -23,6 +23,8 @@
     from ..config.settings import Address
 
 _BACKLOG: Final = 1024
+# The kernel may allow less.
+_LAST_BUFFER_BYTES: Final = 1_048_576
 # Connections accepted at once; the bounds are checked after these.
 _MAX_ACCEPTED: Final = 16
 _NO_BOUNDS: Final = CallerUse(sys.maxsize, sys.maxsize)
@@ -104,6 +106,11 @@
         """Requests in progress."""
         return tuple(handler.in_progress for handler in self.begun_ms)
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether an answer has begun and is not complete."""
+        return any(handler.headers_sent for handler in self.begun_ms)
+
     def has_request_from_before(self, at_ms: float) -> bool:
         """Return whether a request in progress began before a time.
 
@@ -111,6 +118,17 @@
         """
         return any(begun_ms < at_ms for begun_ms in self.begun_ms.values())
 
+    def widen_buffers(self) -> None:
+        """Let the kernel hold more of the answers that callers read slowly.
+
+        It goes on delivering them when the process has ended.
+        """
+        for handler in tuple(self.begun_ms):
+            with suppress(OSError):
+                handler.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, _LAST_BUFFER_BYTES
+                )
+
     def _bound_buffers(self) -> None:
         with suppress(OSError):
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
--- a/src/jackdawhead/node/shutdown.py
+++ b/src/jackdawhead/node/shutdown.py
@@ -25,6 +25,8 @@
 _SIGNAL_DELAY_MS: Final = 50
 # A poll that is later than this was delayed by a pause of the process.
 _MAX_POLL_DELAY_MS: Final = 200
+# Time in which the rest of the answers comes from the homes.
+_HAND_OVER_MS: Final = 100
 # Polls after a pause in which the events that came meanwhile are handled. They
 # are counted, as time passes during the next pause, too.
 _CATCH_UP_POLLS: Final = 5
@@ -128,6 +130,7 @@
 
         :param plan: schedule of the stop.
         """
+        self._hand_over_answers()
         self._parts.attempts.fail_all()
         polls = count()
         while self._callers.active and (
@@ -136,6 +139,15 @@
         ):
             gevent.sleep(seconds(_DRAIN_POLL_MS))
 
+    def _hand_over_answers(self) -> None:
+        """Leave the rest of the answers to the kernel, as far as it fits."""
+        if not self._callers.is_answering:
+            return
+        self._callers.widen_buffers()
+        ends_at_ms = monotonic_ms() + _HAND_OVER_MS
+        while self._callers.is_answering and monotonic_ms() < ends_at_ms:
+            gevent.sleep(seconds(_DRAIN_POLL_MS))
+
     def _log_end(self, plan: StopPlan) -> None:
         requests = self._callers.in_progress
         log_stop_end(plan, len(requests), len(self._parts.attempts))
--- a/src/jackdawhead/platform/reach_check.py
+++ b/src/jackdawhead/platform/reach_check.py
@@ -24,7 +24,7 @@
 
     Call = Callable[[], Result[StoreAnswer, StoreFailure]]
 
-CHECK_INTERVAL_MS: Final = 400
+CHECK_INTERVAL_MS: Final = 600
 # Each check makes a second call after this time, as an answer may be lost.
 _OVERDUE_MS: Final = 250
 _LIMIT_MS: Final = 500
