--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -37,7 +37,7 @@
 from jackdawhead.node.vm_list_codec import parse_vm_list
 from jackdawhead.platform.store import _decode_changes
 from jackdawhead.platform.store_pages import Pages
-from jackdawhead.platform.store_types import StoredItem
+from jackdawhead.platform.store_types import StoreAnswer, StoredItem
 from jackdawhead.platform.upstream_entries import decode_record
 from jackdawhead.policy.removal_grace_period import RemovalGracePeriod
 
@@ -226,7 +226,8 @@
     def check(plain: Any, field: str) -> None:
         for body in (plain, {field: plain}, {field: [plain]}):
             encoded = msgspec.json.encode(without_surrogates(body))
-            context.read = (Pages().add(encoded), _decode_changes(encoded))
+            answer = StoreAnswer(encoded, 0)
+            context.read = (Pages().add(answer), _decode_changes(answer))
 
     check_examples(check, count, plain=_PLAIN, field=st.sampled_from(fields))
     for body in (_DEEP_NESTING.encode(), b'\xff', b''):
