--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -223,15 +223,17 @@
     """Decode generated bodies as pages and as change events."""
     fields = ('items', 'events', 'atRev', 'hasMore', 'key', 'value')
 
+    def decode(body: bytes) -> None:
+        answer = StoreAnswer(body, 0)
+        context.read = (Pages().add(answer), _decode_changes(answer))
+
     def check(plain: Any, field: str) -> None:
         for body in (plain, {field: plain}, {field: [plain]}):
-            encoded = msgspec.json.encode(without_surrogates(body))
-            answer = StoreAnswer(encoded, 0)
-            context.read = (Pages().add(answer), _decode_changes(answer))
+            decode(msgspec.json.encode(without_surrogates(body)))
 
     check_examples(check, count, plain=_PLAIN, field=st.sampled_from(fields))
     for body in (_DEEP_NESTING.encode(), b'\xff', b''):
-        context.read = (Pages().add(body), _decode_changes(body))
+        decode(body)
 
 
 def without_surrogates(plain: Any) -> Any:
