--- a/features/steps/revoked_key_steps.py
+++ b/features/steps/revoked_key_steps.py
@@ -50,8 +50,7 @@
     for number in range(1, count + 1):
         context.store.put(f'servers/i-{number}', entry_beside(context, number))
         relay = start_relay(context, store_port)
-        context.store_port = relay.port
-        node = start_node(context, fleet, number)
+        node = start_node(context, fleet, number, relay.port)
         context.platform_nodes.append(node)
         context.relays[node.ip] = relay
     wait_until(lambda: _statuses(context, 'k-a') == {_OK}, 'all nodes serve')
