--- a/src/jackdawhead/platform/reach_check.py
+++ b/src/jackdawhead/platform/reach_check.py
@@ -15,7 +15,7 @@
 
 from ..clock import monotonic_ms, seconds
 from .hedged_call import call_hedged
-from .store_types import StoreFailure
+from .store_types import StoreFailure, generation_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,9 +56,9 @@
             gevent.sleep(seconds(CHECK_INTERVAL_MS))
             began_at_ms = monotonic_ms()
             result = self._check()
-            if _generation_of(result) > generation:
+            shown = generation_of(result)
+            if shown > generation:
                 cause = 'the platform has come back from an older copy'
-                shown = _generation_of(result)
                 return Failure(StoreFailure(cause, generation=shown))
             took_ms = monotonic_ms() - began_at_ms
             if (
@@ -82,11 +82,4 @@
         return result
 
 
-def _generation_of(result: Result[StoreAnswer, StoreFailure]) -> int:
-    answered = (
-        result.unwrap() if isinstance(result, Success) else result.failure()
-    )
-    return answered.generation
-
-
 __all__ = ('CHECK_INTERVAL_MS', 'ReachCheck')
--- a/src/jackdawhead/platform/store_position.py
+++ b/src/jackdawhead/platform/store_position.py
@@ -11,7 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
-from .store_types import Snapshot, StoreFailure
+from .store_types import Snapshot, StoreFailure, generation_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,10 +47,7 @@
         """
         if isinstance(result, Failure) and result.failure().is_history_lost:
             return True
-        answered = (
-            result.unwrap() if isinstance(result, Success) else result.failure()
-        )
-        is_later = answered.generation > self.generation
+        is_later = generation_of(result) > self.generation
         return is_later and self.revision is not None
 
     def refuse_earlier(
--- a/src/jackdawhead/platform/store_types.py
+++ b/src/jackdawhead/platform/store_types.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from returns.result import Result, Success
 
 from ..json_parts import DECODE_ERRORS
 from ..node.listed_types import Revision
@@ -123,6 +124,19 @@
     generation: int
 
 
+def generation_of(
+    result: Result[Snapshot, StoreFailure] | Result[StoreAnswer, StoreFailure],
+) -> int:
+    """Return the generation that an answer or an error names, 0 if none.
+
+    :param result: result of a call.
+    """
+    answered: Snapshot | StoreAnswer | StoreFailure = (
+        result.unwrap() if isinstance(result, Success) else result.failure()
+    )
+    return answered.generation
+
+
 __all__ = (
     'Page',
     'Snapshot',
@@ -130,5 +144,6 @@
     'StoreFailure',
     'StoredItem',
     'WatchEvents',
+    'generation_of',
     'read_item',
 )
