--- a/features/steps/odd_fleet_steps.py
+++ b/features/steps/odd_fleet_steps.py
@@ -13,13 +13,13 @@
 from behave import given, then, when
 from geventhttpclient.response import HTTPParseError
 
+from features.steps.fleet_steps import start_relay
 from features.steps.platform_path_steps import PlatformUpstream
 from features.steps.platform_steps import config_document, upstream_entry
 from jackdawhead.bench.client import HttpClient, HttpRequest
 from jackdawhead.config.settings import Address
 from jackdawhead.node.http_server import HttpServer
 from standins.fleet import Fleet, kill_process, wait_until
-from standins.relay import Relay
 from standins.store import StandInStore
 
 if TYPE_CHECKING:
@@ -122,14 +122,12 @@
     """Start the same with a relay between each node and the store."""
     context.relays = []
 
-    def start_relay(store_port: int) -> int:
-        relay = Relay(store_port)
-        relay.start()
-        context.stack.callback(relay.stop)
+    def relay_to(store_port: int) -> int:
+        relay = start_relay(context, store_port)
         context.relays.append(relay)
         return relay.port
 
-    start_reading_fleet(context, count, start_relay)
+    start_reading_fleet(context, count, relay_to)
 
 
 def start_reading_fleet(
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -560,18 +560,21 @@
 @when('the store no longer answers calls')
 def silence_store(context: Context) -> None:
     """Leave all calls without an answer, and note whether the source tells."""
-    context.told = []
-    context.source.on_silence(lambda: context.told.append('silent'))
-    context.silenced_at_ms = monotonic_ms()
+    record_silence(context)
     context.store.mode = 'silent'
 
 
 @when('the next call is not answered')
 def silence_one_call(context: Context) -> None:
     """Leave one call that is yet to come without an answer."""
+    record_silence(context)
+    context.store.lose_next_answer()
+
+
+def record_silence(context: Context) -> None:
+    """Note whether the source tells of silence from now on."""
     context.told = []
     context.source.on_silence(lambda: context.told.append('silent'))
-    context.store.lose_next_answer()
     context.silenced_at_ms = monotonic_ms()
 
 
